--- /dev/null
+++ b/src/bin/cornelwharf.rs
@@ -0,0 +1,3 @@
+//! The command line of operators and owners.
+
+fn main() {}
--- /dev/null
+++ b/src/consts.rs
@@ -0,0 +1,26 @@
+//! Constants that several modules share, with their units.
+
+use crate::clock::Millis;
+
+/// The largest head of an HTTP message, in bytes.
+pub const HEAD_BYTES: usize = 16 * 1024;
+/// The largest body of an HTTP message, in bytes.
+pub const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// The largest frame between daemons, in bytes.
+pub const FRAME_BYTES: usize = 4 * 1024 * 1024;
+/// How long an idle connection of a caller is kept.
+pub const IDLE_SPAN: Millis = Millis::seconds(75);
+/// How long a message may take to arrive once its first byte has.
+pub const READ_SPAN: Millis = Millis::seconds(20);
+/// How long one write may wait for a slow reader.
+pub const WRITE_SPAN: Millis = Millis::seconds(20);
+/// How long to wait for a connection to open.
+pub const DIAL_SPAN: Millis = Millis::seconds(1);
+/// The deadline of a request that names none.
+pub const DEADLINE_SPAN: Millis = Millis::seconds(60);
+/// The interval between the ticks that a daemon feeds to its core.
+pub const TICK_SPAN: Millis = Millis(50);
+/// How long callers may keep an answer of the addresses route.
+pub const ADDRESS_SPAN: Millis = Millis::seconds(5);
+/// Within this span a VM that saw no fresh state of the log stops taking new work.
+pub const FRESH_SPAN: Millis = Millis::seconds(6);
--- /dev/null
+++ b/src/core/config/mod.rs
@@ -0,0 +1,3 @@
+//! The configuration: objects, plans, the fold of the `config` stream, and the audit trail.
+
+pub mod object;
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,9 @@
+//! The core: every decision of a daemon, without input or output.
+//!
+//! Each module takes typed events and the time, and answers with typed actions; `io` carries
+//! them out (docs/DESIGN.md).
+
+pub mod config;
+pub mod member;
+pub mod once;
+pub mod route;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! A router for model pipelines over mixed accelerators.
+//!
+//! ```
+//! use cornelwharf::clock::Millis;
+//!
+//! let start = Millis::seconds(1);
+//! assert_eq!(start + Millis(500), Millis(1500));
+//! ```
+
+pub mod clock;
+pub mod consts;
+pub mod core;
+pub mod error;
+pub mod names;
