Read and write HTTP/1.1 with bounds on sizes and waits

monoio-http bounds no sizes and keeps streamed chunks back, so its decoders are driven from a buffer of ours with a bound on each item, and heads are written here.

--- /dev/null
+++ b/src/io/http/message.rs
@@ -0,0 +1,138 @@
+//! Whole requests and responses.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use http::header::CONTENT_TYPE;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The target, in origin form.
+    pub uri: Uri,
+    /// The headers, without those that frame the body.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Request {
+    /// Returns a request without headers or body.
+    pub fn new(method: Method, uri: Uri) -> Self {
+        Self {
+            method,
+            uri,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Returns a request that carries `body` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value has no JSON form.
+    pub fn json<T>(method: Method, uri: Uri, body: &T) -> Result<Self, serde_json::Error>
+    where
+        T: Serialize,
+    {
+        let mut request = Self::new(method, uri);
+        request.body = serde_json::to_vec(body)?.into();
+        request.headers.insert(CONTENT_TYPE, JSON);
+        Ok(request)
+    }
+
+    /// Returns the value of a header if it is text.
+    pub fn header(&self, name: &HeaderName) -> Option<&str> {
+        text(&self.headers, name)
+    }
+
+    /// Returns the value of a query parameter as it stands in the target.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        self.uri
+            .query()?
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers, without those that frame the body.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+impl Response {
+    /// Returns a response without headers or body.
+    pub fn new(status: StatusCode) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Returns a response that carries `body` as JSON, or a 500 if it has no JSON form.
+    pub fn json<T>(status: StatusCode, body: &T) -> Self
+    where
+        T: Serialize,
+    {
+        let Ok(bytes) = serde_json::to_vec(body) else {
+            return Self::new(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let mut response = Self::new(status);
+        response.body = bytes.into();
+        response.headers.insert(CONTENT_TYPE, JSON);
+        response
+    }
+
+    /// Returns a response of plain text.
+    pub fn text<T>(status: StatusCode, body: T) -> Self
+    where
+        T: Into<Bytes>,
+    {
+        let mut response = Self::new(status);
+        response.body = body.into();
+        response
+            .headers
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        response
+    }
+
+    /// Returns the value of a header if it is text.
+    pub fn header(&self, name: &HeaderName) -> Option<&str> {
+        text(&self.headers, name)
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not the JSON form of a `T`.
+    pub fn parse<T>(&self) -> Result<T, serde_json::Error>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/src/io/http/reader.rs
@@ -0,0 +1,303 @@
+//! The reading half of a connection.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use monoio::buf::IoBufMut;
+use monoio::io::AsyncReadRent;
+use monoio::io::OwnedReadHalf;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_codec::Decoded;
+use monoio_codec::Decoder;
+use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
+use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+
+use super::error::HttpError;
+use super::message::Request;
+use super::message::Response;
+use crate::clock::Millis;
+use crate::consts::BODY_BYTES;
+use crate::consts::HEAD_BYTES;
+use crate::consts::IDLE_SPAN;
+use crate::consts::READ_SPAN;
+
+/// The bytes that one read asks for.
+const READ_BYTES: usize = 2048;
+
+/// How the body of a message is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Frame {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// The reading half of a connection.
+#[derive(Debug)]
+pub struct Reader {
+    io: OwnedReadHalf<TcpStream>,
+    buf: BytesMut,
+    chunks: Option<Frame>,
+}
+
+impl Reader {
+    pub(super) fn new(io: OwnedReadHalf<TcpStream>) -> Self {
+        Self {
+            io,
+            buf: BytesMut::new(),
+            chunks: None,
+        }
+    }
+
+    /// Reads the next request; `None` if the other side closed between two requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized messages, on time-outs, and if the connection breaks.
+    pub async fn request(&mut self) -> Result<Option<Request>, HttpError> {
+        if self.buf.is_empty() && !self.wait(IDLE_SPAN).await? {
+            return Ok(None);
+        }
+        bounded(READ_SPAN, self.whole_request()).await.map(Some)
+    }
+
+    async fn whole_request(&mut self) -> Result<Request, HttpError> {
+        let head = self.decode(&mut RequestHeadDecoder, HEAD_BYTES).await?;
+        let frame = frame(&head.headers, Frame::Length(0))?;
+        let body = self.body(frame).await?;
+        let mut headers = head.headers;
+        unframe(&mut headers);
+        Ok(Request {
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+        })
+    }
+
+    /// Reads a whole response; the caller bounds the wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized messages and if the connection breaks.
+    pub async fn response(&mut self, bodiless: bool) -> Result<Response, HttpError> {
+        let mut response = self.response_head(bodiless).await?;
+        response.body = match self.chunks.take() {
+            Some(frame) => self.body(frame).await?,
+            None => Bytes::new(),
+        };
+        Ok(response)
+    }
+
+    /// Reads the head of a response whose body is then read by [`Self::chunk`].
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized heads and if the connection breaks.
+    pub async fn response_head(&mut self, bodiless: bool) -> Result<Response, HttpError> {
+        let head = loop {
+            let head = self.decode(&mut ResponseHeadDecoder, HEAD_BYTES).await?;
+            if !head.status.is_informational() {
+                break head;
+            }
+        };
+        let none = bodiless
+            || head.status == StatusCode::NO_CONTENT
+            || head.status == StatusCode::NOT_MODIFIED;
+        let frame = frame(&head.headers, Frame::UntilClose)?;
+        self.chunks = (!none).then_some(frame);
+        let mut headers = head.headers;
+        unframe(&mut headers);
+        Ok(Response {
+            status: head.status,
+            headers,
+            body: Bytes::new(),
+        })
+    }
+
+    /// Reads the next part of a response's body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized chunks and if the connection breaks before the end.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, HttpError> {
+        match self.chunks {
+            None | Some(Frame::Length(0)) => {
+                self.chunks = None;
+                Ok(None)
+            }
+            Some(Frame::Chunked) => {
+                let part = self
+                    .decode(&mut ChunkedBodyDecoder::default(), BODY_BYTES)
+                    .await?;
+                if part.is_none() {
+                    self.chunks = None;
+                }
+                Ok(part)
+            }
+            Some(Frame::Length(left)) => {
+                if self.buf.is_empty() && self.fill().await? == 0 {
+                    return Err(HttpError::Closed);
+                }
+                let size = left.min(self.buf.len());
+                self.chunks = Some(Frame::Length(left - size));
+                Ok(Some(self.buf.split_to(size).freeze()))
+            }
+            Some(Frame::UntilClose) => {
+                if self.buf.is_empty() && self.fill().await? == 0 {
+                    self.chunks = None;
+                    return Ok(None);
+                }
+                Ok(Some(self.buf.split().freeze()))
+            }
+        }
+    }
+
+    /// Waits until the other side closes or breaks the connection.
+    pub async fn closed(&mut self) {
+        if !self.buf.is_empty() {
+            std::future::pending::<()>().await;
+        }
+        if let Ok(true) = self.wait(Millis(u64::from(u32::MAX))).await {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Says whether nothing is left over from the last message, so that another may follow.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.buf.is_empty() && self.chunks.is_none()
+    }
+
+    /// Reads exactly `size` bytes; the caller bounds the size and the wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or closes before the last byte.
+    pub async fn exact(&mut self, size: usize) -> Result<Bytes, HttpError> {
+        while self.buf.len() < size {
+            if self.fill().await? == 0 {
+                return Err(HttpError::Closed);
+            }
+        }
+        Ok(self.buf.split_to(size).freeze())
+    }
+
+    async fn body(&mut self, frame: Frame) -> Result<Bytes, HttpError> {
+        match frame {
+            Frame::Length(size) if size > BODY_BYTES => Err(HttpError::TooLarge),
+            Frame::Length(size) => self.exact(size).await,
+            Frame::Chunked => self.gather().await,
+            Frame::UntilClose => self.rest().await,
+        }
+    }
+
+    async fn gather(&mut self) -> Result<Bytes, HttpError> {
+        let mut body = BytesMut::new();
+        while let Some(part) = self
+            .decode(&mut ChunkedBodyDecoder::default(), BODY_BYTES)
+            .await?
+        {
+            if body.len() + part.len() > BODY_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    }
+
+    async fn rest(&mut self) -> Result<Bytes, HttpError> {
+        while self.fill().await? > 0 {
+            if self.buf.len() > BODY_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+        }
+        Ok(self.buf.split().freeze())
+    }
+
+    /// Decodes one item, refusing to buffer more than `limit` bytes for it.
+    async fn decode<D>(&mut self, decoder: &mut D, limit: usize) -> Result<D::Item, HttpError>
+    where
+        D: Decoder,
+    {
+        loop {
+            if !self.buf.is_empty() {
+                match decoder.decode(&mut self.buf) {
+                    Ok(Decoded::Some(item)) => return Ok(item),
+                    Ok(_) if self.buf.len() > limit => return Err(HttpError::TooLarge),
+                    Ok(_) => {}
+                    Err(_) => return Err(HttpError::Malformed),
+                }
+            }
+            if self.fill().await? == 0 {
+                return Err(HttpError::Closed);
+            }
+        }
+    }
+
+    /// Waits for the first byte of something; `false` if the other side closed instead.
+    async fn wait(&mut self, span: Millis) -> Result<bool, HttpError> {
+        match bounded(span, async { Ok(self.fill().await?) }).await {
+            Ok(size) => Ok(size > 0),
+            Err(HttpError::TimedOut) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn fill(&mut self) -> std::io::Result<usize> {
+        self.buf.reserve(READ_BYTES);
+        let buf = std::mem::take(&mut self.buf);
+        let from = buf.len();
+        let to = buf.capacity();
+        let (result, slice) = self.io.read(buf.slice_mut(from..to)).await;
+        self.buf = slice.into_inner();
+        result
+    }
+}
+
+/// Runs `work`, but for no longer than `span`.
+async fn bounded<T, F>(span: Millis, work: F) -> Result<T, HttpError>
+where
+    F: Future<Output = Result<T, HttpError>>,
+{
+    timeout(span.duration(), work)
+        .await
+        .unwrap_or(Err(HttpError::TimedOut))
+}
+
+/// Reads the framing headers, refusing every doubt about where the message ends.
+fn frame(headers: &HeaderMap, default: Frame) -> Result<Frame, HttpError> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (lengths.next(), codings.next()) {
+        (None, None) => Ok(default),
+        (Some(length), None) if lengths.next().is_none() => number(length.as_bytes()),
+        (None, Some(coding)) if codings.next().is_none() => {
+            if coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+                return Ok(Frame::Chunked);
+            }
+            Err(HttpError::Malformed)
+        }
+        _ => Err(HttpError::Malformed),
+    }
+}
+
+fn number(digits: &[u8]) -> Result<Frame, HttpError> {
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(HttpError::Malformed);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| HttpError::Malformed)?;
+    text.parse()
+        .map(Frame::Length)
+        .map_err(|_| HttpError::TooLarge)
+}
+
+fn unframe(headers: &mut HeaderMap) {
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/src/io/http/writer.rs
@@ -0,0 +1,162 @@
+//! The writing half of a connection.
+
+use std::io::Write;
+
+use http::HeaderMap;
+use http::StatusCode;
+use monoio::io::AsyncWriteRent;
+use monoio::io::AsyncWriteRentExt;
+use monoio::io::OwnedWriteHalf;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+use super::error::HttpError;
+use super::message::Request;
+use super::message::Response;
+use crate::consts::WRITE_SPAN;
+
+/// A buffer that has grown over this size is given back after the write, in bytes.
+const KEEP_BYTES: usize = 8 * 1024;
+
+/// The writing half of a connection.
+#[derive(Debug)]
+pub struct Writer {
+    io: OwnedWriteHalf<TcpStream>,
+    buf: Vec<u8>,
+}
+
+impl Writer {
+    pub(super) fn new(io: OwnedWriteHalf<TcpStream>) -> Self {
+        Self {
+            io,
+            buf: Vec::new(),
+        }
+    }
+
+    /// Writes a whole request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn request(&mut self, request: &Request) -> Result<(), HttpError> {
+        let target = request
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        self.text(format_args!("{} {target} HTTP/1.1\r\n", request.method));
+        self.headers(&request.headers);
+        if !request.body.is_empty() || !request.method.is_safe() {
+            self.text(format_args!("content-length: {}\r\n", request.body.len()));
+        }
+        self.buf.extend_from_slice(b"\r\n");
+        self.buf.extend_from_slice(&request.body);
+        self.flush().await
+    }
+
+    /// Writes a whole response; `bodiless` leaves the body out, as the answer to `HEAD` must.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn response(&mut self, response: &Response, bodiless: bool) -> Result<(), HttpError> {
+        self.status(response.status);
+        self.headers(&response.headers);
+        if response.status != StatusCode::NO_CONTENT {
+            self.text(format_args!("content-length: {}\r\n", response.body.len()));
+        }
+        self.buf.extend_from_slice(b"\r\n");
+        if !bodiless {
+            self.buf.extend_from_slice(&response.body);
+        }
+        self.flush().await
+    }
+
+    /// Starts a response whose body follows by [`Self::chunk`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn start(
+        &mut self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<(), HttpError> {
+        self.status(status);
+        self.headers(headers);
+        self.buf
+            .extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+        self.flush().await
+    }
+
+    /// Writes the next part of the body at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn chunk(&mut self, data: &[u8]) -> Result<(), HttpError> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        self.text(format_args!("{:x}\r\n", data.len()));
+        self.buf.extend_from_slice(data);
+        self.buf.extend_from_slice(b"\r\n");
+        self.flush().await
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn finish(&mut self) -> Result<(), HttpError> {
+        self.buf.extend_from_slice(b"0\r\n\r\n");
+        self.flush().await
+    }
+
+    /// Writes raw bytes, for protocols other than HTTP.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the other side reads too slowly.
+    pub async fn raw(&mut self, data: &[u8]) -> Result<(), HttpError> {
+        self.buf.extend_from_slice(data);
+        self.flush().await
+    }
+
+    /// Closes the writing direction.
+    pub async fn close(&mut self) {
+        let _ = self.io.shutdown().await;
+    }
+
+    fn status(&mut self, status: StatusCode) {
+        let reason = status.canonical_reason().unwrap_or("Unknown");
+        self.text(format_args!("HTTP/1.1 {} {reason}\r\n", status.as_str()));
+    }
+
+    fn headers(&mut self, headers: &HeaderMap) {
+        for (name, value) in headers {
+            self.buf.extend_from_slice(name.as_str().as_bytes());
+            self.buf.extend_from_slice(b": ");
+            self.buf.extend_from_slice(value.as_bytes());
+            self.buf.extend_from_slice(b"\r\n");
+        }
+    }
+
+    fn text(&mut self, text: std::fmt::Arguments<'_>) {
+        let _ = self.buf.write_fmt(text);
+    }
+
+    async fn flush(&mut self) -> Result<(), HttpError> {
+        let buf = std::mem::take(&mut self.buf);
+        let Ok((result, mut buf)) = timeout(WRITE_SPAN.duration(), self.io.write_all(buf)).await
+        else {
+            return Err(HttpError::TimedOut);
+        };
+        result?;
+        if buf.capacity() <= KEEP_BYTES {
+            buf.clear();
+            self.buf = buf;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/io/mod.rs
@@ -0,0 +1,4 @@
+//! Sockets, timers, logs and metrics round the core.
+
+pub mod http;
+pub mod runtime;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod consts;
 pub mod core;
 pub mod error;
+pub mod io;
 pub mod names;
