--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,3 +7,4 @@
 pub mod member;
 pub mod once;
 pub mod route;
+pub mod session;
