Add stand-ins of the platform, a plain service and a model engine

They serve the protocols that the daemons speak and take fault switches; the engine's tokens are a pure function of every layer applied once in order, so a wrong answer shows.

--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -1,4 +1,6 @@
 //! Sockets, timers, logs and metrics round the core.
 
 pub mod http;
+pub mod listen;
+pub mod platform;
 pub mod runtime;
--- /dev/null
+++ b/src/io/platform/mod.rs
@@ -0,0 +1,3 @@
+//! The platform's service as a client sees it.
+
+pub mod wire;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod error;
 pub mod io;
 pub mod names;
+pub mod standin;
--- /dev/null
+++ b/src/standin/engine/batch.rs
@@ -0,0 +1,103 @@
+//! Continuous batching by a stated cost model.
+//!
+//! A batch takes up to `slots` jobs and lasts `step`, plus the time for the prompt positions in
+//! it; whatever came meanwhile joins the next batch. The time passes by timers and costs no
+//! processor, so that many engines fit one machine.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use local_sync::oneshot;
+
+use crate::clock::Millis;
+
+/// A queue of jobs in front of one accelerator.
+#[derive(Clone, Debug)]
+pub(super) struct Batch {
+    inner: Rc<RefCell<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    slots: usize,
+    step: Millis,
+    prefill: u32,
+    running: u32,
+    queue: VecDeque<Job>,
+    active: bool,
+}
+
+#[derive(Debug)]
+struct Job {
+    positions: u32,
+    done: oneshot::Sender<()>,
+}
+
+impl Batch {
+    pub(super) fn start(slots: usize, step: Millis, prefill: u32) -> Self {
+        let queue = VecDeque::new();
+        let inner = Inner {
+            slots,
+            step,
+            prefill,
+            running: 0,
+            queue,
+            active: false,
+        };
+        Self {
+            inner: Rc::new(RefCell::new(inner)),
+        }
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.inner.borrow().running
+    }
+
+    pub(super) fn waiting(&self) -> u32 {
+        self.inner.borrow().queue.len() as u32
+    }
+
+    /// Waits for a place in a batch and until that batch is done.
+    pub(super) async fn run(&self, positions: u32, delay: Millis) {
+        let (done, wait) = oneshot::channel();
+        self.inner
+            .borrow_mut()
+            .queue
+            .push_back(Job { positions, done });
+        if !std::mem::replace(&mut self.inner.borrow_mut().active, true) {
+            let batch = self.clone();
+            monoio::spawn(async move { batch.work(delay).await });
+        }
+        let _ = wait.await;
+    }
+
+    async fn work(&self, delay: Millis) {
+        loop {
+            let jobs = self.inner.borrow_mut().take();
+            if jobs.is_empty() {
+                self.inner.borrow_mut().active = false;
+                return;
+            }
+            let span = self.inner.borrow().cost(&jobs) + delay;
+            monoio::time::sleep(span.duration()).await;
+            for job in jobs {
+                let _ = job.done.send(());
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn take(&mut self) -> Vec<Job> {
+        let size = self.slots.min(self.queue.len());
+        self.running = size as u32;
+        self.queue.drain(..size).collect()
+    }
+
+    fn cost(&self, jobs: &[Job]) -> Millis {
+        let positions: u32 = jobs.iter().map(|job| job.positions).sum();
+        let extra = positions.checked_div(self.prefill).unwrap_or(0);
+        self.step + Millis(u64::from(extra))
+    }
+}
--- /dev/null
+++ b/src/standin/engine/kv.rs
@@ -0,0 +1,112 @@
+//! The KV cache: what an engine remembers of each attempt.
+
+use std::collections::BTreeMap;
+
+use crate::core::session::wire::Release;
+use crate::core::session::wire::SessionId;
+
+/// An attempt of a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Key {
+    pub(super) session: SessionId,
+    pub(super) attempt: u32,
+}
+
+/// What is remembered of an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    /// The token that comes next.
+    pub(super) next: u32,
+    /// All tokens so far, where the first layer is held.
+    pub(super) tokens: Vec<u32>,
+    /// The positions that it takes up.
+    pub(super) positions: usize,
+    used: u64,
+}
+
+impl Entry {
+    /// Starts an attempt whose next token is `next`.
+    pub(super) fn new(next: u32, tokens: Vec<u32>) -> Self {
+        Self {
+            next,
+            tokens,
+            positions: 0,
+            used: 0,
+        }
+    }
+}
+
+/// The cache of an engine; the entry used longest ago makes room.
+#[derive(Debug)]
+pub(super) struct Cache {
+    limit: usize,
+    taken: usize,
+    uses: u64,
+    entries: BTreeMap<Key, Entry>,
+}
+
+impl Cache {
+    pub(super) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            taken: 0,
+            uses: 0,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn free(&self) -> u32 {
+        self.limit.saturating_sub(self.taken) as u32
+    }
+
+    pub(super) fn get(&self, key: &Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Stores what is known after a step, and makes room for it.
+    pub(super) fn put(&mut self, key: Key, mut entry: Entry) {
+        self.remove(&key);
+        self.uses += 1;
+        entry.used = self.uses;
+        self.taken += entry.positions;
+        self.entries.insert(key, entry);
+        while self.taken > self.limit && self.entries.len() > 1 {
+            self.evict();
+        }
+    }
+
+    /// Takes an entry out, to step it.
+    pub(super) fn remove(&mut self, key: &Key) -> Option<Entry> {
+        let entry = self.entries.remove(key)?;
+        self.taken -= entry.positions;
+        Some(entry)
+    }
+
+    /// Frees the attempts of a session up to the one named.
+    pub(super) fn release(&mut self, release: Release) {
+        let session = release.session;
+        let from = Key {
+            session,
+            attempt: 0,
+        };
+        let to = Key {
+            session,
+            attempt: release.attempt,
+        };
+        let keys: Vec<Key> = self.entries.range(from..=to).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn evict(&mut self) {
+        let oldest = self
+            .entries
+            .iter()
+            .min_by_key(|(_, entry)| entry.used)
+            .map(|(key, _)| *key);
+        if let Some(key) = oldest {
+            self.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/mod.rs
@@ -0,0 +1,191 @@
+//! The stand-in of a model engine that holds a range of layers.
+//!
+//! It batches continuously by a stated cost model ([`batch`]), keeps a KV cache with a limit
+//! ([`kv`]), reports its load with a lag, and counts what should never happen ([`ledger`]).
+
+mod batch;
+mod faults;
+mod kv;
+mod ledger;
+mod load;
+mod model;
+mod run;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::batch::Batch;
+pub use self::faults::Faults;
+use self::kv::Cache;
+pub use self::ledger::Ledger;
+pub use self::load::LoadReport;
+use self::load::Reports;
+pub use self::model::draw;
+use super::serve;
+use super::serve::Handed;
+use super::serve::Reply;
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::core::config::object::Layers;
+use crate::core::session::wire::Release;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// What an engine is and what its work costs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The layers that it holds.
+    pub layers: Layers,
+    /// The layers of the whole model.
+    pub total: u32,
+    /// The most hops in one batch.
+    #[serde(default = "slots")]
+    pub slots: usize,
+    /// How long one batch takes, whatever is in it.
+    #[serde(default = "step")]
+    pub step: Millis,
+    /// How many prompt positions a millisecond adds to a batch; 0 if they cost nothing.
+    #[serde(default)]
+    pub prefill: u32,
+    /// The most positions that the KV cache holds.
+    #[serde(default = "positions")]
+    pub positions: usize,
+}
+
+const fn slots() -> usize {
+    16
+}
+
+const fn step() -> Millis {
+    Millis(5)
+}
+
+const fn positions() -> usize {
+    65_536
+}
+
+/// An engine at work.
+#[derive(Debug)]
+struct State {
+    engine: Engine,
+    clock: Clock,
+    boot: u64,
+    cache: Cache,
+    batch: Batch,
+    faults: Faults,
+    ledger: Ledger,
+    reports: Reports,
+    /// Until when it is down after a crash.
+    down: Millis,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+/// Starts an engine.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn start(engine: Engine) -> std::io::Result<()> {
+    let addr = engine.addr;
+    let clock = Clock::start();
+    let state = Rc::new(RefCell::new(State {
+        clock,
+        boot: clock.now().0,
+        cache: Cache::new(engine.positions),
+        batch: Batch::start(engine.slots, engine.step, engine.prefill),
+        faults: Faults::default(),
+        ledger: Ledger::default(),
+        reports: Reports::default(),
+        down: Millis(0),
+        engine,
+    }));
+    serve::listen(addr, move |request, conn| {
+        let state = Rc::clone(&state);
+        async move { answer(&state, &request, conn).await }
+    })
+}
+
+async fn answer(state: &Shared, request: &Request, conn: Handed) -> (Handed, Reply) {
+    if request.method == Method::PUT && request.uri.path() == "/faults" {
+        return (conn, switch(state, request));
+    }
+    if state.borrow().is_down() {
+        return (conn, Reply::Cut);
+    }
+    if state.borrow().faults.hang {
+        return (conn, Reply::Silence);
+    }
+    match (&request.method, request.uri.path()) {
+        (&Method::POST, "/v1/hops") => run::hop(state, request, conn).await,
+        (&Method::POST, "/v1/releases") => (conn, release(state, request)),
+        (&Method::GET, "/v1/load") => (conn, report(state)),
+        (&Method::GET, "/ledger") => {
+            let ledger = state.borrow().ledger;
+            (conn, Reply::Whole(Response::json(StatusCode::OK, &ledger)))
+        }
+        _ => (conn, Reply::Whole(Response::new(StatusCode::NOT_FOUND))),
+    }
+}
+
+fn release(state: &Shared, request: &Request) -> Reply {
+    let Ok(release) = serde_json::from_slice::<Release>(&request.body) else {
+        return Reply::Whole(Response::new(StatusCode::BAD_REQUEST));
+    };
+    state.borrow_mut().cache.release(release);
+    Reply::Whole(Response::new(StatusCode::NO_CONTENT))
+}
+
+fn report(state: &Shared) -> Reply {
+    let mut state = state.borrow_mut();
+    let now = state.clock.now();
+    let fresh = LoadReport {
+        boot: state.boot,
+        at: now,
+        running: state.batch.running(),
+        waiting: state.batch.waiting(),
+        free: state.cache.free(),
+        leaving: state.faults.leaving,
+    };
+    let lag = state.faults.lag;
+    let shown = state.reports.show(now, lag, fresh);
+    Reply::Whole(Response::json(StatusCode::OK, &shown))
+}
+
+fn switch(state: &Shared, request: &Request) -> Reply {
+    let Ok(faults) = serde_json::from_slice::<Faults>(&request.body) else {
+        return Reply::Whole(Response::new(StatusCode::BAD_REQUEST));
+    };
+    let mut state = state.borrow_mut();
+    let crash = faults.crash;
+    state.faults = faults;
+    if crash {
+        state.crash();
+    }
+    Reply::Whole(Response::new(StatusCode::NO_CONTENT))
+}
+
+impl State {
+    fn is_down(&self) -> bool {
+        self.clock.now() < self.down
+    }
+
+    /// Loses everything and comes back, under another boot id, after the stated time.
+    fn crash(&mut self) {
+        let now = self.clock.now();
+        self.boot = now.0.max(self.boot + 1);
+        self.cache = Cache::new(self.engine.positions);
+        self.down = now + self.faults.down;
+        self.ledger.crashes += 1;
+        self.faults.crash = false;
+    }
+}
--- /dev/null
+++ b/src/standin/engine/run.rs
@@ -0,0 +1,258 @@
+//! Running a hop.
+
+use http::HeaderMap;
+use http::StatusCode;
+
+use super::Shared;
+use super::State;
+use super::faults::take;
+use super::kv::Entry;
+use super::kv::Key;
+use super::model::Activation;
+use super::serve::Handed;
+use super::serve::Reply;
+use crate::core::session::wire::Hop;
+use crate::core::session::wire::HopError;
+use crate::core::session::wire::HopReply;
+use crate::core::session::wire::Input;
+use crate::core::session::wire::Output;
+use crate::core::session::wire::Refusal;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// So many batches may wait before new sessions are refused.
+const QUEUE_BATCHES: usize = 4;
+
+/// What a step has to do, once the hop is admitted.
+#[derive(Debug)]
+struct Step {
+    key: Key,
+    entry: Entry,
+    start: Activation,
+    positions: u32,
+}
+
+/// Runs one hop and streams its replies.
+pub(super) async fn hop(state: &Shared, request: &Request, mut conn: Handed) -> (Handed, Reply) {
+    let Ok(hop) = serde_json::from_slice::<Hop>(&request.body) else {
+        return (conn, refuse(Refusal::Bad));
+    };
+    let step = match state.borrow_mut().admit(&hop) {
+        Ok(step) => step,
+        Err(refusal) => return (conn, refuse(refusal)),
+    };
+    let reply = match stream(state, &hop, step, &mut conn).await {
+        Ok(reply) => reply,
+        Err(_) => Reply::Cut,
+    };
+    (conn, reply)
+}
+
+fn refuse(error: Refusal) -> Reply {
+    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let body = HopError {
+        error,
+        message: error.to_string(),
+    };
+    Reply::Whole(Response::json(status, &body))
+}
+
+async fn stream(
+    state: &Shared,
+    hop: &Hop,
+    mut step: Step,
+    conn: &mut Handed,
+) -> Result<Reply, HttpError> {
+    conn.writer.start(StatusCode::OK, &HeaderMap::new()).await?;
+    for index in 0..hop.steps.max(1) {
+        let boot = state.borrow().boot;
+        let (batch, delay) = {
+            let state = state.borrow();
+            (state.batch.clone(), state.faults.delay)
+        };
+        batch.run(step.positions, delay).await;
+        if state.borrow().boot != boot || state.borrow().is_down() {
+            return Ok(Reply::Cut);
+        }
+        let end = step.start.run(hop.layers.to);
+        let (reply, last) = state
+            .borrow_mut()
+            .settle(hop, hop.token + index, &mut step, end);
+        if let Some(fault) = fault(state) {
+            return Ok(fault);
+        }
+        write(state, conn, reply).await?;
+        if last {
+            break;
+        }
+    }
+    conn.writer.finish().await?;
+    Ok(Reply::Done)
+}
+
+fn fault(state: &Shared) -> Option<Reply> {
+    let mut state = state.borrow_mut();
+    if take(&mut state.faults.silence) {
+        return Some(Reply::Silence);
+    }
+    take(&mut state.faults.lose).then_some(Reply::Cut)
+}
+
+async fn write(state: &Shared, conn: &mut Handed, mut reply: HopReply) -> Result<(), HttpError> {
+    if take(&mut state.borrow_mut().faults.cross) {
+        reply.attempt += 1;
+    }
+    let Ok(mut line) = serde_json::to_vec(&reply) else {
+        return Err(HttpError::Malformed);
+    };
+    line.push(b'\n');
+    if take(&mut state.borrow_mut().faults.double) {
+        conn.writer.chunk(&line).await?;
+    }
+    conn.writer.chunk(&line).await
+}
+
+impl State {
+    fn admit(&mut self, hop: &Hop) -> Result<Step, Refusal> {
+        let held = self.engine.layers;
+        if hop.layers.from < held.from || hop.layers.to > held.to {
+            return Err(Refusal::Bad);
+        }
+        if take(&mut self.faults.refuse) {
+            return Err(Refusal::Unrun);
+        }
+        let key = Key {
+            session: hop.session,
+            attempt: hop.attempt,
+        };
+        if self.cache.get(&key).is_none() {
+            let queue = self.batch.waiting() as usize;
+            if self.faults.leaving || queue > QUEUE_BATCHES * self.engine.slots {
+                return Err(Refusal::Unrun);
+            }
+        }
+        let step = self.step(key, hop)?;
+        self.ledger.hops += 1;
+        Ok(step)
+    }
+
+    fn step(&mut self, key: Key, hop: &Hop) -> Result<Step, Refusal> {
+        match &hop.input {
+            Input::Prompt { tokens } => {
+                if self.faults.kills(tokens) {
+                    self.crash();
+                }
+                let positions = tokens.len() as u32;
+                let entry = Entry::new(hop.token, tokens.clone());
+                let start = Activation::embed(hop.seed, hop.token, tokens);
+                Ok(Step {
+                    key,
+                    entry,
+                    start,
+                    positions,
+                })
+            }
+            Input::Token { value } => {
+                let mut entry = self.resume(key, hop)?;
+                entry.tokens.push(*value);
+                let start = Activation::embed(hop.seed, hop.token, &entry.tokens);
+                Ok(Step {
+                    key,
+                    entry,
+                    start,
+                    positions: 0,
+                })
+            }
+            Input::State { data, positions } => {
+                let start: Activation = data.parse().map_err(|_| Refusal::Bad)?;
+                if start.layer != hop.layers.from {
+                    self.ledger.misplaced += 1;
+                    return Err(Refusal::Bad);
+                }
+                self.later(key, hop, start, *positions)
+            }
+        }
+    }
+
+    fn later(
+        &mut self,
+        key: Key,
+        hop: &Hop,
+        start: Activation,
+        positions: u32,
+    ) -> Result<Step, Refusal> {
+        let first = positions > 1 || hop.token == 0;
+        if first && self.cache.get(&key).is_none() {
+            let entry = Entry::new(hop.token, Vec::new());
+            return Ok(Step {
+                key,
+                entry,
+                start,
+                positions,
+            });
+        }
+        let entry = self.resume(key, hop)?;
+        Ok(Step {
+            key,
+            entry,
+            start,
+            positions: 0,
+        })
+    }
+
+    /// Takes the attempt's entry for the next token, which may be asked for once.
+    fn resume(&mut self, key: Key, hop: &Hop) -> Result<Entry, Refusal> {
+        let next = self.cache.get(&key).map(|entry| entry.next);
+        match next {
+            Some(next) if next == hop.token => self.cache.remove(&key).ok_or(Refusal::Lost),
+            Some(next) if next > hop.token => {
+                self.ledger.repeats += 1;
+                Err(Refusal::Bad)
+            }
+            _ => {
+                self.ledger.lost += 1;
+                Err(Refusal::Lost)
+            }
+        }
+    }
+
+    /// Stores the step's outcome and returns its reply, and whether it is the hop's last.
+    fn settle(
+        &mut self,
+        hop: &Hop,
+        token: u32,
+        step: &mut Step,
+        end: Activation,
+    ) -> (HopReply, bool) {
+        self.ledger.steps += 1;
+        let whole = hop.layers.to == self.engine.total;
+        let output = if whole {
+            Output::Token {
+                value: end.token(),
+                end: end.ends(),
+            }
+        } else {
+            Output::State {
+                data: end.to_string(),
+            }
+        };
+        step.entry.next = token + 1;
+        step.entry.positions += (step.positions as usize).max(1);
+        self.cache.put(step.key, step.entry.clone());
+        let reply = HopReply {
+            session: hop.session,
+            attempt: hop.attempt,
+            token,
+            layers: hop.layers,
+            output,
+        };
+        let last = token + 1 >= hop.token + hop.steps.max(1) || (whole && end.ends());
+        if !last {
+            step.positions = 0;
+            step.entry.tokens.push(end.token());
+            step.start = Activation::embed(hop.seed, token + 1, &step.entry.tokens);
+        }
+        (reply, last)
+    }
+}
--- /dev/null
+++ b/src/standin/platform/vms.rs
@@ -0,0 +1,35 @@
+//! The list of VMs, whose changes show late.
+
+use crate::clock::Millis;
+use crate::io::platform::wire::VmList;
+
+/// The list that is shown, and the one that comes next.
+#[derive(Debug)]
+pub(super) struct Vms {
+    shown: VmList,
+    next: Option<Change>,
+}
+
+#[derive(Debug)]
+struct Change {
+    at: Millis,
+    list: VmList,
+}
+
+impl Vms {
+    pub(super) fn new(shown: VmList) -> Self {
+        Self { shown, next: None }
+    }
+
+    /// Sets the list that shows from the time `at`.
+    pub(super) fn replace(&mut self, at: Millis, list: VmList) {
+        self.next = Some(Change { at, list });
+    }
+
+    pub(super) fn list(&mut self, now: Millis) -> &VmList {
+        if let Some(change) = self.next.take_if(|change| change.at <= now) {
+            self.shown = change.list;
+        }
+        &self.shown
+    }
+}
--- /dev/null
+++ b/src/standin/serve.rs
@@ -0,0 +1,70 @@
+//! The connection loop that the stand-ins share.
+
+use std::net::SocketAddr;
+
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::listen;
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// It gets this answer.
+    Whole(Response),
+    /// The connection is closed without an answer.
+    Cut,
+    /// The connection is kept open without an answer, for good.
+    Silence,
+    /// The handler wrote the answer itself.
+    Done,
+}
+
+/// Listens at `addr` and answers each request by `handle`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn listen<H, F>(addr: SocketAddr, handle: H) -> std::io::Result<()>
+where
+    H: Fn(Request, Handed) -> F + Clone + 'static,
+    F: Future<Output = (Handed, Reply)> + 'static,
+{
+    let listener = listen::bind(addr)?;
+    monoio::spawn(listen::accept(listener, move |conn, _| {
+        serve(conn, handle.clone())
+    }));
+    Ok(())
+}
+
+/// The connection, handed to a handler that may stream its answer.
+pub type Handed = Box<Conn>;
+
+async fn serve<H, F>(conn: Conn, handle: H)
+where
+    H: Fn(Request, Handed) -> F,
+    F: Future<Output = (Handed, Reply)>,
+{
+    let mut conn = Box::new(conn);
+    while let Ok(Some(request)) = conn.reader.request().await {
+        let bodiless = request.method == http::Method::HEAD;
+        let (handed, reply) = handle(request, conn).await;
+        conn = handed;
+        if finish(&mut conn, reply, bodiless).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn finish(conn: &mut Conn, reply: Reply, bodiless: bool) -> Result<(), HttpError> {
+    match reply {
+        Reply::Whole(response) => conn.writer.response(&response, bodiless).await,
+        Reply::Cut => Err(HttpError::Closed),
+        Reply::Silence => {
+            conn.reader.closed().await;
+            Err(HttpError::Closed)
+        }
+        Reply::Done => Ok(()),
+    }
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,167 @@
+//! The stand-in of a plain service: a ledger that counts the effects of each key.
+//!
+//! `POST` has an effect each time it runs; `GET` has none. `GET /effects` tells the counts, by the
+//! key of each call or, where it has none, by its body, so a second run shows.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use http::HeaderName;
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::serve;
+use super::serve::Handed;
+use super::serve::Reply;
+use crate::clock::Millis;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// How the service treats the requests that come next.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How long each request takes.
+    pub delay: Millis,
+    /// How many of the next requests are refused unrun.
+    pub refuse: u32,
+    /// How many of the next requests take effect and lose their answer.
+    pub lose: u32,
+    /// How many of the next requests take effect and get no answer on an open connection.
+    pub silence: u32,
+    /// Whether the service says that it is leaving.
+    pub leaving: bool,
+}
+
+/// How often something had an effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Effect {
+    /// The idempotency key, or the body of a call without one.
+    pub key: String,
+    /// The count of its effects.
+    pub count: u32,
+}
+
+/// The answer to a call that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The number of the effect in this service.
+    pub receipt: u64,
+}
+
+#[derive(Debug, Default)]
+struct Ledger {
+    faults: Faults,
+    effects: BTreeMap<String, u32>,
+    total: u64,
+}
+
+/// Starts a service at `addr`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn start(addr: SocketAddr) -> std::io::Result<()> {
+    let ledger = Rc::new(RefCell::new(Ledger::default()));
+    serve::listen(addr, move |request, conn: Handed| {
+        let ledger = Rc::clone(&ledger);
+        async move { (conn, answer(&ledger, &request).await) }
+    })
+}
+
+async fn answer(ledger: &RefCell<Ledger>, request: &Request) -> Reply {
+    match (&request.method, request.uri.path()) {
+        (&Method::GET, "/health") => health(&ledger.borrow()),
+        (&Method::GET, "/effects") => effects(&ledger.borrow()),
+        (&Method::PUT, "/faults") => switch(ledger, request),
+        _ => run(ledger, request).await,
+    }
+}
+
+fn health(ledger: &Ledger) -> Reply {
+    let code = if ledger.faults.leaving {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    Reply::Whole(Response::new(code))
+}
+
+fn effects(ledger: &Ledger) -> Reply {
+    let list: Vec<Effect> = ledger
+        .effects
+        .iter()
+        .map(|(key, count)| Effect {
+            key: key.clone(),
+            count: *count,
+        })
+        .collect();
+    Reply::Whole(Response::json(StatusCode::OK, &list))
+}
+
+fn switch(ledger: &RefCell<Ledger>, request: &Request) -> Reply {
+    let Ok(faults) = serde_json::from_slice(&request.body) else {
+        return Reply::Whole(Response::new(StatusCode::BAD_REQUEST));
+    };
+    ledger.borrow_mut().faults = faults;
+    Reply::Whole(Response::new(StatusCode::NO_CONTENT))
+}
+
+async fn run(ledger: &RefCell<Ledger>, request: &Request) -> Reply {
+    if take(&mut ledger.borrow_mut().faults.refuse) {
+        return Reply::Whole(unrun());
+    }
+    let delay = ledger.borrow().faults.delay;
+    if delay > Millis(0) {
+        monoio::time::sleep(delay.duration()).await;
+    }
+    let mut ledger = ledger.borrow_mut();
+    let response = if request.method.is_safe() {
+        Response::text(StatusCode::OK, request.uri.path().to_owned())
+    } else {
+        Response::json(StatusCode::OK, &ledger.post(request))
+    };
+    if take(&mut ledger.faults.lose) {
+        return Reply::Cut;
+    }
+    if take(&mut ledger.faults.silence) {
+        return Reply::Silence;
+    }
+    Reply::Whole(response)
+}
+
+/// Returns the answer that says that nothing was run.
+fn unrun() -> Response {
+    let mut response = Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    let no = http::HeaderValue::from_static("no");
+    response
+        .headers
+        .insert(HeaderName::from_static("x-ran"), no);
+    response
+}
+
+fn take(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
+
+impl Ledger {
+    fn post(&mut self, request: &Request) -> Receipt {
+        let key = request
+            .header(&HeaderName::from_static("idempotency-key"))
+            .map_or_else(
+                || String::from_utf8_lossy(&request.body).into_owned(),
+                str::to_owned,
+            );
+        *self.effects.entry(key).or_default() += 1;
+        self.total += 1;
+        Receipt {
+            receipt: self.total,
+        }
+    }
+}
