--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod http;
 pub mod listen;
+pub mod log;
 pub mod platform;
 pub mod runtime;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod error;
 pub mod io;
 pub mod names;
+pub mod settings;
 pub mod standin;
