--- /dev/null
+++ b/src/io/peer/listen.rs
@@ -0,0 +1,55 @@
+//! Accepting connections of other daemons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use monoio::time::timeout;
+
+use super::auth;
+use super::auth::Greeting;
+use super::frame;
+use crate::consts::READ_SPAN;
+use crate::io::http::Conn;
+use crate::io::listen;
+use crate::names::Vm;
+
+/// Accepts connections at `addr` and hands each frame, with its sender, to `deliver`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn listen<D>(addr: SocketAddr, own: Greeting, secret: Rc<str>, deliver: D) -> io::Result<()>
+where
+    D: Fn(&Greeting, Bytes) + Clone + 'static,
+{
+    let listener = listen::bind(addr)?;
+    let vm = own.vm;
+    let boot = own.boot;
+    monoio::spawn(listen::accept(listener, move |conn, _| {
+        serve(conn, vm.clone(), boot, Rc::clone(&secret), deliver.clone())
+    }));
+    Ok(())
+}
+
+async fn serve<D>(mut conn: Conn, vm: Vm, boot: u64, secret: Rc<str>, deliver: D)
+where
+    D: Fn(&Greeting, Bytes),
+{
+    let Ok(own) = Greeting::new(vm, boot) else {
+        return;
+    };
+    let shake = auth::answer(&mut conn, &own, &secret);
+    let other = match timeout(READ_SPAN.duration(), shake).await {
+        Ok(Ok(other)) => other,
+        Ok(Err(error)) => {
+            log::warn!(error:% = error; "peer_refused");
+            return;
+        }
+        Err(_) => return,
+    };
+    while let Ok(content) = frame::read(&mut conn.reader).await {
+        deliver(&other, content);
+    }
+}
--- /dev/null
+++ b/src/io/pool.rs
@@ -0,0 +1,86 @@
+//! Kept connections to endpoints.
+//!
+//! Opening a connection for each request would cost a round trip; keeping one for long risks that
+//! something between the two ends has lost track of it. So a connection is kept for a short time,
+//! and work that must not be repeated never runs on a kept one (docs/DESIGN.md).
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::http::Conn;
+use super::http::HttpError;
+use crate::clock::Clock;
+use crate::clock::Millis;
+
+/// How long an unused connection is kept.
+const KEEP_SPAN: Millis = Millis::seconds(10);
+/// The most unused connections to one endpoint.
+const KEEP_MOST: usize = 64;
+
+#[derive(Debug)]
+struct Kept {
+    conn: Conn,
+    since: Millis,
+}
+
+/// Kept connections, by address; the one used last is used next.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    clock: Clock,
+    kept: Rc<RefCell<BTreeMap<SocketAddr, Vec<Kept>>>>,
+}
+
+impl Pool {
+    /// Starts without any connection.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            kept: Rc::default(),
+        }
+    }
+
+    /// Returns a kept connection if there is one.
+    pub fn reuse(&self, addr: SocketAddr) -> Option<Conn> {
+        let oldest = self.clock.now() - KEEP_SPAN;
+        let mut kept = self.kept.borrow_mut();
+        let list = kept.get_mut(&addr)?;
+        let newest = list.pop()?;
+        if newest.since < oldest {
+            list.clear();
+            return None;
+        }
+        Some(newest.conn)
+    }
+
+    /// Returns a kept connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a new connection is needed and refused; nothing was sent then.
+    pub async fn get(&self, addr: SocketAddr) -> Result<Conn, HttpError> {
+        match self.reuse(addr) {
+            Some(conn) => Ok(conn),
+            None => Conn::dial(addr).await,
+        }
+    }
+
+    /// Keeps a connection on which nothing is left over.
+    pub fn keep(&self, addr: SocketAddr, conn: Conn) {
+        if !conn.reader.is_clean() {
+            return;
+        }
+        let since = self.clock.now();
+        let mut kept = self.kept.borrow_mut();
+        let list = kept.entry(addr).or_default();
+        if list.len() < KEEP_MOST {
+            list.push(Kept { conn, since });
+        }
+    }
+
+    /// Drops every kept connection to an address, after one of them broke or went silent.
+    pub fn clear(&self, addr: SocketAddr) {
+        self.kept.borrow_mut().remove(&addr);
+    }
+}
