--- /dev/null
+++ b/src/api/answer.rs
@@ -0,0 +1,190 @@
+//! Answers with completions, whole and streamed.
+
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::names::ServiceName;
+
+/// The two shapes of a completion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// What all parts of one answer share.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The answer's id.
+    pub id: String,
+    /// When the request came.
+    pub created: Millis,
+    /// The model.
+    pub model: ServiceName,
+    /// The shape.
+    pub shape: Shape,
+}
+
+/// The models that a team may call.
+#[derive(Debug, Serialize)]
+pub struct Models {
+    /// Always `list`.
+    pub object: &'static str,
+    /// The models.
+    pub data: Vec<Model>,
+}
+
+/// A model in the list of models.
+#[derive(Debug, Serialize)]
+pub struct Model {
+    /// The name to call it by.
+    pub id: ServiceName,
+    /// Always `model`.
+    pub object: &'static str,
+    /// Who serves it.
+    pub owned_by: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a ServiceName,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct Delta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    content: &'a str,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Usage {
+    #[serde(rename = "prompt_tokens")]
+    prompt: usize,
+    #[serde(rename = "completion_tokens")]
+    given: usize,
+    #[serde(rename = "total_tokens")]
+    total: usize,
+}
+
+const ASSISTANT: &str = "assistant";
+
+impl Answer {
+    /// Returns the whole answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name has no JSON form.
+    pub fn whole(
+        &self,
+        text: &str,
+        reason: &str,
+        prompt: usize,
+        given: usize,
+    ) -> Result<Vec<u8>, serde_json::Error> {
+        let mut choice = Choice::ending(Some(reason));
+        let object = match self.shape {
+            Shape::Text => {
+                choice.text = Some(text);
+                "text_completion"
+            }
+            Shape::Chat => {
+                choice.message = Some(Message {
+                    role: ASSISTANT,
+                    content: text,
+                });
+                "chat.completion"
+            }
+        };
+        let total = prompt + given;
+        let usage = Usage {
+            prompt,
+            given,
+            total,
+        };
+        serde_json::to_vec(&self.body(object, choice, Some(usage)))
+    }
+
+    /// Returns one part of a streamed answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name has no JSON form.
+    pub fn part(
+        &self,
+        text: &str,
+        first: bool,
+        reason: Option<&str>,
+    ) -> Result<Vec<u8>, serde_json::Error> {
+        let mut choice = Choice::ending(reason);
+        let object = match self.shape {
+            Shape::Text => {
+                choice.text = Some(text);
+                "text_completion"
+            }
+            Shape::Chat => {
+                let role = first.then_some(ASSISTANT);
+                choice.delta = Some(Delta {
+                    role,
+                    content: text,
+                });
+                "chat.completion.chunk"
+            }
+        };
+        serde_json::to_vec(&self.body(object, choice, None))
+    }
+
+    fn body<'a>(
+        &'a self,
+        object: &'static str,
+        choice: Choice<'a>,
+        usage: Option<Usage>,
+    ) -> Body<'a> {
+        Body {
+            id: &self.id,
+            object,
+            created: self.created.0 / 1000,
+            model: &self.model,
+            choices: [choice],
+            usage,
+        }
+    }
+}
+
+impl<'a> Choice<'a> {
+    fn ending(reason: Option<&'a str>) -> Self {
+        Self {
+            index: 0,
+            text: None,
+            message: None,
+            delta: None,
+            finish_reason: reason,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! assert_eq!(start + Millis(500), Millis(1500));
 //! ```
 
+pub mod api;
 pub mod clock;
 pub mod consts;
 pub mod core;
