--- /dev/null
+++ b/src/core/config/approval.rs
@@ -0,0 +1,270 @@
+//! Approvals by owners, and drains by owners and operators.
+//!
+//! A grant admits a team to those endpoints of the service whose owner approved the team. Only the
+//! owner's own record approves: no record of an operator does (docs/operators/plan-and-confirm.md).
+
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::config::audit::Subject;
+use crate::core::config::content::Content;
+use crate::core::config::fold::Folded;
+use crate::core::config::object::Endpoint;
+use crate::core::config::object::Grant;
+use crate::core::config::outcome::Outcome;
+use crate::core::config::record::DrainOrder;
+use crate::core::config::record::Party;
+use crate::core::config::state::State;
+use crate::names::EndpointName;
+use crate::names::Owner;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+/// What an approval is about. The order of the fields lets one range hold a grant's approvals.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApprovalKey {
+    /// The team that is approved.
+    pub team: Team,
+    /// The service that it may call.
+    pub service: ServiceName,
+    /// The owner who approved.
+    pub owner: Owner,
+}
+
+/// The endpoints of an owner that a team is approved for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Approval {
+    /// All endpoints of the owner that serve the service, now and later.
+    All,
+    /// These endpoints.
+    Only(BTreeSet<EndpointName>),
+}
+
+impl Approval {
+    /// Says whether the approval covers an endpoint of the owner.
+    pub fn covers(&self, endpoint: &EndpointName) -> bool {
+        match self {
+            Self::All => true,
+            Self::Only(names) => names.contains(endpoint),
+        }
+    }
+}
+
+/// Who told an endpoint to leave. Each may lift only their own drain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// An operator did.
+    pub operator: bool,
+    /// The owner did.
+    pub owner: bool,
+}
+
+impl Drain {
+    /// Says whether anyone told the endpoint to leave.
+    #[must_use]
+    pub const fn is_set(self) -> bool {
+        self.operator || self.owner
+    }
+}
+
+impl Content {
+    /// Returns the approvals for a grant, by owner.
+    pub(super) fn approvals_of(
+        &self,
+        team: &Team,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&ApprovalKey, &Approval)> {
+        let first = ApprovalKey {
+            team: team.clone(),
+            service: service.clone(),
+            owner: Owner::from(""),
+        };
+        let range = self.approvals.range(first..);
+        range.take_while(move |(key, _)| key.team == *team && key.service == *service)
+    }
+
+    /// Says whether the owner approved the team for the endpoint.
+    pub(super) fn is_approved(&self, team: &Team, endpoint: &Endpoint) -> bool {
+        let key = ApprovalKey {
+            team: team.clone(),
+            service: endpoint.service.clone(),
+            owner: endpoint.owner.clone(),
+        };
+        let approval = self.approvals.get(&key);
+        approval.is_some_and(|approval| approval.covers(&endpoint.name))
+    }
+
+    /// Drops the approvals for a grant, so that a later grant needs new ones.
+    pub(super) fn forget_approvals(&mut self, grant: &Grant) {
+        let keys: Vec<ApprovalKey> = self
+            .approvals_of(&grant.team, &grant.service)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.approvals.remove(&key);
+        }
+    }
+
+    /// Drops approvals that name an endpoint, since it is gone or means something else now.
+    pub(super) fn forget_endpoint(&mut self, endpoint: &Endpoint) {
+        self.approvals.retain(|key, approval| {
+            if key.owner == endpoint.owner
+                && key.service == endpoint.service
+                && let Approval::Only(names) = approval
+            {
+                names.remove(&endpoint.name);
+                return !names.is_empty();
+            }
+            true
+        });
+    }
+
+    /// Approves a team for one endpoint, or for all of an owner's.
+    pub(super) fn approve(&mut self, key: ApprovalKey, endpoint: Option<&EndpointName>) {
+        let Some(name) = endpoint else {
+            self.approvals.insert(key, Approval::All);
+            return;
+        };
+        let none = Approval::Only(BTreeSet::new());
+        if let Approval::Only(names) = self.approvals.entry(key).or_insert(none) {
+            names.insert(name.clone());
+        }
+    }
+
+    /// Takes back the approval for one endpoint, or for all of an owner's.
+    ///
+    /// `now` are the owner's endpoints of the service. Once one of them is taken out, an approval
+    /// of all becomes an approval of the others that exist now.
+    pub(super) fn revoke(
+        &mut self,
+        key: &ApprovalKey,
+        endpoint: Option<&EndpointName>,
+        now: BTreeSet<EndpointName>,
+    ) {
+        let Some(name) = endpoint else {
+            self.approvals.remove(key);
+            return;
+        };
+        let Some(approval) = self.approvals.get_mut(key) else {
+            return;
+        };
+        let mut names = match approval {
+            Approval::All => now,
+            Approval::Only(names) => std::mem::take(names),
+        };
+        names.remove(name);
+        if names.is_empty() {
+            self.approvals.remove(key);
+        } else {
+            *approval = Approval::Only(names);
+        }
+    }
+}
+
+impl State {
+    /// Carries out an owner's approval, or its withdrawal.
+    pub(super) fn decide(
+        &mut self,
+        key: ApprovalKey,
+        endpoint: Option<&EndpointName>,
+        on: bool,
+    ) -> Folded {
+        let before = self.content.approvals.get(&key).cloned();
+        let outcome = self.may_decide(&key, endpoint);
+        if outcome != Outcome::Accepted {
+            return outcome.into();
+        }
+        if on {
+            self.content.approve(key.clone(), endpoint);
+        } else {
+            let owned = self.index.owned(&key.service, &key.owner);
+            self.content.revoke(&key, endpoint, owned);
+        }
+        let after = self.content.approvals.get(&key).cloned();
+        let outcome = if before == after {
+            Outcome::Unchanged
+        } else {
+            Outcome::Accepted
+        };
+        Folded {
+            outcome,
+            subject: Some(Subject::Approval { key, before, after }),
+        }
+    }
+
+    fn may_decide(&self, key: &ApprovalKey, endpoint: Option<&EndpointName>) -> Outcome {
+        let grant = Grant {
+            team: key.team.clone(),
+            service: key.service.clone(),
+        };
+        if !self.content.owners.contains_key(&key.owner) {
+            return Outcome::NotAllowed;
+        }
+        if !self.content.grants.contains_key(&grant) {
+            return Outcome::NotFound;
+        }
+        let Some(name) = endpoint else {
+            return Outcome::Accepted;
+        };
+        match self.endpoint(name) {
+            Some(entry) if entry.service != key.service => Outcome::NotFound,
+            Some(entry) if entry.owner != key.owner => Outcome::NotAllowed,
+            Some(_) => Outcome::Accepted,
+            None => Outcome::NotFound,
+        }
+    }
+
+    /// Carries out a drain, or its end.
+    pub(super) fn drain(&mut self, order: &DrainOrder) -> Folded {
+        let Some(endpoint) = self.endpoint(&order.endpoint) else {
+            return Outcome::NotFound.into();
+        };
+        let allowed = match &order.by {
+            Party::Operator(name) => self.content.is_operator(name),
+            Party::Owner(name) => endpoint.owner == *name,
+        };
+        if !allowed {
+            return Outcome::NotAllowed.into();
+        }
+        let before = self.content.drains.get(&order.endpoint).copied();
+        let before = before.unwrap_or_default();
+        let after = match order.by {
+            Party::Operator(_) => Drain {
+                operator: order.on,
+                ..before
+            },
+            Party::Owner(_) => Drain {
+                owner: order.on,
+                ..before
+            },
+        };
+        self.set_drain(&order.endpoint, after);
+        let outcome = if before == after {
+            Outcome::Unchanged
+        } else {
+            Outcome::Accepted
+        };
+        let endpoint = order.endpoint.clone();
+        Folded {
+            outcome,
+            subject: Some(Subject::Drain {
+                endpoint,
+                before,
+                after,
+            }),
+        }
+    }
+
+    fn set_drain(&mut self, endpoint: &EndpointName, drain: Drain) {
+        if drain.is_set() {
+            self.content.drains.insert(endpoint.clone(), drain);
+        } else {
+            self.content.drains.remove(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/config/check.rs
@@ -0,0 +1,244 @@
+//! Checks of objects by themselves, before they are held against the configuration in force.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::core::config::change::Key;
+use crate::core::config::change::Object;
+use crate::core::config::intent::INTENT_OBJECTS;
+use crate::core::config::object::Digest;
+use crate::core::config::object::Endpoint;
+use crate::core::config::object::Service;
+use crate::core::config::object::ServiceKind;
+
+/// The longest name, in bytes.
+pub const NAME_BYTES: usize = 64;
+/// The most layers of a model.
+pub const MODEL_LAYERS: u32 = 4096;
+/// The most requests that an endpoint may work on at a time.
+pub const ENDPOINT_SLOTS: u32 = 65_536;
+/// The greatest rate of an endpoint, in token steps a second.
+pub const ENDPOINT_RATE: u32 = 100_000_000;
+/// The greatest one-way delay of a link.
+pub const LINK_DELAY: Millis = Millis::seconds(10);
+/// The greatest weight of a team in the fair shares.
+pub const TEAM_WEIGHT: u32 = 1_000_000;
+/// The most HTTP methods that a plain service may list.
+pub const SERVICE_METHODS: usize = 16;
+
+/// What is wrong with an object, or with a list of objects.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{problem}{}", self.subject())]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What is wrong.
+    pub problem: Problem,
+    /// The object at fault, if one is.
+    pub key: Option<Key>,
+}
+
+impl Fault {
+    /// Returns a fault of one object.
+    pub const fn of(problem: Problem, key: Key) -> Self {
+        Self {
+            problem,
+            key: Some(key),
+        }
+    }
+
+    /// Returns the key of the object at fault, if one is.
+    pub const fn key(&self) -> Option<&Key> {
+        self.key.as_ref()
+    }
+
+    fn subject(&self) -> String {
+        let subject = self.key.as_ref().map(|key| format!(": {key}"));
+        subject.unwrap_or_default()
+    }
+}
+
+/// The kinds of fault.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Problem {
+    /// More than [`INTENT_OBJECTS`] objects are named.
+    #[display("more than {INTENT_OBJECTS} objects in one intent")]
+    TooMany,
+    /// An object is named twice.
+    #[display("the object is named twice")]
+    NamedTwice,
+    /// A name is empty, too long, has a character outside `A-Z a-z 0-9 . _ -`, or does
+    /// not start with a letter or digit.
+    #[display(
+        "a name must have 1 to {NAME_BYTES} characters of A-Z a-z 0-9 . _ - and start with a \
+         letter or digit"
+    )]
+    Name,
+    /// A token's digest is not 64 lower-case hexadecimal digits.
+    #[display("a token's digest must be 64 lower-case hexadecimal digits")]
+    TokenDigest,
+    /// Two principals would have the same token.
+    #[display("the token is in use")]
+    TokenTaken,
+    /// Two endpoints would have the same address.
+    #[display("the address is in use")]
+    AddrTaken,
+    /// The address has no port or no definite host.
+    #[display("the address must name a host and a port")]
+    Addr,
+    /// The number of layers of a model is out of range.
+    #[display("a model must have 1 to {MODEL_LAYERS} layers")]
+    ModelLayers,
+    /// The layers of an endpoint do not lie inside its model, or it serves a plain service.
+    #[display("the layers must be a range inside the model, and a plain service has none")]
+    Layers,
+    /// The list of methods is too long or holds something that is not a method.
+    #[display("the idempotent methods must be at most {SERVICE_METHODS} names in capitals")]
+    Methods,
+    /// The weight of a team is out of range.
+    #[display("a weight must be 1 to {TEAM_WEIGHT}")]
+    Weight,
+    /// The slots, the rate or the delay of an endpoint is out of range.
+    #[display(
+        "an endpoint must have 1 to {ENDPOINT_SLOTS} slots, a rate of at most {ENDPOINT_RATE} \
+         and a delay of at most {LINK_DELAY} ms"
+    )]
+    Range,
+    /// The service that the object names does not exist.
+    #[display("the service does not exist")]
+    NoService,
+    /// The owner that the object names does not exist.
+    #[display("the owner does not exist")]
+    NoOwner,
+    /// The team that the object names does not exist.
+    #[display("the team does not exist")]
+    NoTeam,
+    /// The object is to be removed while others refer to it.
+    #[display("other objects refer to the object that is to be removed")]
+    InUse,
+    /// The configuration would name no operator.
+    #[display("the configuration must name an operator")]
+    NoOperator,
+}
+
+/// Checks the objects of an intent, each by itself, and that none is named twice.
+pub(super) fn objects(wanted: &[Object], removed: &[Key]) -> Result<(), Fault> {
+    if wanted.len() + removed.len() > INTENT_OBJECTS {
+        return Err(Fault {
+            problem: Problem::TooMany,
+            key: None,
+        });
+    }
+    let mut keys = BTreeSet::new();
+    for key in wanted
+        .iter()
+        .map(Object::key)
+        .chain(removed.iter().cloned())
+    {
+        if !keys.insert(key.clone()) {
+            return Err(Fault::of(Problem::NamedTwice, key));
+        }
+    }
+    wanted.iter().try_for_each(object)
+}
+
+/// Checks one object by itself.
+pub(super) fn object(object: &Object) -> Result<(), Fault> {
+    match problem(object) {
+        Some(problem) => Err(Fault::of(problem, object.key())),
+        None => Ok(()),
+    }
+}
+
+fn problem(object: &Object) -> Option<Problem> {
+    if !names(object).into_iter().all(is_name) {
+        return Some(Problem::Name);
+    }
+    match object {
+        Object::Service(service) => of_service(service),
+        Object::Endpoint(endpoint) => of_endpoint(endpoint),
+        Object::Team(team) if !(1..=TEAM_WEIGHT).contains(&team.weight) => Some(Problem::Weight),
+        Object::Team(team) => of_token(&team.token),
+        Object::Owner(owner) => of_token(&owner.token),
+        Object::Operator(operator) => of_token(&operator.token),
+        Object::Grant(_) => None,
+    }
+}
+
+/// Returns every name that an object holds.
+fn names(object: &Object) -> Vec<&str> {
+    match object {
+        Object::Service(service) => match &service.kind {
+            ServiceKind::Model { version, .. } => vec![&service.name, version],
+            ServiceKind::Plain { .. } => vec![&service.name],
+        },
+        Object::Endpoint(endpoint) => vec![
+            &endpoint.name,
+            &endpoint.domain,
+            &endpoint.owner,
+            &endpoint.service,
+            &endpoint.kind,
+        ],
+        Object::Team(team) => vec![&team.name],
+        Object::Grant(grant) => vec![&grant.team, &grant.service],
+        Object::Owner(owner) => vec![&owner.name],
+        Object::Operator(operator) => vec![&operator.name],
+    }
+}
+
+/// Says whether a text may serve as a name: it is safe in paths, log lines and header fields.
+pub fn is_name(text: &str) -> bool {
+    let safe = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    let starts = text
+        .bytes()
+        .next()
+        .is_some_and(|b| b.is_ascii_alphanumeric());
+    starts && text.len() <= NAME_BYTES && text.bytes().all(safe)
+}
+
+fn of_service(service: &Service) -> Option<Problem> {
+    match &service.kind {
+        ServiceKind::Model { layers, .. } => {
+            (!(1..=MODEL_LAYERS).contains(layers)).then_some(Problem::ModelLayers)
+        }
+        ServiceKind::Plain { idempotent } => {
+            let sound = idempotent.len() <= SERVICE_METHODS
+                && idempotent.iter().all(|method| is_method(method));
+            (!sound).then_some(Problem::Methods)
+        }
+    }
+}
+
+fn is_method(text: &str) -> bool {
+    (1..=NAME_BYTES).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_uppercase())
+}
+
+fn of_endpoint(endpoint: &Endpoint) -> Option<Problem> {
+    if !is_addr(endpoint.addr) {
+        return Some(Problem::Addr);
+    }
+    if endpoint
+        .layers
+        .is_some_and(|layers| layers.from >= layers.to)
+    {
+        return Some(Problem::Layers);
+    }
+    let sound = (1..=ENDPOINT_SLOTS).contains(&endpoint.slots)
+        && endpoint.rate <= ENDPOINT_RATE
+        && endpoint.delay <= LINK_DELAY;
+    (!sound).then_some(Problem::Range)
+}
+
+fn is_addr(addr: SocketAddr) -> bool {
+    addr.port() != 0 && !addr.ip().is_unspecified() && !addr.ip().is_multicast()
+}
+
+fn of_token(token: &Digest) -> Option<Problem> {
+    (!token.is_valid()).then_some(Problem::TokenDigest)
+}
--- /dev/null
+++ b/src/core/config/encoding.rs
@@ -0,0 +1,48 @@
+//! The canonical encoding: compact JSON whose field and key order is fixed.
+//!
+//! Digests are taken over it, so two VMs that hold equal values compute equal digests.
+
+use serde::Serialize;
+
+/// Returns the canonical encoding of a value.
+///
+/// The types of this module serialize without fail: their map keys are strings.
+pub(super) fn canonical<T>(value: &T) -> Vec<u8>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(value).expect("plain data with string keys serializes")
+}
+
+/// Serializes a map with structured keys as a sequence of pairs, which JSON can hold.
+pub(super) mod pairs {
+    use std::collections::BTreeMap;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serialize;
+    use serde::Serializer;
+
+    pub(in crate::core::config) fn serialize<K, V, S>(
+        map: &BTreeMap<K, V>,
+        to: S,
+    ) -> Result<S::Ok, S::Error>
+    where
+        K: Serialize,
+        V: Serialize,
+        S: Serializer,
+    {
+        to.collect_seq(map)
+    }
+
+    pub(in crate::core::config) fn deserialize<'de, K, V, D>(
+        from: D,
+    ) -> Result<BTreeMap<K, V>, D::Error>
+    where
+        K: Deserialize<'de> + Ord,
+        V: Deserialize<'de>,
+        D: Deserializer<'de>,
+    {
+        Ok(Vec::<(K, V)>::deserialize(from)?.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/src/core/config/fold.rs
@@ -0,0 +1,338 @@
+//! The fold: what each record of the `config` stream does to a state.
+//!
+//! It depends on nothing but the state and the record, so that every VM reaches the same state. No
+//! record stops it: what cannot be read or is not allowed has no effect.
+
+use crate::core::config::approval::ApprovalKey;
+use crate::core::config::audit::Author;
+use crate::core::config::audit::Entry;
+use crate::core::config::audit::Subject;
+use crate::core::config::change::Change;
+use crate::core::config::change::Object;
+use crate::core::config::change::Offset;
+use crate::core::config::content::Content;
+use crate::core::config::content::Pending;
+use crate::core::config::content::Recent;
+use crate::core::config::content::Settled;
+use crate::core::config::intent::INTENT_OBJECTS;
+use crate::core::config::object::Digest;
+use crate::core::config::object::Endpoint;
+use crate::core::config::outcome::Gap;
+use crate::core::config::outcome::Outcome;
+use crate::core::config::plan::PENDING_PLANS;
+use crate::core::config::plan::PLAN_SPAN;
+use crate::core::config::plan::Plan;
+use crate::core::config::plan::PlanId;
+use crate::core::config::plan::SETTLED_PLANS;
+use crate::core::config::record::Body;
+use crate::core::config::record::Confirm;
+use crate::core::config::record::LATE_RECORDS;
+use crate::core::config::record::Record;
+use crate::core::config::rollout::Advance;
+use crate::core::config::rollout::Control;
+use crate::core::config::state::State;
+use crate::core::config::verify::Overlay;
+use crate::names::Operator;
+
+/// What a record did, and what it was about.
+#[derive(Debug)]
+pub(super) struct Folded {
+    pub outcome: Outcome,
+    pub subject: Option<Subject>,
+}
+
+impl From<Outcome> for Folded {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            subject: None,
+        }
+    }
+}
+
+impl Content {
+    /// Says whether a person may act as an operator.
+    ///
+    /// Anyone may until the configuration names one, so that the first plan can be confirmed; the
+    /// last operator cannot be removed.
+    pub(super) fn is_operator(&self, name: &Operator) -> bool {
+        self.operators.is_empty() || self.operators.contains_key(name)
+    }
+}
+
+impl State {
+    /// Folds the record at an offset.
+    ///
+    /// A record at or below the present offset is [`Outcome::Passed`] and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Gap`], and changes nothing, if records before this one are missing.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Result<Outcome, Gap> {
+        if offset < self.next {
+            return Ok(Outcome::Passed);
+        }
+        if offset > self.next {
+            return Err(Gap {
+                expected: self.next,
+                got: offset,
+            });
+        }
+        self.next = offset.next();
+        self.forget_recent(offset);
+        Ok(self.admit(offset, record))
+    }
+
+    fn admit(&mut self, offset: Offset, record: &Record) -> Outcome {
+        match &record.body {
+            Body::Unread(_) => {
+                self.skipped += 1;
+                Outcome::Skipped
+            }
+            Body::Snapshot(_) => Outcome::Noted,
+            Body::Lease(request) if is_timely(offset, record) => {
+                self.content.lease(offset, request)
+            }
+            Body::Lease(_) => Outcome::Late,
+            _ => self.once(offset, record),
+        }
+    }
+
+    /// Folds a record that must not take effect twice, nor long after it was written.
+    fn once(&mut self, offset: Offset, record: &Record) -> Outcome {
+        let digest = record.digest();
+        if self.index.recent.contains(&digest) {
+            return self.duplicate(&digest);
+        }
+        let folded = if is_timely(offset, record) {
+            self.fold(offset, &record.body)
+        } else {
+            Outcome::Late.into()
+        };
+        let outcome = folded.outcome.clone();
+        self.remember(offset, digest, &outcome);
+        if let Some(author) = Author::of(&record.body) {
+            self.content.audit.push(Entry {
+                offset,
+                author,
+                subject: folded.subject,
+                outcome: folded.outcome,
+            });
+        }
+        outcome
+    }
+
+    fn fold(&mut self, offset: Offset, body: &Body) -> Folded {
+        match body {
+            Body::Plan(plan) => self.propose(offset, plan).into(),
+            Body::Confirm(confirm) => self.confirm(offset, confirm),
+            Body::Approve(each) => {
+                let key = ApprovalKey {
+                    team: each.team.clone(),
+                    service: each.service.clone(),
+                    owner: each.owner.clone(),
+                };
+                self.decide(key, each.endpoint.as_ref(), true)
+            }
+            Body::Revoke(each) => {
+                let key = ApprovalKey {
+                    team: each.team.clone(),
+                    service: each.service.clone(),
+                    owner: each.owner.clone(),
+                };
+                self.decide(key, each.endpoint.as_ref(), false)
+            }
+            Body::Drain(order) => self.drain(order),
+            Body::Rollout(control) => self.control(offset, control),
+            Body::Advance(advance) => self.advance(advance).into(),
+            Body::Lease(_) | Body::Snapshot(_) | Body::Unread(_) => Outcome::Skipped.into(),
+        }
+    }
+
+    fn duplicate(&self, digest: &Digest) -> Outcome {
+        let mut recent = self.content.recent.iter().rev();
+        match recent.find(|recent| recent.digest == *digest) {
+            Some(recent) => Outcome::Duplicate {
+                first: recent.at,
+                accepted: recent.accepted,
+            },
+            None => Outcome::Late,
+        }
+    }
+
+    fn remember(&mut self, at: Offset, digest: Digest, outcome: &Outcome) {
+        self.index.recent.insert(digest.clone());
+        self.content.recent.push_back(Recent {
+            at,
+            digest,
+            accepted: outcome.is_accepted(),
+        });
+    }
+
+    /// Forgets the records of which a copy would be too late by now.
+    fn forget_recent(&mut self, now: Offset) {
+        while let Some(oldest) = self.content.recent.front()
+            && now.since(oldest.at) > LATE_RECORDS
+        {
+            self.index.recent.remove(&oldest.digest);
+            self.content.recent.pop_front();
+        }
+    }
+
+    fn propose(&mut self, offset: Offset, plan: &Plan) -> Outcome {
+        let content = &mut self.content;
+        if !content.is_operator(&plan.by) {
+            return Outcome::NotAllowed;
+        }
+        if plan.changes.len() > INTENT_OBJECTS || !plan.is_sound() {
+            return Outcome::Invalid;
+        }
+        if content.settled.contains_key(&plan.id) || content.pending.contains_key(&plan.id) {
+            return Outcome::Unchanged;
+        }
+        if content.pending.len() >= PENDING_PLANS {
+            let oldest = content.pending.iter().min_by_key(|(_, pending)| pending.at);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| content.pending.remove(&id));
+        }
+        let pending = Pending {
+            at: offset,
+            plan: plan.clone(),
+        };
+        content.pending.insert(plan.id.clone(), pending);
+        Outcome::Accepted
+    }
+
+    fn confirm(&mut self, offset: Offset, confirm: &Confirm) -> Folded {
+        if !self.content.is_operator(&confirm.by) {
+            return Outcome::NotAllowed.into();
+        }
+        if let Some(settled) = self.content.settled.get(&confirm.plan) {
+            return repeated(settled).into();
+        }
+        let Some(pending) = self.content.pending.remove(&confirm.plan) else {
+            return Outcome::UnknownPlan.into();
+        };
+        let plan = pending.plan;
+        let outcome = self.judge(&plan, confirm);
+        if outcome == Outcome::Accepted {
+            self.commit(offset, &plan.changes);
+        }
+        self.settle(offset, plan.id, outcome.clone());
+        Folded {
+            outcome,
+            subject: Some(Subject::Changes(plan.changes)),
+        }
+    }
+
+    /// Says whether a plan may take effect now.
+    fn judge(&self, plan: &Plan, confirm: &Confirm) -> Outcome {
+        if confirm.at.since(plan.at) > PLAN_SPAN {
+            return Outcome::Expired;
+        }
+        let mut bases = plan.bases.iter();
+        if let Some(base) = bases.find(|base| self.content.version(&base.key) != base.version) {
+            return Outcome::StalePlan {
+                key: base.key.clone(),
+            };
+        }
+        let overlay = Overlay::new(&self.content, &self.index, &plan.changes);
+        match overlay.verify() {
+            Ok(()) => Outcome::Accepted,
+            Err(fault) => Outcome::Conflict(fault),
+        }
+    }
+
+    fn settle(&mut self, at: Offset, id: PlanId, outcome: Outcome) {
+        let settled = &mut self.content.settled;
+        if settled.len() >= SETTLED_PLANS {
+            let oldest = settled.iter().min_by_key(|(_, each)| each.at);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| settled.remove(&id));
+        }
+        settled.insert(id, Settled { at, outcome });
+    }
+
+    /// Brings changes into force.
+    fn commit(&mut self, offset: Offset, changes: &[Change]) {
+        for change in changes {
+            if let Some(before) = self.content.object(&change.key) {
+                self.index.drop(&before);
+                self.detach(&before, change.after.as_ref());
+            }
+        }
+        for change in changes {
+            match &change.after {
+                Some(after) => {
+                    self.index.add(after);
+                    self.content.put(offset, after.clone());
+                }
+                None => self.content.remove(&change.key),
+            }
+        }
+        for change in changes {
+            self.adjust(offset, change);
+        }
+    }
+
+    /// Drops approvals of an endpoint that goes, or passes to another owner or service.
+    fn detach(&mut self, before: &Object, after: Option<&Object>) {
+        let Object::Endpoint(old) = before else {
+            return;
+        };
+        let stays = |new: &Endpoint| new.owner == old.owner && new.service == old.service;
+        if !matches!(after, Some(Object::Endpoint(new)) if stays(new)) {
+            self.content.forget_endpoint(old);
+        }
+    }
+
+    /// Brings rollouts and pins in line with a change that is in force now.
+    fn adjust(&mut self, offset: Offset, change: &Change) {
+        match (&change.before, &change.after) {
+            (Some(Object::Service(before)), Some(Object::Service(after))) => {
+                self.content.open_rollout(offset, before, after);
+            }
+            (Some(Object::Endpoint(before)), Some(Object::Endpoint(after)))
+                if before.service == after.service
+                    && self.content.pins.contains_key(&after.name) => {}
+            (_, Some(Object::Endpoint(after))) => self.content.pin(after),
+            _ => {}
+        }
+    }
+
+    fn control(&mut self, offset: Offset, control: &Control) -> Folded {
+        let before = self.rollout(&control.service).cloned();
+        let outcome = self.content.control(offset, control);
+        let after = self.rollout(&control.service).cloned();
+        Folded {
+            outcome,
+            subject: Some(Subject::Rollout {
+                service: control.service.clone(),
+                step: control.step,
+                before,
+                after,
+            }),
+        }
+    }
+
+    fn advance(&mut self, advance: &Advance) -> Outcome {
+        let serving = self.index.serving.get(&advance.service);
+        let names = serving.into_iter().flat_map(|serving| serving.values());
+        let names = names.flatten().cloned().collect();
+        self.content.advance(advance, &names)
+    }
+}
+
+/// Says whether a record reached the log soon enough after it was written to take effect.
+fn is_timely(offset: Offset, record: &Record) -> bool {
+    offset >= record.seen && offset.since(record.seen) <= LATE_RECORDS
+}
+
+/// Returns the outcome of a confirmation of a plan that is settled.
+fn repeated(settled: &Settled) -> Outcome {
+    if settled.outcome == Outcome::Accepted {
+        Outcome::AlreadyAccepted { first: settled.at }
+    } else {
+        settled.outcome.clone()
+    }
+}
--- a/src/core/config/object.rs
+++ b/src/core/config/object.rs
@@ -4,8 +4,11 @@
 
 use std::net::SocketAddr;
 
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
 
 use crate::clock::Millis;
 use crate::names::Domain;
@@ -18,10 +21,37 @@
 use crate::names::Version;
 
 /// The SHA-256 digest of a secret or of a document, as lower-case hexadecimal digits.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Digest(pub std::sync::Arc<str>);
 
+impl Digest {
+    /// Returns the digest of bytes, such as a bearer token or a canonical document.
+    pub fn of<B>(bytes: B) -> Self
+    where
+        B: AsRef<[u8]>,
+    {
+        let sum = Sha256::digest(bytes.as_ref());
+        let mut text = String::with_capacity(DIGEST_DIGITS);
+        for byte in sum {
+            text.push(HEX[usize::from(byte >> 4)]);
+            text.push(HEX[usize::from(byte & 0xf)]);
+        }
+        Self(text.into())
+    }
+
+    /// Says whether the text is a well-formed digest.
+    pub fn is_valid(&self) -> bool {
+        self.0.len() == DIGEST_DIGITS && self.0.chars().all(|c| HEX.contains(&c))
+    }
+}
+
+/// The number of hexadecimal digits of a digest.
+const DIGEST_DIGITS: usize = 64;
+const HEX: [char; 16] = [
+    '0', '1', '2', '3', '4', '5', '6', '7', '8', '9', 'a', 'b', 'c', 'd', 'e', 'f',
+];
+
 /// A service that callers may call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -98,7 +128,10 @@
 }
 
 /// A half-open range of layers, `from..to`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{from}..{to}")]
 #[serde(deny_unknown_fields)]
 pub struct Layers {
     /// The first layer.
@@ -142,7 +175,7 @@
 }
 
 /// A grant: it admits a team to a service's endpoints whose owner approved it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Grant {
     /// The team that is admitted.
--- /dev/null
+++ b/src/core/config/snapshot.rs
@@ -0,0 +1,214 @@
+//! Snapshots of a state, so that it outlives the retention of the log.
+//!
+//! A snapshot is the canonical document of a state, cut into parts that each fit into a record. A
+//! state is loaded only from a complete set of parts whose digest fits, and a state never goes
+//! back to an older one, so a late snapshot is harmless.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::config::change::Offset;
+use crate::core::config::content::Content;
+use crate::core::config::object::Digest;
+use crate::core::config::state::State;
+
+/// The format of the document; a release reads its own only.
+pub const FORMAT: u32 = 1;
+/// The most bytes of a document in one part.
+///
+/// Escaping at most doubles them, so that the part fits into a record.
+pub const PART_BYTES: usize = 120 * 1024;
+/// The most parts of a snapshot.
+pub const SNAPSHOT_PARTS: u32 = 512;
+/// The most incomplete snapshots that a [`Loader`] keeps.
+pub const LOADER_SETS: usize = 2;
+
+/// A snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The offset of the last record that it covers.
+    pub covers: Offset,
+    /// The digest of the document, which is that of the state.
+    pub digest: Digest,
+    text: String,
+}
+
+/// A part of a snapshot, as it stands in a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The offset of the last record that the snapshot covers.
+    pub covers: Offset,
+    /// The digest of the whole document.
+    pub digest: Digest,
+    /// The number of this part, counted from 0.
+    pub number: u32,
+    /// How many parts there are.
+    pub count: u32,
+    /// The text of this part.
+    pub text: Arc<str>,
+}
+
+/// Why a snapshot cannot be written or loaded.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum SnapshotError {
+    /// The state has no record yet.
+    #[display("the state has no record yet")]
+    Empty,
+    /// The state skipped records that this release cannot read.
+    #[display("the state skipped {skipped} records that this release cannot read")]
+    Incomplete {
+        /// How many.
+        skipped: u64,
+    },
+    /// The document would need more than [`SNAPSHOT_PARTS`] parts.
+    #[display("the state has {bytes} bytes, too many for a snapshot")]
+    TooLarge {
+        /// The size of the document.
+        bytes: usize,
+    },
+    /// The document does not have the digest that its parts name.
+    #[display("the digest of the snapshot does not fit")]
+    Digest,
+    /// The document is of another format, or covers another offset than its parts say.
+    #[display("the snapshot is not one that this release can read")]
+    Format,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document {
+    format: u32,
+    next: Offset,
+    content: Content,
+}
+
+impl Snapshot {
+    /// Takes a snapshot of a state.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SnapshotError`] if the state is empty, incomplete or too large.
+    pub fn of(state: &State) -> Result<Self, SnapshotError> {
+        let covers = state.offset().ok_or(SnapshotError::Empty)?;
+        if state.skipped() > 0 {
+            let skipped = state.skipped();
+            return Err(SnapshotError::Incomplete { skipped });
+        }
+        let document = state.document();
+        let digest = Digest::of(&document);
+        let text = String::from_utf8(document).map_err(|_| SnapshotError::Format)?;
+        let bytes = text.len();
+        if bytes > PART_BYTES / 2 * SNAPSHOT_PARTS as usize {
+            return Err(SnapshotError::TooLarge { bytes });
+        }
+        Ok(Self {
+            covers,
+            digest,
+            text,
+        })
+    }
+
+    /// Cuts the snapshot into parts.
+    pub fn parts(&self) -> Vec<Part> {
+        let slices = slices(&self.text);
+        let count = slices.len() as u32;
+        let parts = slices.into_iter().zip(0..).map(|(text, number)| Part {
+            covers: self.covers,
+            digest: self.digest.clone(),
+            number,
+            count,
+            text: text.into(),
+        });
+        parts.collect()
+    }
+
+    /// Loads the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SnapshotError`] if the digest or the format does not fit.
+    pub fn load(&self) -> Result<State, SnapshotError> {
+        if Digest::of(&self.text) != self.digest {
+            return Err(SnapshotError::Digest);
+        }
+        let document: Document =
+            serde_json::from_str(&self.text).map_err(|_| SnapshotError::Format)?;
+        if document.format != FORMAT || document.next != self.covers.next() {
+            return Err(SnapshotError::Format);
+        }
+        Ok(State::restored(document.next, document.content))
+    }
+}
+
+/// Cuts a text at character boundaries into slices of at most [`PART_BYTES`].
+fn slices(text: &str) -> Vec<&str> {
+    let mut slices = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let (slice, tail) = rest.split_at(rest.floor_char_boundary(PART_BYTES));
+        slices.push(slice);
+        rest = tail;
+    }
+    slices
+}
+
+/// Puts the parts of snapshots together, whatever order they come in.
+#[derive(Debug, Default)]
+pub struct Loader {
+    sets: BTreeMap<SetKey, Set>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SetKey {
+    covers: Offset,
+    digest: Digest,
+    count: u32,
+}
+
+type Set = BTreeMap<u32, Arc<str>>;
+
+impl Loader {
+    /// Returns a loader without parts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a part, and returns the snapshot once all of its parts are there.
+    ///
+    /// Of more than [`LOADER_SETS`] incomplete snapshots the oldest is dropped.
+    pub fn offer(&mut self, part: &Part) -> Option<Snapshot> {
+        if part.number >= part.count || part.count > SNAPSHOT_PARTS {
+            return None;
+        }
+        let key = SetKey {
+            covers: part.covers,
+            digest: part.digest.clone(),
+            count: part.count,
+        };
+        let set = self.sets.entry(key.clone()).or_default();
+        set.insert(part.number, Arc::clone(&part.text));
+        if set.len() < part.count as usize {
+            self.limit();
+            return None;
+        }
+        let set = self.sets.remove(&key)?;
+        Some(Snapshot {
+            covers: key.covers,
+            digest: key.digest,
+            text: set.values().map(AsRef::as_ref).collect(),
+        })
+    }
+
+    fn limit(&mut self) {
+        while self.sets.len() > LOADER_SETS {
+            self.sets.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/src/core/config/state.rs
@@ -0,0 +1,223 @@
+//! The state that is in force, and the views of it that requests use.
+
+use serde::Serialize;
+use subtle::ConstantTimeEq;
+
+use crate::core::config::audit::Audit;
+use crate::core::config::change::Offset;
+use crate::core::config::content::Content;
+use crate::core::config::encoding::canonical;
+use crate::core::config::index::Index;
+use crate::core::config::index::Principal;
+use crate::core::config::lease::Lease;
+use crate::core::config::object::Digest;
+use crate::core::config::object::Endpoint;
+use crate::core::config::object::Grant;
+use crate::core::config::object::Service;
+use crate::core::config::object::ServiceKind;
+use crate::core::config::object::TeamEntry;
+use crate::core::config::plan::Plan;
+use crate::core::config::plan::PlanId;
+use crate::core::config::rollout::Rollout;
+use crate::core::config::snapshot::FORMAT;
+use crate::names::EndpointName;
+use crate::names::LeaseName;
+use crate::names::ServiceName;
+use crate::names::Team;
+use crate::names::Version;
+
+/// The configuration in force: the fold of the `config` stream up to an offset.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    pub(super) next: Offset,
+    pub(super) content: Content,
+    pub(super) index: Index,
+    pub(super) skipped: u64,
+}
+
+/// What the digest of a state covers, and what a snapshot holds.
+#[derive(Serialize)]
+struct Document<'a> {
+    format: u32,
+    next: Offset,
+    content: &'a Content,
+}
+
+impl State {
+    /// Returns the state before the first record.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the state with a given content.
+    pub(super) fn restored(next: Offset, content: Content) -> Self {
+        Self {
+            next,
+            index: Index::of(&content),
+            content,
+            skipped: 0,
+        }
+    }
+
+    /// Returns the offset of the last record folded, or `None` before the first.
+    #[must_use]
+    pub const fn offset(&self) -> Option<Offset> {
+        match self.next.0.checked_sub(1) {
+            Some(last) => Some(Offset(last)),
+            None => None,
+        }
+    }
+
+    /// Returns the offset of the record that is expected next.
+    #[must_use]
+    pub const fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns how many records this release could not read.
+    ///
+    /// A VM that skipped one may lack something, so it writes no snapshot.
+    #[must_use]
+    pub const fn skipped(&self) -> u64 {
+        self.skipped
+    }
+
+    /// Returns all data of the state.
+    #[must_use]
+    pub const fn content(&self) -> &Content {
+        &self.content
+    }
+
+    pub(super) const fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// Returns the canonical document of the state.
+    pub(super) fn document(&self) -> Vec<u8> {
+        canonical(&Document {
+            format: FORMAT,
+            next: self.next,
+            content: &self.content,
+        })
+    }
+
+    /// Returns the digest of the state; two VMs at the same offset have the same.
+    ///
+    /// It encodes the whole state, so it is not for the path of a request.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.document())
+    }
+
+    /// Takes over another state if it is further on, and says whether it did.
+    pub fn adopt(&mut self, other: Self) -> bool {
+        let further = other.next > self.next;
+        if further {
+            *self = other;
+        }
+        further
+    }
+
+    /// Returns whom a bearer token belongs to, given the token's digest.
+    ///
+    /// The lookup finds the entry by a digest, which says nothing about the tokens near it; the
+    /// comparison itself takes constant time.
+    pub fn authenticate(&self, token: &Digest) -> Option<&Principal> {
+        let (held, principal) = self.index.tokens.get_key_value(token)?;
+        let equal: bool = held.0.as_bytes().ct_eq(token.0.as_bytes()).into();
+        equal.then_some(principal)
+    }
+
+    /// Returns a team.
+    pub fn team(&self, name: &Team) -> Option<&TeamEntry> {
+        self.content.teams.get(name).map(|held| &held.value)
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.content.services.get(name).map(|held| &held.value)
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, name: &EndpointName) -> Option<&Endpoint> {
+        self.content.endpoints.get(name).map(|held| &held.value)
+    }
+
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.content.endpoints.values().map(|held| &held.value)
+    }
+
+    /// Returns the services that are models.
+    pub fn models(&self) -> impl Iterator<Item = &Service> {
+        let services = self.content.services.values().map(|held| &held.value);
+        services.filter(|service| matches!(service.kind, ServiceKind::Model { .. }))
+    }
+
+    /// Returns the endpoints of a service that the team may use and that are not drained.
+    ///
+    /// It visits only the endpoints of owners who approved the team.
+    pub fn admitted(&self, team: &Team, service: &ServiceName) -> impl Iterator<Item = &Endpoint> {
+        let granted = self.is_granted(team, service);
+        let serving = self.index.serving.get(service).filter(|_| granted);
+        let approvals = serving.map(|_| self.content.approvals_of(team, service));
+        let approvals = approvals.into_iter().flatten();
+        let names = approvals.filter_map(move |(key, approval)| {
+            let names = serving?.get(&key.owner)?;
+            Some(names.iter().filter(|name| approval.covers(name)))
+        });
+        let names = names.flatten().filter(|name| !self.is_drained(name));
+        names.filter_map(|name| self.endpoint(name))
+    }
+
+    /// Says whether a team may use an endpoint now.
+    pub fn admits(&self, team: &Team, endpoint: &EndpointName) -> bool {
+        let Some(entry) = self.endpoint(endpoint) else {
+            return false;
+        };
+        self.is_granted(team, &entry.service)
+            && self.content.is_approved(team, entry)
+            && !self.is_drained(endpoint)
+    }
+
+    /// Says whether a team has a grant to a service, approved or not.
+    pub fn is_granted(&self, team: &Team, service: &ServiceName) -> bool {
+        let grant = Grant {
+            team: team.clone(),
+            service: service.clone(),
+        };
+        self.content.grants.contains_key(&grant)
+    }
+
+    /// Says whether an endpoint was told to leave.
+    pub fn is_drained(&self, endpoint: &EndpointName) -> bool {
+        let drain = self.content.drains.get(endpoint);
+        drain.is_some_and(|drain| drain.is_set())
+    }
+
+    /// Returns the version of the weights that an endpoint of a model shall run.
+    pub fn wanted(&self, endpoint: &EndpointName) -> Option<&Version> {
+        self.content.pins.get(endpoint)
+    }
+
+    /// Returns the rollout of a model, if it ever had one.
+    pub fn rollout(&self, service: &ServiceName) -> Option<&Rollout> {
+        self.content.rollouts.get(service)
+    }
+
+    /// Returns a lease as it was last granted; it may have lapsed.
+    pub fn lease(&self, name: &LeaseName) -> Option<&Lease> {
+        self.content.leases.get(name)
+    }
+
+    /// Returns a plan that waits for confirmation.
+    pub fn pending(&self, id: &PlanId) -> Option<&Plan> {
+        self.content.pending.get(id).map(|pending| &pending.plan)
+    }
+
+    /// Returns the audit trail.
+    #[must_use]
+    pub const fn audit(&self) -> &Audit {
+        &self.content.audit
+    }
+}
--- a/src/names.rs
+++ b/src/names.rs
@@ -64,4 +64,6 @@
     Kind;
     /// A version of a model's weights.
     Version;
+    /// A lease in the log, such as the one for an endpoint's orders.
+    LeaseName;
 }
