--- /dev/null
+++ b/src/core/once/shard.rs
@@ -0,0 +1,469 @@
+//! The fold of one `once` stream.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::KEPT_BYTES;
+use super::PART_BYTES;
+use super::ROW_BYTES;
+use super::id::Attempt;
+use super::id::CallDigest;
+use super::id::Holder;
+use super::id::KeyId;
+use super::id::Offset;
+use super::record::Answer;
+use super::record::Batch;
+use super::record::Claim;
+use super::record::Entry;
+use super::record::Ident;
+use super::record::Outcome;
+use super::record::Release;
+use super::record::Row;
+use super::record::RowState;
+use super::record::Snapshot;
+use crate::clock::Millis;
+
+/// What the log says of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Verdict {
+    /// The claim holds the key, with no outcome: its boot alone may send.
+    Won {
+        /// Where it won.
+        offset: Offset,
+    },
+    /// Another claim, or an earlier attempt, holds the key.
+    Lost {
+        /// Who holds it.
+        holder: Holder,
+        /// The outcome, once there is one.
+        answer: Option<Answer>,
+    },
+    /// The key is bound to another call.
+    Reused,
+    /// The key is older than the fold remembers.
+    Expired,
+    /// The attempt was released before.
+    Void,
+    /// The outcome or the release is in the log.
+    Recorded,
+}
+
+/// The state of one stream up to an offset.
+///
+/// It starts at offset 0, or at a whole snapshot from which every later record can be read. In
+/// between it is without a base and gives no verdict, because a claim that it missed may have won.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Shard {
+    next: Offset,
+    origin: Offset,
+    based: bool,
+    floor: Millis,
+    opaque: Millis,
+    keys: BTreeMap<KeyId, Key>,
+    voids: BTreeMap<(KeyId, u32), Voided>,
+    holders: Vec<Holder>,
+    index: BTreeMap<Holder, u32>,
+    kept: VecDeque<(KeyId, u32)>,
+    bytes: usize,
+    parts: Vec<Snapshot>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Key {
+    call: CallDigest,
+    offset: Offset,
+    attempt: Attempt,
+    time: Millis,
+    answer: Option<Box<Answer>>,
+    holder: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Voided {
+    attempt: Attempt,
+    time: Millis,
+}
+
+impl Default for Shard {
+    fn default() -> Self {
+        Self::start(Offset(0))
+    }
+}
+
+impl Shard {
+    /// Returns a fold that reads from an offset; it has a base only if that is the stream's start.
+    #[must_use]
+    pub fn start(from: Offset) -> Self {
+        Self {
+            next: from,
+            origin: from,
+            based: from == Offset(0),
+            floor: Millis(0),
+            opaque: Millis(0),
+            keys: BTreeMap::new(),
+            voids: BTreeMap::new(),
+            holders: Vec::new(),
+            index: BTreeMap::new(),
+            kept: VecDeque::new(),
+            bytes: 0,
+            parts: Vec::new(),
+        }
+    }
+
+    /// Returns the next offset to read.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Says whether the fold rests on the stream's start or on a whole snapshot.
+    pub fn based(&self) -> bool {
+        self.based
+    }
+
+    /// Returns the time before which no key is remembered.
+    pub fn floor(&self) -> Millis {
+        self.floor
+    }
+
+    /// Returns the number of keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Says whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Folds the record at the next offset and returns the verdicts on its entries.
+    pub fn fold(&mut self, batch: &Batch) -> Vec<(Ident, Verdict)> {
+        let offset = self.next;
+        self.next = offset.next();
+        let mut verdicts = Vec::new();
+        for entry in &batch.0 {
+            if let Entry::Snapshot(part) = entry {
+                self.snapshot(part);
+            } else if self.based {
+                let verdict = self.apply(offset, entry);
+                verdicts.extend(entry.ident().map(|ident| (ident, verdict)));
+            }
+        }
+        verdicts
+    }
+
+    /// Returns the verdict on an entry if it is known without an append.
+    pub fn look(&self, entry: &Entry) -> Option<Verdict> {
+        if !self.based {
+            return None;
+        }
+        match entry {
+            Entry::Claim(claim) => self.judge(claim),
+            Entry::Outcome(outcome) => self.recorded(outcome).then_some(Verdict::Recorded),
+            Entry::Release(release) => self
+                .is_void(release.key, &release.holder, release.attempt)
+                .then_some(Verdict::Recorded),
+            Entry::Snapshot(_) => None,
+        }
+    }
+
+    fn apply(&mut self, offset: Offset, entry: &Entry) -> Verdict {
+        match entry {
+            Entry::Claim(claim) => self.claim(offset, claim),
+            Entry::Outcome(outcome) => self.outcome(outcome),
+            Entry::Release(release) => self.release(release),
+            Entry::Snapshot(_) => Verdict::Recorded,
+        }
+    }
+
+    fn judge(&self, claim: &Claim) -> Option<Verdict> {
+        if let Some(key) = self.keys.get(&claim.key) {
+            return Some(self.contest(key, claim));
+        }
+        if self.is_void(claim.key, &claim.holder, claim.attempt) {
+            return Some(Verdict::Void);
+        }
+        let floor = if claim.opaque {
+            self.opaque.max(self.floor)
+        } else {
+            self.floor
+        };
+        (claim.time < floor).then_some(Verdict::Expired)
+    }
+
+    fn contest(&self, key: &Key, claim: &Claim) -> Verdict {
+        if key.call != claim.call {
+            return Verdict::Reused;
+        }
+        let holder = &self.holders[key.holder as usize];
+        if key.answer.is_none() && key.attempt == claim.attempt && *holder == claim.holder {
+            return Verdict::Won { offset: key.offset };
+        }
+        Verdict::Lost {
+            holder: holder.clone(),
+            answer: key.answer.as_deref().cloned(),
+        }
+    }
+
+    fn claim(&mut self, offset: Offset, claim: &Claim) -> Verdict {
+        if let Some(verdict) = self.judge(claim) {
+            return verdict;
+        }
+        let key = Key {
+            call: claim.call,
+            offset,
+            attempt: claim.attempt,
+            time: claim.time,
+            answer: None,
+            holder: self.intern(&claim.holder),
+        };
+        self.keys.insert(claim.key, key);
+        Verdict::Won { offset }
+    }
+
+    fn outcome(&mut self, outcome: &Outcome) -> Verdict {
+        let holder = self.index.get(&outcome.holder).copied();
+        if let Some(key) = self.keys.get_mut(&outcome.key)
+            && Some(key.holder) == holder
+            && key.attempt == outcome.attempt
+            && key.answer.is_none()
+        {
+            key.answer = Some(Box::new(outcome.answer.clone()));
+            self.keep(outcome.key, &outcome.answer);
+        }
+        Verdict::Recorded
+    }
+
+    /// Voids the attempt, whether its claim came before or is still under way.
+    fn release(&mut self, release: &Release) -> Verdict {
+        let holder = self.intern(&release.holder);
+        if let Some(key) = self.keys.get(&release.key)
+            && key.holder == holder
+            && key.attempt == release.attempt
+        {
+            if key.answer.is_some() {
+                return Verdict::Recorded;
+            }
+            self.keys.remove(&release.key);
+        }
+        self.void(release.key, holder, release.attempt, release.time);
+        Verdict::Recorded
+    }
+
+    fn void(&mut self, key: KeyId, holder: u32, attempt: Attempt, time: Millis) {
+        let voided = self
+            .voids
+            .entry((key, holder))
+            .or_insert(Voided { attempt, time });
+        voided.attempt = voided.attempt.max(attempt);
+        voided.time = voided.time.max(time);
+    }
+
+    fn is_void(&self, key: KeyId, holder: &Holder, attempt: Attempt) -> bool {
+        self.index
+            .get(holder)
+            .and_then(|holder| self.voids.get(&(key, *holder)))
+            .is_some_and(|voided| attempt <= voided.attempt)
+    }
+
+    fn recorded(&self, outcome: &Outcome) -> bool {
+        self.keys
+            .get(&outcome.key)
+            .is_some_and(|key| key.answer.is_some())
+    }
+
+    fn intern(&mut self, holder: &Holder) -> u32 {
+        if let Some(index) = self.index.get(holder) {
+            return *index;
+        }
+        let index = self.holders.len() as u32;
+        self.holders.push(holder.clone());
+        self.index.insert(holder.clone(), index);
+        index
+    }
+
+    /// Keeps an answer's body until the bodies of later answers need its room.
+    fn keep(&mut self, key: KeyId, answer: &Answer) {
+        let Answer::Small { body, .. } = answer else {
+            return;
+        };
+        self.kept.push_back((key, body.len() as u32));
+        self.bytes += body.len();
+        while self.bytes > KEPT_BYTES
+            && let Some((oldest, length)) = self.kept.pop_front()
+        {
+            self.bytes -= length as usize;
+            self.shorten(oldest);
+        }
+    }
+
+    fn shorten(&mut self, key: KeyId) {
+        let Some(answer) = self.keys.get_mut(&key).and_then(|key| key.answer.as_mut()) else {
+            return;
+        };
+        if let Answer::Small { status, body, .. } = &**answer {
+            **answer = Answer::Large {
+                status: *status,
+                digest: CallDigest::of("", "", body),
+            };
+        }
+    }
+}
+
+/// Snapshots.
+impl Shard {
+    /// Returns the parts of a snapshot of the state, which forget keys of before `floor`.
+    #[must_use]
+    pub fn parts(&self, holder: &Holder, floor: Millis) -> Vec<Snapshot> {
+        let Some(upto) = self.next.0.checked_sub(1).filter(|_| self.based) else {
+            return Vec::new();
+        };
+        let floor = floor.max(self.floor);
+        let rows: Vec<Row> = self.rows().filter(|row| row.time >= floor).collect();
+        let chunks = chunks(rows);
+        let parts = chunks.len() as u32;
+        let numbered = (0..parts).zip(chunks);
+        numbered
+            .map(|(part, rows)| Snapshot {
+                holder: holder.clone(),
+                upto: Offset(upto),
+                floor,
+                opaque: self.opaque,
+                part,
+                parts,
+                rows,
+            })
+            .collect()
+    }
+
+    /// Returns an empty snapshot for a stream whose past is lost.
+    ///
+    /// The keys of the lost past all lie before `floor`, so that none of them is admitted again;
+    /// for a key without a time, only a whole window shows that it is not from the past.
+    #[must_use]
+    pub fn reset(&self, holder: &Holder, floor: Millis, window: Millis) -> Snapshot {
+        Snapshot {
+            holder: holder.clone(),
+            upto: Offset(self.next.0.saturating_sub(1)),
+            floor,
+            opaque: floor + window,
+            part: 0,
+            parts: 1,
+            rows: Vec::new(),
+        }
+    }
+
+    fn rows(&self) -> impl Iterator<Item = Row> + '_ {
+        let claimed = self.keys.iter().map(|(id, key)| Row {
+            key: *id,
+            holder: self.holders[key.holder as usize].clone(),
+            attempt: key.attempt,
+            time: key.time,
+            state: RowState::Claimed {
+                call: key.call,
+                offset: key.offset,
+                answer: key.answer.as_deref().cloned(),
+            },
+        });
+        let voided = self.voids.iter().map(|((id, holder), voided)| Row {
+            key: *id,
+            holder: self.holders[*holder as usize].clone(),
+            attempt: voided.attempt,
+            time: voided.time,
+            state: RowState::Void,
+        });
+        claimed.chain(voided)
+    }
+
+    fn snapshot(&mut self, part: &Snapshot) {
+        if self.based {
+            self.opaque = self.opaque.max(part.opaque);
+            self.forget(part.floor);
+            return;
+        }
+        if part.part == 0 {
+            self.parts.clear();
+        }
+        if part.upto.next() < self.origin {
+            return;
+        }
+        let fits = self.parts.first().is_none_or(|first| {
+            first.holder == part.holder && first.upto == part.upto && first.parts == part.parts
+        });
+        if fits && self.parts.len() == part.part as usize {
+            self.parts.push(part.clone());
+        }
+        if self.parts.len() == part.parts as usize {
+            self.load();
+        }
+    }
+
+    /// Forgets the keys of before `floor`; no claim on such a key can win from here on.
+    fn forget(&mut self, floor: Millis) {
+        self.floor = self.floor.max(floor);
+        let floor = self.floor;
+        self.keys.retain(|_, key| key.time >= floor);
+        self.voids.retain(|_, voided| voided.time >= floor);
+    }
+
+    /// Takes the collected snapshot as the base; the records after it are then read again.
+    fn load(&mut self) {
+        let parts = std::mem::take(&mut self.parts);
+        let Some(first) = parts.first() else {
+            return;
+        };
+        *self = Self::start(first.upto.next());
+        self.based = true;
+        self.floor = first.floor;
+        self.opaque = first.opaque;
+        for row in parts.into_iter().flat_map(|part| part.rows) {
+            self.restore(row);
+        }
+    }
+
+    fn restore(&mut self, row: Row) {
+        let holder = self.intern(&row.holder);
+        match row.state {
+            RowState::Void => self.void(row.key, holder, row.attempt, row.time),
+            RowState::Claimed {
+                call,
+                offset,
+                answer,
+            } => {
+                let key = Key {
+                    call,
+                    offset,
+                    attempt: row.attempt,
+                    time: row.time,
+                    answer: answer.clone().map(Box::new),
+                    holder,
+                };
+                self.keys.insert(row.key, key);
+                if let Some(answer) = answer {
+                    self.keep(row.key, &answer);
+                }
+            }
+        }
+    }
+}
+
+/// Cuts rows into parts that one append carries; there is at least one part.
+fn chunks(rows: Vec<Row>) -> Vec<Vec<Row>> {
+    let mut chunks = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = ROW_BYTES + row.answer().map_or(0, Answer::len);
+        if bytes + size > PART_BYTES && bytes > 0 {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = chunks.last_mut() {
+            last.push(row);
+        }
+    }
+    chunks
+}
--- /dev/null
+++ b/src/core/once/writer.rs
@@ -0,0 +1,173 @@
+//! Group commit: the entries that wait for one stream, and its append under way.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use super::BATCH_BYTES;
+use super::BATCH_ENTRIES;
+use super::CLAIM_SPAN;
+use super::id::Ticket;
+use super::record::Batch;
+use super::record::Entry;
+use super::record::Ident;
+use crate::clock::Millis;
+
+/// After so many failed appends in a row the log counts as down.
+const DOWN_FAILURES: u32 = 2;
+/// The interval between appends to a log that is down.
+const PROBE_SPAN: Millis = Millis(500);
+
+/// Appends to one stream, one at a time and at a bounded rate.
+///
+/// The first entry after a quiet time goes at once; under load, entries gather while an append is
+/// under way or the pace forbids the next, so the batches grow with the load and the rate does not.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Writer {
+    queue: VecDeque<Queued>,
+    idents: BTreeSet<Ident>,
+    flight: Option<Flight>,
+    last: Option<Millis>,
+    failures: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Queued {
+    entry: Entry,
+    since: Millis,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Flight {
+    ticket: Ticket,
+    entries: Vec<Queued>,
+    since: Millis,
+}
+
+impl Writer {
+    /// Queues an entry, unless it waits already.
+    pub fn push(&mut self, entry: Entry, now: Millis) {
+        if let Some(ident) = entry.ident()
+            && !self.idents.insert(ident)
+        {
+            return;
+        }
+        self.queue.push_back(Queued { entry, since: now });
+    }
+
+    /// Says whether the last append failed and others wait to find out whether the log is back.
+    pub fn is_down(&self) -> bool {
+        self.failures >= DOWN_FAILURES && (self.flight.is_some() || !self.queue.is_empty())
+    }
+
+    /// Says whether nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.flight.is_none()
+    }
+
+    /// Says whether a snapshot waits.
+    pub fn carries(&self) -> bool {
+        let flying = self.flight.iter().flat_map(|flight| &flight.entries);
+        flying
+            .chain(&self.queue)
+            .any(|queued| matches!(queued.entry, Entry::Snapshot(_)))
+    }
+
+    /// Returns the next batch if there is one and the pace allows it.
+    pub fn flush(&mut self, now: Millis, pace: Millis, ticket: Ticket) -> Option<Batch> {
+        self.lapse(now);
+        let pace = if self.failures >= DOWN_FAILURES {
+            pace.max(PROBE_SPAN)
+        } else {
+            pace
+        };
+        let due = self.last.is_none_or(|last| now.since(last) >= pace);
+        if self.flight.is_some() || !due || self.queue.is_empty() {
+            return None;
+        }
+        let entries = self.take();
+        let batch = Batch(entries.iter().map(|queued| queued.entry.clone()).collect());
+        self.last = Some(now);
+        self.flight = Some(Flight {
+            ticket,
+            entries,
+            since: now,
+        });
+        Some(batch)
+    }
+
+    /// Notes that an append took effect and returns its batch.
+    pub fn appended(&mut self, ticket: Ticket) -> Option<Batch> {
+        let flight = self.flight.take_if(|flight| flight.ticket == ticket)?;
+        self.failures = 0;
+        let entries = flight.entries.into_iter().map(|queued| queued.entry);
+        let batch = Batch(entries.collect());
+        for ident in batch.0.iter().filter_map(Entry::ident) {
+            self.idents.remove(&ident);
+        }
+        Some(batch)
+    }
+
+    /// Queues the entries of a failed append again; appending one twice is harmless.
+    pub fn failed(&mut self, ticket: Ticket) -> bool {
+        let Some(flight) = self.flight.take_if(|flight| flight.ticket == ticket) else {
+            return false;
+        };
+        self.failures += 1;
+        for queued in flight.entries.into_iter().rev() {
+            self.queue.push_front(queued);
+        }
+        true
+    }
+
+    /// Drops the entry of an ident from the queue, once the log has shown it.
+    pub fn settle(&mut self, ident: &Ident) {
+        let flying = self.flight.as_ref().is_some_and(|flight| {
+            let mut idents = flight
+                .entries
+                .iter()
+                .filter_map(|queued| queued.entry.ident());
+            idents.any(|other| other == *ident)
+        });
+        if !flying && self.idents.remove(ident) {
+            self.queue
+                .retain(|queued| queued.entry.ident().as_ref() != Some(ident));
+        }
+    }
+
+    /// Gives up an append that io has not answered, and the entries that waited too long: whoever
+    /// proposed them proposes again or has given up.
+    fn lapse(&mut self, now: Millis) {
+        if let Some(flight) = &self.flight
+            && now.since(flight.since) >= CLAIM_SPAN
+        {
+            let ticket = flight.ticket;
+            self.failed(ticket);
+        }
+        let idents = &mut self.idents;
+        self.queue.retain(|queued| {
+            let keep =
+                matches!(queued.entry, Entry::Snapshot(_)) || now.since(queued.since) < CLAIM_SPAN;
+            if !keep && let Some(ident) = queued.entry.ident() {
+                idents.remove(&ident);
+            }
+            keep
+        });
+    }
+
+    /// Takes the next entries; a part of a snapshot goes alone, since it is large.
+    fn take(&mut self) -> Vec<Queued> {
+        let large = |queued: &Queued| matches!(queued.entry, Entry::Snapshot(_));
+        let count = match self.queue.iter().position(large) {
+            Some(0) => 1,
+            Some(first) => first.min(BATCH_ENTRIES),
+            None => self.queue.len().min(BATCH_ENTRIES),
+        };
+        let mut bytes = 0;
+        let fitting = self.queue.iter().take(count).take_while(|queued| {
+            bytes += queued.entry.body();
+            bytes <= BATCH_BYTES
+        });
+        let count = fitting.count().max(1);
+        self.queue.drain(..count).collect()
+    }
+}
