Carry sessions over chains, with failover, moves and resumed streams

A reply counts only for the one outstanding hop; what contradicts it ends the attempt, and the next attempt is prefilled with the prompt and the tokens given so far. The tests run each of 19 faults at each hop over one to three legs (342 cells), every pair (45,486 cells) and each fault during a resumed stream (3,078 cells): every answer came whole, each token once and equal to that of an independent model.

--- /dev/null
+++ b/src/core/session/admit.rs
@@ -0,0 +1,49 @@
+//! The check of a request before its first hop.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::core::session::chain;
+use crate::core::session::event::Leg;
+use crate::core::session::event::Start;
+use crate::error::Code;
+use crate::error::Failure;
+
+/// Checks that a request can run at all.
+///
+/// # Errors
+///
+/// Returns a failure of work that was not run.
+pub fn admit(now: Millis, start: &Start) -> Result<(), Failure> {
+    let tokens = u32::try_from(start.prompt.len())
+        .ok()
+        .and_then(|len| len.checked_add(start.limit));
+    if start.prompt.is_empty() || start.limit == 0 || tokens.is_none() {
+        return Err(Failure::unrun(
+            Code::BadRequest,
+            "the prompt or the number of tokens is empty or too large",
+        ));
+    }
+    if start.resume.is_some_and(|event| event.index >= start.limit) {
+        return Err(Failure::unrun(
+            Code::BadRequest,
+            "the event id lies beyond the number of tokens",
+        ));
+    }
+    if now >= start.deadline {
+        return Err(Failure::unrun(Code::DeadlinePassed, "the deadline passed"));
+    }
+    covering(Arc::clone(&start.chain), start.layers).map(drop)
+}
+
+/// Lets a chain pass that covers the model.
+///
+/// # Errors
+///
+/// Returns a failure of work that was not run.
+pub fn covering(legs: Arc<[Leg]>, layers: u32) -> Result<Arc<[Leg]>, Failure> {
+    match chain::check(&legs, layers) {
+        Ok(()) => Ok(legs),
+        Err(error) => Err(Failure::unrun(Code::NoCapacity, error.to_string())),
+    }
+}
--- /dev/null
+++ b/src/core/session/flight.rs
@@ -0,0 +1,68 @@
+//! The one outstanding hop of a session and the patience with it.
+
+use crate::clock::Millis;
+use crate::consts::DIAL_SPAN;
+
+/// How often a slow hop is probed before its endpoint is given up.
+pub const PROBE_LIMIT: u8 = 2;
+/// How long a probe may take: a connection to open, and as long again for the answer.
+pub const PROBE_SPAN: Millis = Millis(2 * DIAL_SPAN.0);
+
+/// An outstanding hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Flight {
+    /// The place of its leg in the chain.
+    pub leg: usize,
+    /// The first token that it works towards.
+    pub first: u32,
+    /// When the patience with it, or with the probe, ends.
+    pub due: Millis,
+    /// Whether a probe is on its way.
+    pub probing: bool,
+    probes: u8,
+}
+
+impl Flight {
+    /// Returns a hop that was just sent.
+    #[must_use]
+    pub fn new(leg: usize, first: u32, due: Millis) -> Self {
+        Self {
+            leg,
+            first,
+            due,
+            probing: false,
+            probes: 0,
+        }
+    }
+
+    /// Returns the hop with one more line of its answer received.
+    #[must_use]
+    pub fn progressed(self, due: Millis) -> Self {
+        Self::new(self.leg, self.first, due)
+    }
+
+    /// Returns the hop with a probe on its way, or nothing when the patience is used up: the
+    /// last probe had no answer, or the endpoint was slow too often.
+    #[must_use]
+    pub fn probe(self, now: Millis) -> Option<Self> {
+        if self.probing || self.probes >= PROBE_LIMIT {
+            return None;
+        }
+        Some(Self {
+            due: now + PROBE_SPAN,
+            probing: true,
+            probes: self.probes + 1,
+            ..self
+        })
+    }
+
+    /// Returns the hop with more time, since the endpoint still works on it.
+    #[must_use]
+    pub fn extended(self, due: Millis) -> Self {
+        Self {
+            due,
+            probing: false,
+            ..self
+        }
+    }
+}
--- a/src/core/session/mod.rs
+++ b/src/core/session/mod.rs
@@ -1,6 +1,26 @@
 //! Pipeline sessions: one model request carried hop by hop over a chain of endpoints.
 //!
 //! The daemon drives every hop, so each answer can be held against the one question that it
-//! belongs to (docs/SESSIONS.md).
+//! belongs to. An attempt that meets a fault is given up whole, and the next one is prefilled
+//! with the prompt and the tokens given so far (docs/SESSIONS.md).
 
+mod admit;
+mod answer;
+pub mod chain;
+pub mod event;
+mod fit;
+mod flight;
+pub mod resume;
+mod state;
+pub mod table;
 pub mod wire;
+
+pub use event::Action;
+pub use event::Event;
+pub use event::RequestId;
+pub use flight::PROBE_LIMIT;
+pub use flight::PROBE_SPAN;
+pub use state::ATTEMPT_LIMIT;
+pub use state::Session;
+pub use state::TRY_LIMIT;
+pub use table::Sessions;
--- /dev/null
+++ b/src/core/session/table.rs
@@ -0,0 +1,189 @@
+//! The open sessions of one daemon, by request, and the timers that wake them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::clock::Millis;
+use crate::core::session::event::Action;
+use crate::core::session::event::Event;
+use crate::core::session::event::Leg;
+use crate::core::session::event::RequestId;
+use crate::core::session::event::Start;
+use crate::core::session::fit::Fit;
+use crate::core::session::state::Session;
+use crate::core::session::wire::HopReply;
+use crate::core::session::wire::SessionId;
+
+/// How many replies and other answers were dropped because they did not fit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Drops {
+    /// The request is not open, or was never known.
+    pub closed: u64,
+    /// The reply names another session.
+    pub crossed: u64,
+    /// The reply or fault belongs to an earlier attempt or hop.
+    pub late: u64,
+    /// The hop was answered before.
+    pub doubled: u64,
+    /// The reply contradicts the hop, so its attempt was ended.
+    pub doubtful: u64,
+}
+
+/// The open sessions of one daemon.
+///
+/// A timer is kept for each session and moved only when the session has to wake earlier than
+/// set, so that a hop costs no timer operation as a rule and a tick touches only what is due.
+#[derive(Debug)]
+pub struct Sessions {
+    boot: u64,
+    serial: u64,
+    open: BTreeMap<RequestId, Slot>,
+    timers: BTreeSet<(Millis, RequestId)>,
+    drops: Drops,
+}
+
+#[derive(Debug)]
+struct Slot {
+    session: Session,
+    wake: Millis,
+}
+
+impl Sessions {
+    /// Returns an empty table for a daemon that drew `boot` when it started.
+    #[must_use]
+    pub fn new(boot: u64) -> Self {
+        Self {
+            boot,
+            serial: 0,
+            open: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            drops: Drops::default(),
+        }
+    }
+
+    /// Returns how many sessions are open.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns whether no session is open, so that a stopping daemon may go.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Returns what was dropped so far.
+    #[must_use]
+    pub fn drops(&self) -> Drops {
+        self.drops
+    }
+
+    /// Returns the chain that a request runs on, empty while it waits for one.
+    #[must_use]
+    pub fn legs(&self, id: RequestId) -> &[Leg] {
+        self.open.get(&id).map_or(&[], |slot| slot.session.legs())
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Start(start) => self.start(now, start, out),
+            Event::Reply { id, reply } => self.reply(now, id, reply, out),
+            Event::Failed { id, key, fault } => {
+                self.with(now, id, |session| session.fail(now, key, fault, out));
+            }
+            Event::Probed { id, key, health } => {
+                self.with(now, id, |session| session.probed(now, key, health, out));
+            }
+            Event::Chain { id, ask, legs } => {
+                self.with(now, id, |session| session.chain(now, ask, legs, out));
+            }
+            Event::Move { id } => self.with(now, id, |session| session.relocate(out)),
+            Event::Cancel { id } => self.with(now, id, |session| session.cancel(out)),
+        }
+    }
+
+    /// Wakes the sessions whose time has come.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        while let Some((wake, id)) = self.timers.first().copied() {
+            if wake > now {
+                return;
+            }
+            self.timers.pop_first();
+            if let Some(slot) = self.open.get_mut(&id) {
+                slot.session.tick(now, out);
+                slot.wake = Millis(u64::MAX);
+            }
+            self.settle(now, id);
+        }
+    }
+
+    fn start(&mut self, now: Millis, start: Start, out: &mut Vec<Action>) {
+        let id = start.id;
+        if self.open.contains_key(&id) {
+            return;
+        }
+        self.serial += 1;
+        let name = SessionId {
+            boot: self.boot,
+            serial: self.serial,
+        };
+        if let Some(session) = Session::start(now, name, start, out) {
+            let wake = Millis(u64::MAX);
+            self.open.insert(id, Slot { session, wake });
+            self.settle(now, id);
+        }
+    }
+
+    fn reply(&mut self, now: Millis, id: RequestId, reply: HopReply, out: &mut Vec<Action>) {
+        let Some(slot) = self.open.get_mut(&id) else {
+            self.drops.closed += 1;
+            return;
+        };
+        let fit = slot.session.reply(now, reply, out);
+        self.count(fit);
+        self.settle(now, id);
+    }
+
+    fn with<F>(&mut self, now: Millis, id: RequestId, act: F)
+    where
+        F: FnOnce(&mut Session) -> Fit,
+    {
+        let Some(slot) = self.open.get_mut(&id) else {
+            self.drops.closed += 1;
+            return;
+        };
+        let fit = act(&mut slot.session);
+        self.count(fit);
+        self.settle(now, id);
+    }
+
+    fn count(&mut self, fit: Fit) {
+        match fit {
+            Fit::Fits => {}
+            Fit::Crossed => self.drops.crossed += 1,
+            Fit::Late => self.drops.late += 1,
+            Fit::Doubled => self.drops.doubled += 1,
+            Fit::Doubtful => self.drops.doubtful += 1,
+        }
+    }
+
+    fn settle(&mut self, now: Millis, id: RequestId) {
+        let Some(slot) = self.open.get_mut(&id) else {
+            return;
+        };
+        if slot.session.is_closed() {
+            self.timers.remove(&(slot.wake, id));
+            self.open.remove(&id);
+            return;
+        }
+        // A session that is due already is woken by the next tick, not by this one again.
+        let due = slot.session.due().max(now + Millis(1));
+        if due < slot.wake {
+            self.timers.remove(&(slot.wake, id));
+            slot.wake = due;
+            self.timers.insert((due, id));
+        }
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -66,6 +66,8 @@
     EndpointFailed,
     /// An earlier attempt with this key has no recorded outcome.
     OutcomeUnknown,
+    /// The regenerated answer differs from the part that the caller has.
+    ResumeMismatch,
     /// Requests of this content crashed endpoints and are barred for a time.
     RequestBarred,
     /// The plan no longer fits the configuration in force.
@@ -84,7 +86,7 @@
             Self::Forbidden => 403,
             Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
-            Self::StalePlan | Self::InProgress => 409,
+            Self::StalePlan | Self::InProgress | Self::ResumeMismatch => 409,
             Self::KeyExpired => 410,
             Self::TooLarge => 413,
             Self::KeyReused | Self::RequestBarred => 422,
--- /dev/null
+++ b/tests/session.rs
@@ -0,0 +1,847 @@
+//! Sessions against fake engines: every fault at every hop and token.
+//!
+//! The engines are plain functions over a toy model in which each layer folds every position into
+//! its cache, so a layer that is skipped, doubled or run out of order changes all tokens after it.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::config::object::Layers;
+use cornelwharf::core::session::Action;
+use cornelwharf::core::session::Event;
+use cornelwharf::core::session::RequestId;
+use cornelwharf::core::session::Session;
+use cornelwharf::core::session::Sessions;
+use cornelwharf::core::session::TRY_LIMIT;
+use cornelwharf::core::session::event::Fault;
+use cornelwharf::core::session::event::Health;
+use cornelwharf::core::session::event::Leg;
+use cornelwharf::core::session::event::Reason;
+use cornelwharf::core::session::event::Start;
+use cornelwharf::core::session::resume::EVENT_BYTES;
+use cornelwharf::core::session::resume::EventError;
+use cornelwharf::core::session::resume::EventId;
+use cornelwharf::core::session::wire::Hop;
+use cornelwharf::core::session::wire::HopReply;
+use cornelwharf::core::session::wire::Input;
+use cornelwharf::core::session::wire::Output;
+use cornelwharf::core::session::wire::SessionId;
+use cornelwharf::error::Code;
+use cornelwharf::error::Failure;
+use cornelwharf::error::Ran;
+use cornelwharf::names::EndpointName;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+const LAYERS: u32 = 6;
+const LIMIT: u32 = 3;
+const SEED: u64 = 7;
+const ONE: RequestId = RequestId(1);
+const TWO: RequestId = RequestId(2);
+
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a.rotate_left(25).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b;
+    x = (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x ^ (x >> 32)
+}
+
+fn run_layer(layer: u32, cache: &mut u64, state: u64) -> u64 {
+    *cache = mix(*cache, state ^ u64::from(layer));
+    mix(state, *cache)
+}
+
+fn draw(state: u64, seed: u64, index: u32) -> u32 {
+    (mix(state, mix(seed, u64::from(index))) % 50_000) as u32
+}
+
+/// The checker's own way to the tokens: the whole model from scratch for each.
+fn expected(prompt: &[u32], seed: u64, count: u32) -> Vec<u32> {
+    let mut all = prompt.to_vec();
+    for index in 0..count {
+        let mut caches = [0; LAYERS as usize];
+        let mut state = 0;
+        for token in &all {
+            state = u64::from(*token);
+            for layer in 0..LAYERS {
+                state = run_layer(layer, &mut caches[layer as usize], state);
+            }
+        }
+        all.push(draw(state, seed, index));
+    }
+    all.split_off(prompt.len())
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Refused,
+    Lost,
+    Bad,
+    CrashBefore,
+    CrashAfter,
+    Gone,
+    Idle,
+    Silent,
+    Slow,
+    SlowOnce,
+    Double,
+    NextToken,
+    OtherLayers,
+    OtherOutput,
+    NextAttempt,
+    CrossedToo,
+    CrossedOnly,
+    Move,
+    MoveNowhere,
+    Swapped,
+    Cancel,
+}
+
+/// The kinds after which an answer must still be complete.
+const SURVIVED: [Kind; 19] = [
+    Kind::Refused,
+    Kind::Lost,
+    Kind::Bad,
+    Kind::CrashBefore,
+    Kind::CrashAfter,
+    Kind::Gone,
+    Kind::Idle,
+    Kind::Silent,
+    Kind::Slow,
+    Kind::SlowOnce,
+    Kind::Double,
+    Kind::NextToken,
+    Kind::OtherLayers,
+    Kind::OtherOutput,
+    Kind::NextAttempt,
+    Kind::CrossedToo,
+    Kind::CrossedOnly,
+    Kind::Move,
+    Kind::MoveNowhere,
+];
+
+#[derive(Clone, Debug, PartialEq)]
+enum End {
+    Finished(Reason),
+    Failed(Failure),
+}
+
+#[derive(Default)]
+struct Engine {
+    caches: BTreeMap<(SessionId, u32, u32), u64>,
+}
+
+impl Engine {
+    /// Runs a hop's layers; `None` if the cache of the attempt is gone.
+    fn run(&mut self, hop: &Hop, states: &[u64], prefill: bool) -> Option<Vec<u64>> {
+        let mut states = states.to_vec();
+        for layer in hop.layers.from..hop.layers.to {
+            let key = (hop.session, hop.attempt, layer);
+            if prefill {
+                assert!(self.caches.insert(key, 0).is_none(), "prefilled twice");
+            }
+            let cache = self.caches.get_mut(&key)?;
+            for state in &mut states {
+                *state = run_layer(layer, cache, *state);
+            }
+        }
+        Some(states)
+    }
+}
+
+struct World {
+    now: Millis,
+    sessions: Sessions,
+    legs: u32,
+    prompts: BTreeMap<RequestId, Vec<u32>>,
+    engines: BTreeMap<EndpointName, Engine>,
+    /// What befalls the nth line that the engines answer.
+    faults: BTreeMap<usize, Kind>,
+    unit: usize,
+    health: Health,
+    queue: VecDeque<Event>,
+    /// What a slow or broken connection still holds back.
+    late: Vec<(RequestId, HopReply)>,
+    after_probe: Vec<Event>,
+    nowhere: bool,
+    end_at: u32,
+    base: BTreeMap<(SessionId, u32), u32>,
+    runs: BTreeMap<(SessionId, u32, u32), Vec<u32>>,
+    current: BTreeMap<RequestId, (SessionId, u32)>,
+    first: BTreeMap<RequestId, u32>,
+    emitted: BTreeMap<RequestId, Vec<EventId>>,
+    ends: BTreeMap<RequestId, End>,
+}
+
+fn leg(replica: u32, place: u32, from: u32, to: u32) -> Leg {
+    Leg {
+        endpoint: EndpointName::from(format!("r{replica}-{place}").as_str()),
+        layers: Layers { from, to },
+        patience: Millis(100),
+        prefill: Millis(400),
+    }
+}
+
+/// Replicas split the model at different layers.
+fn chain(legs: u32, replica: u32) -> Arc<[Leg]> {
+    let cuts = match (legs, replica % 2) {
+        (1, _) => vec![0, LAYERS],
+        (2, shift) => vec![0, 3 + shift, LAYERS],
+        (_, shift) => vec![0, 1 + shift, 4, LAYERS],
+    };
+    let places = cuts.windows(2).zip(0..);
+    places
+        .map(|(cut, place)| leg(replica, place, cut[0], cut[1]))
+        .collect()
+}
+
+impl World {
+    fn new(boot: u64, legs: u32, faults: &[(usize, Kind)]) -> Self {
+        Self {
+            now: Millis(1000),
+            sessions: Sessions::new(boot),
+            legs,
+            prompts: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            faults: faults.iter().copied().collect(),
+            unit: 0,
+            health: Health::Gone,
+            queue: VecDeque::new(),
+            late: Vec::new(),
+            after_probe: Vec::new(),
+            nowhere: false,
+            end_at: u32::MAX,
+            base: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            current: BTreeMap::new(),
+            first: BTreeMap::new(),
+            emitted: BTreeMap::new(),
+            ends: BTreeMap::new(),
+        }
+    }
+
+    fn start(&mut self, id: RequestId, prompt: &[u32], resume: Option<EventId>) {
+        self.prompts.insert(id, prompt.to_vec());
+        self.first
+            .insert(id, resume.map_or(0, |event| event.index + 1));
+        self.emitted.insert(id, Vec::new());
+        self.queue.push_back(Event::Start(Start {
+            id,
+            prompt: prompt.to_vec(),
+            limit: LIMIT,
+            layers: LAYERS,
+            chain: chain(self.legs, 0),
+            deadline: Millis(60_000),
+            seed: SEED,
+            resume,
+        }));
+    }
+
+    fn run(&mut self) {
+        while !(self.queue.is_empty() && self.sessions.is_empty()) {
+            let mut out = Vec::new();
+            if let Some(event) = self.queue.pop_front() {
+                self.sessions.step(self.now, event, &mut out);
+            } else {
+                self.now += Millis(50);
+                self.sessions.tick(self.now, &mut out);
+            }
+            assert!(self.now < Millis(70_000), "outlived its deadline");
+            for action in out {
+                self.act(action);
+            }
+        }
+        self.check();
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, endpoint, hop } => self.send(id, &endpoint, &hop),
+            Action::Emit { id, value, event } => self.emit(id, value, event),
+            Action::Finish { id, reason } => self.end(id, End::Finished(reason)),
+            Action::Fail { id, failure } => self.end(id, End::Failed(failure)),
+            Action::Release { endpoint, release } => {
+                let engine = self.engines.get_mut(&endpoint).expect("was sent a hop");
+                engine.caches.retain(|(session, attempt, _), _| {
+                    *session != release.session || *attempt > release.attempt
+                });
+            }
+            Action::NeedChain { id, ask, avoid } => self.route(id, ask, &avoid),
+            Action::Probe { id, key, .. } => {
+                let health = self.health;
+                self.queue.push_back(Event::Probed { id, key, health });
+                self.queue.extend(self.after_probe.drain(..));
+            }
+        }
+    }
+
+    fn end(&mut self, id: RequestId, end: End) {
+        assert!(self.ends.insert(id, end).is_none(), "ended twice");
+    }
+
+    fn route(&mut self, id: RequestId, ask: u32, avoid: &[EndpointName]) {
+        for (id, reply) in self.late.clone() {
+            self.queue.push_back(Event::Reply { id, reply });
+        }
+        let free = |legs: &Arc<[Leg]>| legs.iter().all(|leg| !avoid.contains(&leg.endpoint));
+        let found = (0..8).map(|replica| chain(self.legs, replica)).find(free);
+        let legs = found
+            .filter(|_| !self.nowhere)
+            .ok_or_else(|| Failure::unrun(Code::NoCapacity, "no chain"));
+        self.nowhere = false;
+        self.queue.push_back(Event::Chain { id, ask, legs });
+    }
+
+    fn emit(&mut self, id: RequestId, value: u32, event: EventId) {
+        let emitted = self.emitted.get_mut(&id).expect("started");
+        let index = self.first[&id] + emitted.len() as u32;
+        assert_eq!(event.index, index, "in order");
+        let want = expected(&self.prompts[&id], event.seed, index + 1);
+        assert_eq!(Some(&value), want.last(), "the token of the whole model");
+        let (session, attempt) = self.current[&id];
+        let runs = &self.runs[&(session, attempt, index)];
+        assert!(
+            runs.iter().copied().eq(0..LAYERS),
+            "each layer once, in order"
+        );
+        emitted.push(event);
+    }
+
+    fn send(&mut self, id: RequestId, endpoint: &EndpointName, hop: &Hop) {
+        assert!(hop.steps == 1 || hop.layers.to - hop.layers.from == LAYERS);
+        let place = (hop.session, hop.attempt);
+        self.current.insert(id, place);
+        let base = *self.base.entry(place).or_insert(hop.token);
+        let late = |(_, reply): &mut (RequestId, HopReply)| reply.attempt < hop.attempt;
+        for (id, reply) in self.late.extract_if(.., late) {
+            self.queue.push_back(Event::Reply { id, reply });
+        }
+        let mut states: Vec<u64> = match &hop.input {
+            Input::Prompt { tokens } => tokens.iter().map(|token| u64::from(*token)).collect(),
+            Input::Token { value } => vec![u64::from(*value)],
+            Input::State { data, positions } => {
+                let states: Vec<u64> = serde_json::from_str(data).expect("our own state");
+                assert_eq!(states.len(), *positions as usize);
+                states
+            }
+        };
+        for token in hop.token..hop.token + hop.steps {
+            let fault = self.faults.get(&self.unit).copied();
+            self.unit += 1;
+            if self.refuse(id, endpoint, hop, fault) {
+                return;
+            }
+            let engine = self.engines.entry(endpoint.clone()).or_default();
+            let Some(ran) = engine.run(hop, &states, token == base) else {
+                self.fail(id, hop, Fault::Lost);
+                return;
+            };
+            let key = (hop.session, hop.attempt, token);
+            let runs = self.runs.entry(key).or_default();
+            runs.extend(hop.layers.from..hop.layers.to);
+            let reply = self.line(hop, token, &ran);
+            let Output::Token { value, end } = reply.output else {
+                self.answer(id, endpoint, hop, reply, fault);
+                return;
+            };
+            if !self.answer(id, endpoint, hop, reply, fault) || end {
+                return;
+            }
+            states = vec![u64::from(value)];
+        }
+    }
+
+    fn fail(&mut self, id: RequestId, hop: &Hop, fault: Fault) {
+        let key = hop.key();
+        self.queue.push_back(Event::Failed { id, key, fault });
+    }
+
+    /// The faults that strike before a layer runs.
+    fn refuse(&mut self, id: RequestId, at: &EndpointName, hop: &Hop, kind: Option<Kind>) -> bool {
+        let engine = self.engines.entry(at.clone()).or_default();
+        match kind {
+            Some(Kind::Refused) => self.fail(id, hop, Fault::Refused),
+            Some(Kind::Lost) => self.fail(id, hop, Fault::Lost),
+            Some(Kind::Bad) => self.fail(id, hop, Fault::Bad),
+            Some(Kind::CrashBefore) => {
+                engine.caches.clear();
+                self.fail(id, hop, Fault::Broken);
+            }
+            Some(Kind::Gone) => self.health = Health::Gone,
+            _ => return false,
+        }
+        true
+    }
+
+    fn line(&self, hop: &Hop, token: u32, states: &[u64]) -> HopReply {
+        let output = if hop.layers.to == LAYERS {
+            Output::Token {
+                value: draw(*states.last().expect("a position"), hop.seed, token),
+                end: token == self.end_at,
+            }
+        } else {
+            Output::State {
+                data: serde_json::to_string(states).expect("numbers"),
+            }
+        };
+        HopReply {
+            session: hop.session,
+            attempt: hop.attempt,
+            token,
+            layers: hop.layers,
+            output,
+        }
+    }
+
+    /// Sends a line under its fault; returns whether the stream goes on.
+    fn answer(
+        &mut self,
+        id: RequestId,
+        at: &EndpointName,
+        hop: &Hop,
+        mut reply: HopReply,
+        kind: Option<Kind>,
+    ) -> bool {
+        let good = Event::Reply {
+            id,
+            reply: reply.clone(),
+        };
+        match kind {
+            None if self.after_probe.is_empty() => self.queue.push_back(good),
+            None => self.after_probe.push(good),
+            Some(Kind::SlowOnce) => {
+                self.health = Health::Working;
+                self.after_probe.push(good);
+            }
+            Some(Kind::Double) => self.queue.extend([good.clone(), good]),
+            Some(Kind::Move) => self.queue.extend([Event::Move { id }, good]),
+            Some(Kind::MoveNowhere) => {
+                self.nowhere = true;
+                self.queue.extend([Event::Move { id }, good]);
+            }
+            Some(Kind::Cancel) => self.queue.extend([Event::Cancel { id }, good]),
+            Some(Kind::CrossedToo) => {
+                reply.session.serial += 100;
+                self.queue.extend([Event::Reply { id, reply }, good]);
+            }
+            Some(Kind::Swapped) => {
+                self.health = Health::Idle;
+                let id = if id == ONE { TWO } else { ONE };
+                self.queue.push_back(Event::Reply { id, reply });
+                return false;
+            }
+            Some(kind) => {
+                self.spoil(id, at, hop, reply, kind);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Loses or falsifies the last line of an attempt.
+    fn spoil(
+        &mut self,
+        id: RequestId,
+        at: &EndpointName,
+        hop: &Hop,
+        mut reply: HopReply,
+        kind: Kind,
+    ) {
+        self.health = match kind {
+            Kind::Slow => Health::Working,
+            _ => Health::Idle,
+        };
+        match kind {
+            Kind::NextToken => reply.token += 1,
+            Kind::OtherLayers => reply.layers.to += 1,
+            Kind::NextAttempt => reply.attempt += 1,
+            Kind::CrossedOnly => reply.session.boot += 1,
+            Kind::OtherOutput => {
+                reply.output = match reply.output {
+                    Output::State { .. } => Output::Token {
+                        value: 1,
+                        end: false,
+                    },
+                    Output::Token { .. } => Output::State { data: "[1]".into() },
+                };
+            }
+            _ => return self.lose(id, at, hop, reply, kind),
+        }
+        self.queue.push_back(Event::Reply { id, reply });
+    }
+
+    fn lose(&mut self, id: RequestId, at: &EndpointName, hop: &Hop, reply: HopReply, kind: Kind) {
+        self.late.push((id, reply));
+        if kind == Kind::CrashAfter {
+            self.engines.entry(at.clone()).or_default().caches.clear();
+            self.fail(id, hop, Fault::Broken);
+        }
+        if kind == Kind::Silent {
+            self.fail(id, hop, Fault::Silent);
+        }
+    }
+
+    /// What holds at the end of every cell.
+    fn check(&self) {
+        for (name, engine) in &self.engines {
+            assert!(engine.caches.is_empty(), "{name} still holds a cache");
+        }
+        for (id, end) in &self.ends {
+            let last = self.first[id] + self.emitted[id].len() as u32;
+            match end {
+                End::Finished(Reason::Length) => assert_eq!(last, LIMIT),
+                End::Finished(Reason::Stop) => assert_eq!(last, self.end_at + 1),
+                End::Failed(failure) if failure.ran == Ran::No => {
+                    assert!(self.runs.is_empty(), "it ran");
+                }
+                End::Failed(_) => {}
+            }
+        }
+    }
+
+    fn finished(&self, id: RequestId) -> bool {
+        matches!(self.ends.get(&id), Some(End::Finished(_)))
+    }
+}
+
+fn prompt() -> Vec<u32> {
+    vec![11, 22, 33]
+}
+
+fn single(legs: u32, faults: &[(usize, Kind)]) -> World {
+    let mut world = World::new(1, legs, faults);
+    world.start(ONE, &prompt(), None);
+    world.run();
+    world
+}
+
+fn units(legs: u32) -> usize {
+    (legs * LIMIT) as usize
+}
+
+#[test]
+fn answers_are_whole_over_one_to_three_legs() {
+    for legs in 1..=3 {
+        let world = single(legs, &[]);
+        assert_eq!(world.ends[&ONE], End::Finished(Reason::Length));
+        assert_eq!(world.unit, units(legs));
+    }
+}
+
+#[test]
+fn an_ending_token_stops_the_answer() {
+    for (legs, end_at) in (1..=3).flat_map(|legs| (0..LIMIT).map(move |end| (legs, end))) {
+        let mut world = World::new(1, legs, &[]);
+        world.end_at = end_at;
+        world.start(ONE, &prompt(), None);
+        world.run();
+        assert_eq!(world.ends[&ONE], End::Finished(Reason::Stop));
+    }
+}
+
+#[test]
+fn every_fault_at_every_hop_is_survived() {
+    let mut cells = 0;
+    for legs in 1..=3 {
+        for unit in 0..units(legs) {
+            for kind in SURVIVED {
+                let world = single(legs, &[(unit, kind)]);
+                assert!(world.finished(ONE), "{legs} {unit} {kind:?}");
+                cells += 1;
+            }
+        }
+    }
+    println!("single faults: {cells} cells");
+}
+
+#[test]
+fn every_pair_of_faults_is_survived() {
+    let mut cells = 0;
+    for legs in 1..=3 {
+        for one in 0..units(legs) {
+            // The second fault may strike any hop of the attempt after the first, too.
+            for two in one + 1..=one + units(legs) {
+                for (a, b) in SURVIVED.iter().flat_map(|a| SURVIVED.map(|b| (*a, b))) {
+                    let world = single(legs, &[(one, a), (two, b)]);
+                    assert!(world.finished(ONE), "{legs} {one} {a:?} {two} {b:?}");
+                    cells += 1;
+                }
+            }
+        }
+    }
+    println!("pairs of faults: {cells} cells");
+}
+
+#[test]
+fn crossed_replies_reach_neither_of_two_callers() {
+    let mut cells = 0;
+    for legs in 1..=3 {
+        for unit in 0..2 * units(legs) {
+            for other in unit..2 * units(legs) {
+                let faults = [(unit, Kind::Swapped), (other, Kind::Swapped)];
+                let mut world = World::new(1, legs, &faults);
+                world.start(ONE, &prompt(), None);
+                world.start(TWO, &[5, 6], None);
+                world.run();
+                assert!(world.finished(ONE) && world.finished(TWO));
+                // A reply that crosses to a request which is over counts as closed.
+                let drops = world.sessions.drops();
+                assert!(drops.crossed + drops.closed > 0);
+                cells += 1;
+            }
+        }
+    }
+    println!("crossed replies: {cells} cells");
+}
+
+#[test]
+fn a_cancelled_request_leaves_nothing_behind() {
+    for legs in 1..=3 {
+        for unit in 0..units(legs) {
+            let world = single(legs, &[(unit, Kind::Cancel)]);
+            assert!(world.ends.is_empty());
+        }
+    }
+}
+
+#[test]
+fn another_vm_resumes_after_every_token_and_fault() {
+    let mut cells = 0;
+    for (legs, other) in (1..=3).flat_map(|legs| (1..=3).map(move |other| (legs, other))) {
+        for event in single(legs, &[]).emitted[&ONE].clone() {
+            let event = event.to_string().parse().expect("our own event id");
+            for unit in 0..units(other) {
+                for kind in SURVIVED {
+                    let mut world = World::new(2, other, &[(unit, kind)]);
+                    world.start(ONE, &prompt(), Some(event));
+                    world.run();
+                    assert!(world.finished(ONE), "{event} {unit} {kind:?}");
+                    cells += 1;
+                }
+            }
+        }
+    }
+    println!("resumed streams: {cells} cells");
+}
+
+#[test]
+fn a_resumed_answer_that_differs_fails_with_its_own_code() {
+    let events = single(2, &[]).emitted[&ONE].clone();
+    for event in events {
+        let wrong = [
+            (
+                prompt(),
+                EventId {
+                    digest: event.digest ^ 1,
+                    ..event
+                },
+                u32::MAX,
+            ),
+            (
+                prompt(),
+                EventId {
+                    seed: event.seed + 1,
+                    ..event
+                },
+                u32::MAX,
+            ),
+            (vec![11, 22, 34], event, u32::MAX),
+            (prompt(), EventId { index: 2, ..event }, 0),
+        ];
+        for (prompt, event, end_at) in wrong {
+            let mut world = World::new(2, 3, &[]);
+            world.end_at = end_at;
+            world.start(ONE, &prompt, Some(event));
+            world.run();
+            let Some(End::Failed(failure)) = world.ends.get(&ONE) else {
+                panic!("not refused");
+            };
+            assert_eq!(
+                (failure.code, failure.ran),
+                (Code::ResumeMismatch, Ran::Unknown)
+            );
+            assert!(world.emitted[&ONE].is_empty());
+        }
+    }
+}
+
+fn failure(legs: u32, kind: Kind, count: usize) -> Failure {
+    let faults: Vec<_> = (0..count).map(|unit| (unit, kind)).collect();
+    match single(legs, &faults).ends.remove(&ONE) {
+        Some(End::Failed(failure)) => failure,
+        end => panic!("{end:?}"),
+    }
+}
+
+#[test]
+fn attempts_without_progress_are_bounded() {
+    let count = TRY_LIMIT as usize;
+    for legs in 1..=3 {
+        let refused = failure(legs, Kind::Refused, count);
+        assert_eq!((refused.code, refused.ran), (Code::Overloaded, Ran::No));
+        for kind in [Kind::CrashBefore, Kind::Gone, Kind::Slow, Kind::NextToken] {
+            let failed = failure(legs, kind, count);
+            assert_eq!(
+                (failed.code, failed.ran),
+                (Code::EndpointFailed, Ran::Unknown)
+            );
+        }
+    }
+}
+
+#[test]
+fn a_request_without_another_chain_fails_with_the_routers_code() {
+    for (kind, ran) in [(Kind::Refused, Ran::No), (Kind::Gone, Ran::Unknown)] {
+        let mut world = World::new(1, 2, &[(0, kind)]);
+        world.nowhere = true;
+        world.start(ONE, &prompt(), None);
+        world.run();
+        let failure = Failure {
+            ran,
+            ..Failure::unrun(Code::NoCapacity, "no chain")
+        };
+        assert_eq!(world.ends[&ONE], End::Failed(failure));
+    }
+}
+
+/// Starts one request and returns what the table ordered.
+fn begin(sessions: &mut Sessions, chain: Arc<[Leg]>, limit: u32) -> Vec<Action> {
+    let mut out = Vec::new();
+    let start = Start {
+        id: ONE,
+        prompt: prompt(),
+        limit,
+        layers: LAYERS,
+        chain,
+        deadline: Millis(500),
+        seed: SEED,
+        resume: None,
+    };
+    sessions.step(Millis(1), Event::Start(start), &mut out);
+    out
+}
+
+#[test]
+fn the_deadline_bounds_every_wait() {
+    for health in [None, Some(Health::Working)] {
+        let mut sessions = Sessions::new(1);
+        let mut out = begin(&mut sessions, chain(2, 0), LIMIT);
+        for now in 2..=500 {
+            if let Some(Action::Probe { id, key, .. }) = out.last()
+                && let Some(health) = health
+            {
+                let (id, key) = (*id, *key);
+                let event = Event::Probed { id, key, health };
+                sessions.step(Millis(now), event, &mut out);
+            }
+            sessions.tick(Millis(now), &mut out);
+        }
+        let Some(Action::Fail { failure, .. }) = out.last() else {
+            panic!("{out:?}");
+        };
+        assert_eq!(
+            (failure.code, failure.ran),
+            (Code::DeadlinePassed, Ran::Unknown)
+        );
+        assert!(sessions.is_empty());
+    }
+}
+
+#[test]
+fn a_chain_with_a_gap_an_overlap_or_an_end_missing_is_refused() {
+    let cuts: [&[(u32, u32)]; 6] = [
+        &[],
+        &[(0, 3)],
+        &[(1, 6)],
+        &[(0, 3), (4, 6)],
+        &[(0, 3), (2, 6)],
+        &[(0, 3), (3, 3), (3, 6)],
+    ];
+    for cuts in cuts {
+        let legs = cuts.iter().map(|(from, to)| leg(0, 0, *from, *to));
+        let out = begin(&mut Sessions::new(1), legs.collect(), LIMIT);
+        let [Action::Fail { failure, .. }] = &out[..] else {
+            panic!("{cuts:?} {out:?}");
+        };
+        assert_eq!((failure.code, failure.ran), (Code::NoCapacity, Ran::No));
+    }
+}
+
+#[test]
+fn an_empty_request_is_refused() {
+    let out = begin(&mut Sessions::new(1), chain(1, 0), 0);
+    assert!(matches!(&out[..], [Action::Fail { failure, .. }] if failure.code == Code::BadRequest));
+}
+
+#[test]
+fn a_session_is_small() {
+    assert!(
+        size_of::<Session>() <= 256,
+        "{} bytes",
+        size_of::<Session>()
+    );
+}
+
+proptest! {
+    #![proptest_config(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn event_ids_survive_their_text(index in any::<u32>(), digest in any::<u64>(), seed in any::<u64>()) {
+        let event = EventId { index, digest, seed };
+        let text = event.to_string();
+        assert!(text.len() <= EVENT_BYTES);
+        assert_eq!(text.parse(), Ok(event));
+    }
+
+    #[test]
+    fn event_ids_from_any_text_are_in_the_usual_form(text in "[0-9a-fA-F+-]{0,50}") {
+        if let Ok(event) = text.parse::<EventId>() {
+            assert_eq!(event.to_string(), text);
+        }
+    }
+}
+
+#[test]
+fn event_ids_in_another_form_are_refused() {
+    assert_eq!(
+        "1".repeat(EVENT_BYTES + 1).parse::<EventId>(),
+        Err(EventError::Long)
+    );
+    assert_eq!("1-2".parse::<EventId>(), Err(EventError::Parts));
+    for text in ["01-2-3", "+1-2-3", "A-2-3"] {
+        assert_eq!(text.parse::<EventId>(), Err(EventError::Form));
+    }
+    for text in ["", "1-2-3-4", "1--3", "1-2-x", "100000000-2-3"] {
+        assert!(text.parse::<EventId>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn messages_keep_their_form_on_the_wire() {
+    let hop = Hop {
+        session: SessionId {
+            boot: 0xab,
+            serial: 16,
+        },
+        attempt: 1,
+        token: 2,
+        layers: Layers { from: 0, to: 3 },
+        steps: 1,
+        seed: 7,
+        input: Input::Token { value: 9 },
+    };
+    let text = r#"{"session":"ab-10","attempt":1,"token":2,"layers":{"from":0,"to":3},"steps":1,"seed":7,"input":{"token":{"value":9}}}"#;
+    assert_eq!(serde_json::to_string(&hop).expect("plain data"), text);
+    assert_eq!(
+        serde_json::from_str::<Hop>(text).expect("our own text"),
+        hop
+    );
+    assert!(serde_json::from_str::<SessionId>("\"ab10\"").is_err());
+}
