--- /dev/null
+++ b/examples/policies.rs
@@ -0,0 +1,587 @@
+//! Compares the routing policies: many real routers before fake endpoints, on a fake clock.
+//!
+//! An endpoint serves one token step after another, in order of arrival, each in the time that its
+//! rate and the layers run give; a step travels the link's delay each way. Reports are measured
+//! every 500 ms and arrive 300 ms later; hints between VMs go every 250 ms. A fault takes one
+//! endpoint away silently for 20 s. docs/ROUTING.md holds the figures.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::config::object::Endpoint;
+use cornelwharf::core::config::object::Layers;
+use cornelwharf::core::config::object::Priority;
+use cornelwharf::core::limit::Action;
+use cornelwharf::core::limit::Ask;
+use cornelwharf::core::limit::Decision;
+use cornelwharf::core::limit::Finish;
+use cornelwharf::core::limit::Gate;
+use cornelwharf::core::limit::share::Rule;
+use cornelwharf::core::route::Event;
+use cornelwharf::core::route::Need;
+use cornelwharf::core::route::Router;
+use cornelwharf::core::route::chain::Leg;
+use cornelwharf::core::route::choice::Policy;
+use cornelwharf::core::route::flow;
+use cornelwharf::core::route::view::Outcome;
+use cornelwharf::core::route::view::Report;
+use cornelwharf::names::EndpointName;
+use cornelwharf::names::ServiceName;
+use cornelwharf::names::Vm;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const VMS: usize = 15;
+const ENDPOINTS: usize = 43;
+const LAYERS: u32 = 24;
+const TOKENS: u32 = 32;
+const TEAMS: usize = 10;
+/// The demand of each team in twentieths: a few large teams and many small.
+const DEMAND: [u32; TEAMS] = [8, 4, 1, 1, 1, 1, 1, 1, 1, 1];
+const WARM: u64 = 15_000_000;
+const END: u64 = 60_000_000;
+const REPORTS: u64 = 500_000;
+const REPORT_LAG: u64 = 300_000;
+const HINTS: u64 = 250_000;
+const TICK: u64 = 50_000;
+const FAULT: u64 = 20_000_000;
+const PATIENCE: u64 = 20_000_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Item {
+    Arrive,
+    Tick,
+    Hints,
+    Measure(usize),
+    Reported(usize, u32, u64),
+    Step(usize, u32, usize),
+    Answer(usize, u32, usize),
+    Silent(usize, u32, usize),
+    Break(usize),
+    Mend(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    policy: Policy,
+    rule: Rule,
+    gated: bool,
+    offered: f64,
+    faults: bool,
+    seed: u64,
+}
+
+#[derive(Debug)]
+struct Session {
+    vm: usize,
+    team: usize,
+    legs: Vec<Leg>,
+    attempt: u32,
+    left: u32,
+    asked: u64,
+    sent: u64,
+    refused: Vec<EndpointName>,
+}
+
+#[derive(Debug, Default)]
+struct Host {
+    free: u64,
+    running: u32,
+    down: bool,
+}
+
+#[derive(Debug, Default)]
+struct Figures {
+    tokens: u64,
+    first: Vec<u64>,
+    good: u64,
+    teams: [u64; TEAMS],
+    asked: [u64; TEAMS],
+    late: u64,
+    refusals: u64,
+    slowest: u64,
+}
+
+struct Trial {
+    setup: Setup,
+    now: u64,
+    rng: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<(u64, u64, Item)>>,
+    count: u64,
+    service: ServiceName,
+    endpoints: Vec<Endpoint>,
+    names: Vec<EndpointName>,
+    index: BTreeMap<EndpointName, usize>,
+    hosts: Vec<Host>,
+    routers: Vec<Router>,
+    gates: Vec<Gate>,
+    sessions: Vec<Session>,
+    bound: f64,
+    figures: Figures,
+}
+
+fn endpoints(rng: &mut ChaCha8Rng) -> Vec<Endpoint> {
+    let ranges = [(0, 8), (8, 16), (16, 24), (0, 12), (12, 24), (4, 20)];
+    let make = |at: usize| {
+        let (from, to) = ranges[at % ranges.len()];
+        let speed = [100, 200, 400, 800][rng.random_range(0..4)];
+        let rate = speed * 8 / (to - from);
+        let delay = [1, 3, 10, 30, 100][rng.random_range(0..5)];
+        Endpoint {
+            name: format!("e{at:02}").as_str().into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 9000)),
+            domain: "d".into(),
+            owner: "o".into(),
+            service: "drafts".into(),
+            layers: Some(Layers { from, to }),
+            kind: "k".into(),
+            slots: (rate / 4).max(1),
+            rate,
+            delay: Millis(delay),
+            fencing: false,
+        }
+    };
+    (0..ENDPOINTS).map(make).collect()
+}
+
+impl Trial {
+    fn new(setup: Setup) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
+        let endpoints = endpoints(&mut rng);
+        let service = ServiceName::from("drafts");
+        let all: Vec<&Endpoint> = endpoints.iter().collect();
+        let slots = flow::sessions(LAYERS, &all);
+        let mut routers = Vec::new();
+        let mut gates = Vec::new();
+        for vm in 0..VMS {
+            let mut router = Router::new(setup.seed + 1 + vm as u64, setup.policy);
+            router.set_peers(VMS - 1);
+            router.set_endpoints(&service, LAYERS, &all);
+            routers.push(router);
+            let mut gate = Gate::default();
+            gate.set_slots(&service, slots);
+            gate.set_peers(VMS - 1);
+            gate.lane(&service).share.set_rule(setup.rule);
+            gates.push(gate);
+        }
+        let names: Vec<EndpointName> = endpoints.iter().map(|one| one.name.clone()).collect();
+        let mut trial = Self {
+            now: 0,
+            queue: BinaryHeap::new(),
+            count: 0,
+            index: names.iter().cloned().zip(0..).collect(),
+            hosts: endpoints.iter().map(|_| Host::default()).collect(),
+            sessions: Vec::new(),
+            bound: flow::bound(LAYERS, &all).rate,
+            figures: Figures::default(),
+            setup,
+            rng,
+            service,
+            endpoints,
+            names,
+            routers,
+            gates,
+        };
+        trial.start();
+        trial
+    }
+
+    fn start(&mut self) {
+        self.at(0, Item::Arrive);
+        self.at(TICK, Item::Tick);
+        self.at(HINTS, Item::Hints);
+        for at in 0..ENDPOINTS {
+            self.at(REPORTS * at as u64 / ENDPOINTS as u64, Item::Measure(at));
+        }
+        if self.setup.faults {
+            let victim = self.rng.random_range(0..ENDPOINTS);
+            self.at(WARM, Item::Break(victim));
+        }
+    }
+
+    fn at(&mut self, span: u64, item: Item) {
+        self.count += 1;
+        self.queue
+            .push(Reverse((self.now + span, self.count, item)));
+    }
+
+    fn millis(&self) -> Millis {
+        Millis(self.now / 1000)
+    }
+
+    fn run(mut self) -> Self {
+        while let Some(Reverse((time, _, item))) = self.queue.pop() {
+            if time > END {
+                break;
+            }
+            self.now = time;
+            self.handle(&item);
+        }
+        self
+    }
+
+    fn handle(&mut self, item: &Item) {
+        match *item {
+            Item::Arrive => self.arrive(),
+            Item::Tick => self.tick(),
+            Item::Hints => self.hints(),
+            Item::Measure(at) => self.measure(at),
+            Item::Reported(at, running, time) => self.reported(at, running, time),
+            Item::Step(session, attempt, leg) => self.step(session, attempt, leg),
+            Item::Answer(session, attempt, leg) => self.answer(session, attempt, leg),
+            Item::Silent(session, attempt, leg) => self.silent(session, attempt, leg),
+            Item::Break(at) => {
+                self.hosts[at].down = true;
+                self.at(FAULT, Item::Mend(at));
+            }
+            Item::Mend(at) => self.hosts[at].down = false,
+        }
+    }
+
+    fn arrive(&mut self) {
+        let rate = self.bound * self.setup.offered / f64::from(TOKENS);
+        let span = -self.rng.random_range(1e-9..1.0_f64).ln() / rate;
+        self.at((span * 1e6) as u64, Item::Arrive);
+        let mut drawn = self.rng.random_range(0..DEMAND.iter().sum());
+        let team = DEMAND.iter().position(|&part| {
+            let hit = drawn < part;
+            drawn = drawn.saturating_sub(part);
+            hit
+        });
+        let team = team.unwrap_or(0);
+        let vm = self.rng.random_range(0..VMS);
+        let id = self.sessions.len();
+        self.sessions.push(Session {
+            vm,
+            team,
+            legs: Vec::new(),
+            attempt: 0,
+            left: TOKENS,
+            asked: self.now,
+            sent: 0,
+            refused: Vec::new(),
+        });
+        if self.now > WARM {
+            self.figures.asked[team] += 1;
+        }
+        if !self.setup.gated {
+            return self.route(id);
+        }
+        let ask = Ask {
+            id: id as u64,
+            team: format!("t{team}").as_str().into(),
+            weight: 1,
+            limit: 0,
+            priority: Priority::Normal,
+            cost: TOKENS,
+            deadline: self.millis() + Millis(PATIENCE / 1000),
+            service: self.service.clone(),
+        };
+        let now = self.millis();
+        match self.gates[vm].offer(now, ask) {
+            Decision::Admit => self.route(id),
+            Decision::Queue => {}
+            Decision::Refuse(_) => self.refused(id),
+        }
+    }
+
+    fn refused(&mut self, id: usize) {
+        let waited = self.now - self.sessions[id].asked;
+        self.figures.refusals += 1;
+        self.figures.late += u64::from(waited > 50_000);
+        self.figures.slowest = self.figures.slowest.max(waited);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Admit(id) => self.route(id as usize),
+                Action::Refuse(id, _) => self.refused(id as usize),
+            }
+        }
+    }
+
+    fn route(&mut self, id: usize) {
+        let now = self.millis();
+        let one = &self.sessions[id];
+        let need = Need {
+            cost: one.left,
+            prefix: &[],
+            avoid: &one.refused,
+        };
+        let found = self.routers[one.vm].chain(now, &self.service, LAYERS, &self.names, &need);
+        let Ok(legs) = found else {
+            return self.finish(id, Finish::Congested);
+        };
+        let left = one.left;
+        for leg in &legs {
+            let (at, part) = (self.index[&leg.endpoint], self.part(leg));
+            self.hosts[at].running += 1;
+            let cost = (f64::from(left) * part).ceil() as u32;
+            let vm = self.sessions[id].vm;
+            self.routers[vm].apply(now, &leg.endpoint, Event::Started { cost });
+        }
+        self.sessions[id].legs = legs;
+        self.send(id, 0);
+    }
+
+    fn part(&self, leg: &Leg) -> f64 {
+        let held = self.endpoints[self.index[&leg.endpoint]]
+            .layers
+            .unwrap_or(leg.layers);
+        f64::from(leg.layers.to - leg.layers.from) / f64::from(held.to - held.from)
+    }
+
+    fn send(&mut self, id: usize, leg: usize) {
+        let attempt = self.sessions[id].attempt;
+        self.sessions[id].sent = self.now;
+        let at = self.index[&self.sessions[id].legs[leg].endpoint];
+        let delay = self.endpoints[at].delay.0 * 1000;
+        self.at(delay, Item::Step(id, attempt, leg));
+    }
+
+    fn step(&mut self, id: usize, attempt: u32, leg: usize) {
+        let at = self.index[&self.sessions[id].legs[leg].endpoint];
+        let delay = self.endpoints[at].delay.0 * 1000;
+        if self.hosts[at].down {
+            let vm = self.sessions[id].vm;
+            let patience = self.routers[vm]
+                .patience(&self.names[at])
+                .unwrap_or_default();
+            return self.at(patience.0 * 1000, Item::Silent(id, attempt, leg));
+        }
+        let service = self.part(&self.sessions[id].legs[leg]) * 1e6;
+        let span = (service / f64::from(self.endpoints[at].rate)) as u64;
+        let host = &mut self.hosts[at];
+        host.free = host.free.max(self.now) + span;
+        let done = host.free - self.now;
+        self.at(done + delay, Item::Answer(id, attempt, leg));
+    }
+
+    fn answer(&mut self, id: usize, attempt: u32, leg: usize) {
+        if self.sessions[id].attempt != attempt {
+            return;
+        }
+        let now = self.millis();
+        let took = Millis((self.now - self.sessions[id].sent) / 1000);
+        let (vm, name) = (
+            self.sessions[id].vm,
+            self.sessions[id].legs[leg].endpoint.clone(),
+        );
+        self.routers[vm].apply(now, &name, Event::Answered { took });
+        if leg + 1 < self.sessions[id].legs.len() {
+            return self.send(id, leg + 1);
+        }
+        let asked = self.sessions[id].asked;
+        if self.now > WARM {
+            self.figures.tokens += 1;
+            if self.sessions[id].left == TOKENS {
+                self.figures.first.push((self.now - asked) / 1000);
+            }
+        }
+        self.sessions[id].left -= 1;
+        if self.sessions[id].left > 0 {
+            return self.send(id, 0);
+        }
+        if self.now > WARM && self.now - asked <= PATIENCE {
+            self.figures.good += u64::from(TOKENS);
+            self.figures.teams[self.sessions[id].team] += 1;
+        }
+        self.release(id, None);
+        self.finish(id, Finish::Served);
+    }
+
+    fn silent(&mut self, id: usize, attempt: u32, leg: usize) {
+        if self.sessions[id].attempt != attempt {
+            return;
+        }
+        let name = self.sessions[id].legs[leg].endpoint.clone();
+        self.sessions[id].refused.push(name);
+        self.release(id, Some(leg));
+        self.sessions[id].attempt += 1;
+        self.route(id);
+    }
+
+    fn release(&mut self, id: usize, failed: Option<usize>) {
+        let now = self.millis();
+        let vm = self.sessions[id].vm;
+        let took = Millis((self.now - self.sessions[id].asked) / 1000);
+        for (at, leg) in std::mem::take(&mut self.sessions[id].legs)
+            .iter()
+            .enumerate()
+        {
+            self.hosts[self.index[&leg.endpoint]].running -= 1;
+            let outcome = if failed == Some(at) {
+                Outcome::Failed
+            } else {
+                Outcome::Ok
+            };
+            self.routers[vm].apply(now, &leg.endpoint, Event::Ended { took, outcome });
+        }
+    }
+
+    fn finish(&mut self, id: usize, finish: Finish) {
+        if !self.setup.gated {
+            return;
+        }
+        let mut actions = Vec::new();
+        let (now, vm) = (self.millis(), self.sessions[id].vm);
+        self.gates[vm].finished(now, &self.service, id as u64, finish, &mut actions);
+        self.act(actions);
+    }
+
+    fn tick(&mut self) {
+        self.at(TICK, Item::Tick);
+        for vm in 0..VMS {
+            let mut actions = Vec::new();
+            let now = self.millis();
+            self.gates[vm].tick(now, &mut actions);
+            self.act(actions);
+        }
+    }
+
+    fn hints(&mut self) {
+        self.at(HINTS, Item::Hints);
+        for vm in 0..VMS {
+            let name = Vm::from(format!("v{vm}").as_str());
+            let hints = self.routers[vm].hints();
+            let demand = self.gates[vm].lane(&self.service).share.demand();
+            for peer in (0..VMS).filter(|&peer| peer != vm) {
+                for hint in &hints {
+                    self.routers[peer].hint(&name, hint);
+                }
+                self.gates[peer]
+                    .lane(&self.service)
+                    .share
+                    .hear(&name, demand);
+            }
+        }
+    }
+
+    fn measure(&mut self, at: usize) {
+        self.at(REPORTS, Item::Measure(at));
+        if !self.hosts[at].down {
+            self.at(
+                REPORT_LAG,
+                Item::Reported(at, self.hosts[at].running, self.now / 1000),
+            );
+        }
+    }
+
+    fn reported(&mut self, at: usize, running: u32, time: u64) {
+        let report = Report {
+            at: Millis(time),
+            running,
+            waiting: 0,
+            free: 0,
+            leaving: false,
+        };
+        for router in &mut self.routers {
+            let now = Millis(self.now / 1000);
+            router.apply(now, &self.names[at], Event::Reported(report.clone()));
+        }
+    }
+
+    fn share(&self, tokens: u64) -> f64 {
+        tokens as f64 / ((END - WARM) as f64 / 1e6) / self.bound * 100.0
+    }
+
+    /// Returns the worst team's part of its max-min fair share of what was served.
+    fn fairness(&self) -> f64 {
+        let mut open: Vec<usize> = (0..TEAMS).collect();
+        open.sort_by_key(|&team| self.figures.asked[team]);
+        let mut left: u64 = self.figures.teams.iter().sum();
+        let mut worst = f64::INFINITY;
+        for (done, &team) in open.iter().enumerate() {
+            let fair = (left / (TEAMS - done) as u64).min(self.figures.asked[team]);
+            left -= fair;
+            worst = worst.min(self.figures.teams[team] as f64 / fair.max(1) as f64);
+        }
+        worst * 100.0
+    }
+}
+
+fn quantile(spans: &mut [u64], part: f64) -> u64 {
+    spans.sort_unstable();
+    spans
+        .get((spans.len() as f64 * part) as usize)
+        .copied()
+        .unwrap_or(0)
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let part = args.next().unwrap_or_else(|| "steady".into());
+    let seed = args.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+    println!("cargo run --release --example policies -- {part} {seed}");
+    let base = Setup {
+        policy: Policy::TwoChoices,
+        rule: Rule::Demand,
+        gated: false,
+        offered: 0.5,
+        faults: part == "faults",
+        seed,
+    };
+    if part == "overload" {
+        overload(base);
+    } else {
+        compare(base);
+    }
+}
+
+fn compare(base: Setup) {
+    println!("| policy | offered | tokens/s of bound | first token p50 ms | p95 ms |");
+    println!("| --- | --- | --- | --- | --- |");
+    for offered in [0.5, 0.8, 0.95, 1.0] {
+        for policy in [
+            Policy::Random,
+            Policy::RoundRobin,
+            Policy::LeastWork,
+            Policy::TwoChoices,
+        ] {
+            let setup = Setup {
+                policy,
+                offered,
+                ..base
+            };
+            let mut done = Trial::new(setup).run();
+            let share = done.share(done.figures.tokens);
+            let first = &mut done.figures.first;
+            let (half, most) = (quantile(first, 0.5), quantile(first, 0.95));
+            println!("| {policy:?} | {offered} | {share:.1}% | {half} | {most} |");
+        }
+    }
+}
+
+fn overload(base: Setup) {
+    println!(
+        "| rule | policy | offered | goodput of bound | worst team | refused late | slowest |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for offered in [2.0, 5.0] {
+        for (rule, policy) in [
+            (Rule::Demand, Policy::TwoChoices),
+            (Rule::Adaptive, Policy::TwoChoices),
+            (Rule::Demand, Policy::LeastWork),
+        ] {
+            let setup = Setup {
+                policy,
+                rule,
+                offered,
+                gated: true,
+                ..base
+            };
+            let done = Trial::new(setup).run();
+            let (good, fair) = (done.share(done.figures.good), done.fairness());
+            let (late, all) = (done.figures.late, done.figures.refusals);
+            let slow = done.figures.slowest / 1000;
+            println!(
+                "| {rule:?} | {policy:?} | {offered} | {good:.1}% | {fair:.1}% | {late}/{all} | {slow} ms |"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/core/limit/share.rs
@@ -0,0 +1,142 @@
+//! How many requests of a service this VM lets in at a time.
+//!
+//! The VMs share the slots of the endpoints without a message per call: each tells its demand in
+//! its heartbeats, and takes the part of the slots that its demand is of the whole. What idle VMs
+//! leave is lent so to the busy ones. docs/ROUTING.md holds the figures against the other way,
+//! [`Rule::Adaptive`].
+
+use std::collections::BTreeMap;
+
+use super::Finish;
+use crate::names::Vm;
+
+/// Every VM may let in this many requests, whatever the peers use.
+const LEAST: f64 = 1.0;
+/// Every VM counts at least this part of an even share as its demand, so that a quiet VM can
+/// start a burst before its next heartbeat.
+const STANDING: f64 = 0.1;
+/// The most peers whose demand is kept.
+const PEERS: usize = 32;
+/// The adaptive rule multiplies its limit by this when endpoints are congested.
+const BACKOFF: f64 = 0.9;
+
+/// The ways to find the limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rule {
+    /// The part of the slots that the own demand is of all VMs' demand.
+    #[default]
+    Demand,
+    /// Up by one for each full round of served requests, down by a tenth when congested.
+    Adaptive,
+}
+
+/// The limit of one service on one VM.
+#[derive(Clone, Debug)]
+pub struct Share {
+    rule: Rule,
+    slots: f64,
+    peers: usize,
+    demand: u32,
+    demands: BTreeMap<Vm, u32>,
+    level: f64,
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Self {
+            rule: Rule::default(),
+            slots: LEAST,
+            peers: 0,
+            demand: 0,
+            demands: BTreeMap::new(),
+            level: LEAST,
+        }
+    }
+}
+
+impl Share {
+    /// Chooses the rule.
+    pub fn set_rule(&mut self, rule: Rule) {
+        self.rule = rule;
+    }
+
+    /// Tells the slots that all VMs share.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = f64::from(slots.max(1));
+        self.level = self.even();
+    }
+
+    /// Tells how many other VMs serve; the demands of those that are gone are forgotten.
+    pub fn set_peers(&mut self, count: usize) {
+        if count == self.peers {
+            return;
+        }
+        if count < self.demands.len() {
+            self.demands.clear();
+        }
+        self.peers = count;
+        self.level = self.even();
+    }
+
+    /// Takes in a peer's demand: its running and waiting requests.
+    pub fn hear(&mut self, vm: &Vm, demand: u32) {
+        if self.demands.len() < PEERS || self.demands.contains_key(vm) {
+            self.demands.insert(vm.clone(), demand);
+        }
+    }
+
+    /// Forgets a peer that stopped.
+    pub fn forget(&mut self, vm: &Vm) {
+        self.demands.remove(vm);
+    }
+
+    /// Sets the own demand, which peers are told.
+    pub fn set_demand(&mut self, demand: u32) {
+        self.demand = demand;
+    }
+
+    /// Returns the own demand, for the next heartbeat.
+    #[must_use]
+    pub fn demand(&self) -> u32 {
+        self.demand
+    }
+
+    /// Notes how an admitted request ended.
+    pub fn finished(&mut self, finish: Finish) {
+        match finish {
+            Finish::Served => self.level = (self.level + 1.0 / self.level).min(self.slots),
+            Finish::Congested => self.level = (self.level * BACKOFF).max(LEAST),
+            Finish::Dropped => {}
+        }
+    }
+
+    /// Returns how many requests may be in progress now.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        let limit = match self.rule {
+            Rule::Demand => self.slots * self.part(),
+            Rule::Adaptive => self.level,
+        };
+        limit.max(LEAST).ceil() as u32
+    }
+
+    fn even(&self) -> f64 {
+        (self.slots / (self.peers as f64 + 1.0)).max(LEAST)
+    }
+
+    /// Returns the own part of the slots. Peers that are not heard count as the average of those
+    /// that are, and as even sharers if none is.
+    fn part(&self) -> f64 {
+        let own = self.standing(self.demand);
+        if self.demands.is_empty() {
+            return 1.0 / (self.peers as f64 + 1.0);
+        }
+        let heard: f64 = self.demands.values().map(|&one| self.standing(one)).sum();
+        let scale = self.peers as f64 / self.demands.len() as f64;
+        own / (own + heard * scale)
+    }
+
+    fn standing(&self, demand: u32) -> f64 {
+        f64::from(demand).max(self.even() * STANDING)
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! them out (docs/DESIGN.md).
 
 pub mod config;
+pub mod limit;
 pub mod member;
 pub mod once;
 pub mod route;
--- /dev/null
+++ b/src/core/route/chain.rs
@@ -0,0 +1,124 @@
+//! Chains: a shortest path over the layer boundaries.
+//!
+//! Each endpoint may run any sub-range of what it holds. Entering an endpoint costs its expected
+//! wait and its link; each segment between two boundaries costs its share of the service time. So
+//! one pass over the segments finds the cheapest chain, and its work grows with the segments times
+//! the endpoints of one service.
+
+use crate::core::config::object::Layers;
+use crate::names::EndpointName;
+
+/// One endpoint of a chain and the layers that it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leg {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The layers that it runs for this chain.
+    pub layers: Layers,
+}
+
+/// An endpoint that may be part of a chain.
+#[derive(Clone, Copy, Debug)]
+pub struct Stage<'a> {
+    /// Its name.
+    pub endpoint: &'a EndpointName,
+    /// The layers that it holds.
+    pub held: Layers,
+    /// The price of entering it.
+    pub enter: f64,
+    /// The price of one layer.
+    pub layer: f64,
+}
+
+/// The cheapest way to the end of a segment that ends on one stage.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    price: f64,
+    /// The stage that ran the segment before.
+    before: Option<usize>,
+}
+
+/// Returns the cheapest chain over `bounds`, or the first layer that no stage holds.
+///
+/// # Errors
+///
+/// Fails with that layer if the stages together leave a gap.
+pub fn cheapest(bounds: &[u32], stages: &[Stage<'_>]) -> Result<Vec<Leg>, u32> {
+    let mut rows = Vec::<Vec<Option<Step>>>::new();
+    for pair in bounds.windows(2) {
+        let segment = Layers {
+            from: pair[0],
+            to: pair[1],
+        };
+        let row = advance(rows.last(), segment, stages);
+        if row.iter().all(Option::is_none) {
+            return Err(segment.from);
+        }
+        rows.push(row);
+    }
+    Ok(trace(bounds, stages, &rows))
+}
+
+fn advance(
+    last: Option<&Vec<Option<Step>>>,
+    segment: Layers,
+    stages: &[Stage<'_>],
+) -> Vec<Option<Step>> {
+    let reached = last.map_or(Some((None, 0.0)), |row| {
+        least(row).map(|(at, step)| (Some(at), step.price))
+    });
+    let size = f64::from(segment.to - segment.from);
+    let step = |(at, stage): (usize, &Stage<'_>)| {
+        if stage.held.from > segment.from || stage.held.to < segment.to {
+            return None;
+        }
+        let (before, price) = reached?;
+        let entered = Step {
+            price: price + stage.enter,
+            before,
+        };
+        let kept = last.and_then(|row| row[at]).map(|one| Step {
+            price: one.price,
+            before: Some(at),
+        });
+        let best = kept
+            .filter(|one| one.price <= entered.price)
+            .unwrap_or(entered);
+        Some(Step {
+            price: best.price + stage.layer * size,
+            ..best
+        })
+    };
+    stages.iter().enumerate().map(step).collect()
+}
+
+fn least(row: &[Option<Step>]) -> Option<(usize, Step)> {
+    row.iter()
+        .enumerate()
+        .filter_map(|(at, step)| step.map(|one| (at, one)))
+        .min_by(|left, right| left.1.price.total_cmp(&right.1.price))
+}
+
+fn trace(bounds: &[u32], stages: &[Stage<'_>], rows: &[Vec<Option<Step>>]) -> Vec<Leg> {
+    let mut legs = Vec::<Leg>::new();
+    let mut at = rows.last().and_then(|row| least(row)).map(|(at, _)| at);
+    for (row, pair) in rows.iter().zip(bounds.windows(2)).rev() {
+        let Some(stage) = at else {
+            break;
+        };
+        let name = stages[stage].endpoint;
+        match legs.last_mut() {
+            Some(leg) if leg.endpoint == *name => leg.layers.from = pair[0],
+            _ => legs.push(Leg {
+                endpoint: name.clone(),
+                layers: Layers {
+                    from: pair[0],
+                    to: pair[1],
+                },
+            }),
+        }
+        at = row[stage].and_then(|step| step.before);
+    }
+    legs.reverse();
+    legs
+}
--- /dev/null
+++ b/src/core/route/health.rs
@@ -0,0 +1,67 @@
+//! Whether an endpoint may get work: failures eject it for a while, and one probe lets it back.
+
+use crate::clock::Millis;
+
+/// This many failures in a row eject an endpoint.
+const STRIKES: u32 = 2;
+/// The first ejection lasts this long; each further one twice as long.
+const EJECT_FIRST: Millis = Millis(500);
+/// No ejection lasts longer than this.
+const EJECT_MOST: Millis = Millis::seconds(30);
+
+/// The failure record of one endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Health {
+    strikes: u32,
+    ejections: u32,
+    until: Option<Millis>,
+    probing: bool,
+}
+
+impl Health {
+    /// Returns whether new work may go to the endpoint: it is not ejected, or its ejection is over
+    /// and no probe is in progress.
+    #[must_use]
+    pub fn usable(&self, now: Millis) -> bool {
+        self.until.is_none_or(|until| now >= until && !self.probing)
+    }
+
+    /// Returns when the ejection ends, if the endpoint is ejected.
+    #[must_use]
+    pub fn until(&self) -> Option<Millis> {
+        self.until
+    }
+
+    /// Notes that work went to the endpoint; after an ejection this is the probe.
+    pub fn started(&mut self) {
+        self.probing = self.until.is_some();
+    }
+
+    /// Notes a success, which clears the record.
+    pub fn succeeded(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes that the endpoint refused work unrun: a sign of load, not of a fault.
+    pub fn refused(&mut self) {
+        self.probing = false;
+    }
+
+    /// Notes a failure. Those of work sent before the ejection do not lengthen it.
+    pub fn failed(&mut self, now: Millis) {
+        if self.until.is_some_and(|until| now < until) {
+            return;
+        }
+        self.strikes += 1;
+        if self.probing || self.strikes >= STRIKES {
+            self.eject(now);
+        }
+    }
+
+    fn eject(&mut self, now: Millis) {
+        let span = EJECT_FIRST.0.saturating_mul(1 << self.ejections.min(16));
+        self.until = Some(now + Millis(span).min(EJECT_MOST));
+        self.ejections += 1;
+        self.probing = false;
+    }
+}
--- /dev/null
+++ b/src/core/route/prefix.rs
@@ -0,0 +1,65 @@
+//! What is believed to be in an endpoint's prefix cache.
+//!
+//! Cache events come late and with gaps, so this is a hint for choosing among endpoints and never
+//! a ground for skipping work.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+/// The most blocks remembered for one endpoint; the oldest is forgotten first.
+const BLOCKS: usize = 256;
+/// The tokens of one block.
+pub const BLOCK_TOKENS: u32 = 16;
+
+/// A change of an endpoint's prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheEvent {
+    /// The block with this hash was stored; a block's hash covers all blocks before it.
+    Stored(u64),
+    /// The block with this hash was evicted.
+    Evicted(u64),
+    /// The whole cache was cleared, or events were missed.
+    Cleared,
+}
+
+/// The blocks that one endpoint is believed to hold.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixSet {
+    order: VecDeque<u64>,
+    held: BTreeSet<u64>,
+}
+
+impl PrefixSet {
+    /// Applies an event.
+    pub fn apply(&mut self, event: &CacheEvent) {
+        match event {
+            CacheEvent::Stored(hash) => self.store(*hash),
+            CacheEvent::Evicted(hash) => {
+                self.held.remove(hash);
+                self.order.retain(|one| one != hash);
+            }
+            CacheEvent::Cleared => *self = Self::default(),
+        }
+    }
+
+    fn store(&mut self, hash: u64) {
+        if !self.held.insert(hash) {
+            return;
+        }
+        self.order.push_back(hash);
+        if self.order.len() > BLOCKS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.held.remove(&oldest);
+        }
+    }
+
+    /// Returns how many tokens of a prompt, given by its block hashes, are believed to be held.
+    #[must_use]
+    pub fn tokens(&self, prompt: &[u64]) -> u32 {
+        let blocks = prompt.iter().take_while(|hash| self.held.contains(hash));
+        u32::try_from(blocks.count())
+            .unwrap_or(u32::MAX)
+            .saturating_mul(BLOCK_TOKENS)
+    }
+}
