--- a/src/core/limit/lane.rs
+++ b/src/core/limit/lane.rs
@@ -70,11 +70,15 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
-        self.share.finished(finish);
+        if finish == Finish::Congested {
+            self.share.congested();
+        }
         if finish == Finish::Served {
             let took = now.since(running.start).0 as f64;
             average(&mut self.hold, took);
             average(&mut self.cost, f64::from(running.cost));
+            let unit = took.max(1.0) / f64::from(running.cost.max(1));
+            self.share.served(unit, self.running.len());
         }
         self.fill(now, actions);
     }
--- a/src/core/limit/share.rs
+++ b/src/core/limit/share.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 
-use super::Finish;
 use crate::names::Vm;
 
 /// Every VM may let in this many requests, whatever the peers use.
@@ -17,17 +16,29 @@
 const STANDING: f64 = 0.1;
 /// The most peers whose demand is kept.
 const PEERS: usize = 32;
-/// The adaptive rule multiplies its limit by this when endpoints are congested.
+/// The level is multiplied by this when endpoints are congested.
 const BACKOFF: f64 = 0.9;
+/// The level that a VM starts from.
+const FIRST: f64 = 8.0;
+/// Service times up to this multiple of the least average are no sign of congestion.
+const TOLERANCE: f64 = 2.0;
+/// One sample moves the level by this part at most, downwards.
+const STEEPEST: f64 = 0.5;
+/// The weight of a new sample in the average service time and in the level.
+const GAIN: f64 = 0.1;
+/// Each sample lets the least average rise by this part, so that it follows a changed service.
+const RISE: f64 = 0.0002;
 
 /// The ways to find the limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Rule {
     /// The part of the slots that the own demand is of all VMs' demand.
-    #[default]
     Demand,
-    /// Up by one for each full round of served requests, down by a tenth when congested.
+    /// Up while service times stay near the least, down when they grow or endpoints refuse.
     Adaptive,
+    /// The lesser of the two.
+    #[default]
+    Both,
 }
 
 /// The limit of one service on one VM.
@@ -39,6 +50,8 @@
     demand: u32,
     demands: BTreeMap<Vm, u32>,
     level: f64,
+    average: f64,
+    least: f64,
 }
 
 impl Default for Share {
@@ -49,7 +62,9 @@
             peers: 0,
             demand: 0,
             demands: BTreeMap::new(),
-            level: LEAST,
+            level: FIRST,
+            average: 0.0,
+            least: f64::INFINITY,
         }
     }
 }
@@ -63,7 +78,6 @@
     /// Tells the slots that all VMs share.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = f64::from(slots.max(1));
-        self.level = self.even();
     }
 
     /// Tells how many other VMs serve; the demands of those that are gone are forgotten.
@@ -75,7 +89,6 @@
             self.demands.clear();
         }
         self.peers = count;
-        self.level = self.even();
     }
 
     /// Takes in a peer's demand: its running and waiting requests.
@@ -101,13 +114,25 @@
         self.demand
     }
 
-    /// Notes how an admitted request ended.
-    pub fn finished(&mut self, finish: Finish) {
-        match finish {
-            Finish::Served => self.level = (self.level + 1.0 / self.level).min(self.slots),
-            Finish::Congested => self.level = (self.level * BACKOFF).max(LEAST),
-            Finish::Dropped => {}
+    /// Notes that endpoints had no room for an admitted request.
+    pub fn congested(&mut self) {
+        self.level = (self.level * BACKOFF).max(LEAST);
+    }
+
+    /// Notes that a request was served, with the milliseconds of its service for each unit of work
+    /// and the requests in progress then.
+    pub fn served(&mut self, span: f64, running: usize) {
+        let known = self.average > 0.0;
+        let part = if known { GAIN } else { 1.0 };
+        self.average += part * (span - self.average);
+        self.least = self.average.min(self.least * (1.0 + RISE));
+        let gradient = (TOLERANCE * self.least / self.average).clamp(STEEPEST, 1.0);
+        let filled = running as f64 + 1.0 >= self.level / TOLERANCE;
+        if filled || gradient < 1.0 {
+            let target = self.level * gradient + self.level.sqrt();
+            self.level += GAIN * (target - self.level);
         }
+        self.level = self.level.clamp(LEAST, self.slots.max(LEAST));
     }
 
     /// Returns how many requests may be in progress now.
@@ -116,6 +141,7 @@
         let limit = match self.rule {
             Rule::Demand => self.slots * self.part(),
             Rule::Adaptive => self.level,
+            Rule::Both => self.level.min(self.slots * self.part()),
         };
         limit.max(LEAST).ceil() as u32
     }
