--- /dev/null
+++ b/src/cli/standin.rs
@@ -0,0 +1,26 @@
+//! The arguments of `standin`.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+
+/// Small stand-ins for what surrounds the daemons, for trials and benchmarks.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub struct Standin {
+    /// What to stand in for.
+    #[command(subcommand)]
+    pub stand: Stand,
+}
+
+/// What to stand in for.
+#[derive(Debug, Subcommand)]
+pub enum Stand {
+    /// Everything that a file lists: the platform, model engines, plain services.
+    All {
+        /// The file, in YAML.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+}
--- a/src/core/config/content.rs
+++ b/src/core/config/content.rs
@@ -130,6 +130,18 @@
         }
     }
 
+    /// Returns all objects, kind by kind.
+    pub fn objects(&self) -> Vec<Object> {
+        let mut out: Vec<Object> = Vec::new();
+        out.extend(values(&self.services));
+        out.extend(values(&self.endpoints));
+        out.extend(values(&self.teams));
+        out.extend(self.grants.keys().cloned().map(Object::from));
+        out.extend(values(&self.owners));
+        out.extend(values(&self.operators));
+        out
+    }
+
     /// Returns the version of an object, or `None` if it does not exist.
     pub fn version(&self, key: &Key) -> Option<Offset> {
         match key {
@@ -198,6 +210,13 @@
     }
 }
 
+fn values<K, T>(map: &BTreeMap<K, Held<T>>) -> impl Iterator<Item = Object>
+where
+    T: Clone + Into<Object>,
+{
+    map.values().map(|held| held.value.clone().into())
+}
+
 fn held<K, T>(table: &BTreeMap<K, Held<T>>, name: &K) -> Option<Object>
 where
     K: Ord,
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -4,6 +4,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::core::config::audit::Audit;
+use crate::core::config::change::Object;
 use crate::core::config::change::Offset;
 use crate::core::config::content::Content;
 use crate::core::config::encoding::canonical;
@@ -148,6 +149,22 @@
         self.content.endpoints.values().map(|held| &held.value)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.content.services.values().map(|held| &held.value)
+    }
+
+    /// Returns all objects.
+    pub fn objects(&self) -> Vec<Object> {
+        self.content.objects()
+    }
+
+    /// Says whether the configuration names any operator.
+    #[must_use]
+    pub fn has_operators(&self) -> bool {
+        !self.content.operators.is_empty()
+    }
+
     /// Returns the services that are models.
     pub fn models(&self) -> impl Iterator<Item = &Service> {
         let services = self.content.services.values().map(|held| &held.value);
--- /dev/null
+++ b/src/core/daemon/admit.rs
@@ -0,0 +1,272 @@
+//! Letting calls in: who calls, whether they may, and when it is their turn.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::core::config::index::Principal;
+use crate::core::config::object::Digest;
+use crate::core::config::object::Service;
+use crate::core::config::object::ServiceKind;
+use crate::core::limit;
+use crate::core::limit::Decision;
+use crate::core::limit::Finish;
+use crate::core::session::event::RequestId;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::names::EndpointName;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+use super::Core;
+use super::action::Action;
+use super::event::Call;
+use super::event::Work;
+use super::open::Job;
+use super::open::Model;
+use super::open::Open;
+use super::open::Plain;
+
+/// When to come back to a VM that is not ready.
+const READY_SPAN: Millis = Millis::seconds(1);
+
+impl Core {
+    pub(super) fn call(&mut self, now: Millis, call: Call, out: &mut Vec<Action>) {
+        let id = call.id;
+        if let Err(failure) = self.try_call(now, call, out) {
+            out.push(Action::Fail { id, failure });
+        }
+    }
+
+    fn try_call(&mut self, now: Millis, call: Call, out: &mut Vec<Action>) -> Result<(), Failure> {
+        self.ready(now).map_err(|reason| {
+            Failure::unrun(Code::NotReady, reason.to_string()).after(READY_SPAN)
+        })?;
+        let team = self.caller(call.token.as_ref())?;
+        let id = call.id;
+        let (service, job) = match call.work {
+            Work::Models => {
+                let models = self.models_of(&team);
+                out.push(Action::Models { id, models });
+                return Ok(());
+            }
+            Work::Plain {
+                service,
+                method,
+                key,
+                digest,
+            } => {
+                let idempotent = self.plain_service(&team, &service, &method)?;
+                let key = key.filter(|_| !idempotent);
+                let job = Plain {
+                    idempotent,
+                    key,
+                    digest,
+                    attempt: 0,
+                    sending: None,
+                    tried: Vec::new(),
+                    gone: false,
+                };
+                (service, Job::Plain(job))
+            }
+            Work::Model {
+                service,
+                prompt,
+                limit,
+                seed,
+                resume,
+            } => {
+                let layers = self.model_service(&team, &service)?;
+                let job = Model {
+                    prompt,
+                    limit,
+                    seed,
+                    resume,
+                    layers,
+                    legs: Arc::from([]),
+                    since: now,
+                    sent: now,
+                    faults: BTreeMap::new(),
+                };
+                (service, Job::Model(Box::new(job)))
+            }
+        };
+        let open = Open {
+            team,
+            service,
+            deadline: call.deadline,
+            admitted: false,
+            job,
+        };
+        self.offer(now, id, open, out)
+    }
+
+    fn offer(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        mut open: Open,
+        out: &mut Vec<Action>,
+    ) -> Result<(), Failure> {
+        let ask = self.ask(id, &open);
+        match self.gate.offer(now, ask) {
+            Decision::Admit => {
+                open.admitted = true;
+                self.open.insert(id, open);
+                self.admitted(now, id, out);
+            }
+            Decision::Queue => {
+                self.open.insert(id, open);
+            }
+            Decision::Refuse(failure) => return Err(failure),
+        }
+        Ok(())
+    }
+
+    fn ask(&self, id: RequestId, open: &Open) -> limit::Ask {
+        let team = self.state.team(&open.team);
+        let cost = match &open.job {
+            Job::Plain(_) => 1,
+            Job::Model(model) => model.limit,
+        };
+        limit::Ask {
+            id: id.0,
+            team: open.team.clone(),
+            weight: team.map_or(1, |team| team.weight),
+            limit: team.map_or(0, |team| team.limit),
+            priority: team.map(|team| team.priority).unwrap_or_default(),
+            cost,
+            deadline: open.deadline,
+            service: open.service.clone(),
+        }
+    }
+
+    /// Carries out what the gate decided on requests that waited.
+    pub(super) fn gated(
+        &mut self,
+        now: Millis,
+        actions: Vec<limit::Action>,
+        out: &mut Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                limit::Action::Admit(id) => self.turn(now, RequestId(id), out),
+                limit::Action::Refuse(id, failure) => {
+                    let id = RequestId(id);
+                    self.open.remove(&id);
+                    out.push(Action::Fail { id, failure });
+                }
+            }
+        }
+    }
+
+    fn turn(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.admitted = true;
+            self.admitted(now, id, out);
+        }
+    }
+
+    fn admitted(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        match self.open.get(&id).map(|open| &open.job) {
+            Some(Job::Plain(plain)) if plain.key.is_some() => self.claim(now, id, out),
+            Some(Job::Plain(_)) => self.send_plain(now, id, out),
+            Some(Job::Model(_)) => self.start_model(now, id, out),
+            None => {}
+        }
+    }
+
+    /// A caller went away.
+    pub(super) fn gone(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&id) else {
+            out.push(Action::Drop(id));
+            return;
+        };
+        match &mut open.job {
+            Job::Plain(plain) if plain.must_end(open.admitted) => plain.gone = true,
+            Job::Plain(plain) => {
+                let sending = plain.sending.take();
+                if let Some(sending) = sending {
+                    self.ended(now, &sending, crate::core::route::view::Outcome::Unrun);
+                }
+                self.close(now, id, Finish::Dropped, out);
+                out.push(Action::Drop(id));
+            }
+            Job::Model(_) => self.cancel_model(now, id, out),
+        }
+    }
+
+    fn caller(&self, token: Option<&Digest>) -> Result<Team, Failure> {
+        let principal = token.and_then(|token| self.state.authenticate(token));
+        match principal {
+            Some(Principal::Team(team)) => Ok(team.clone()),
+            Some(_) => Err(Failure::unrun(
+                Code::Forbidden,
+                "Only teams may call services.",
+            )),
+            None => Err(Failure::unrun(
+                Code::Unauthorized,
+                "The bearer token is missing or unknown.",
+            )),
+        }
+    }
+
+    fn models_of(&self, team: &Team) -> Vec<ServiceName> {
+        let models = self.state.models().map(|model| &model.name);
+        let granted = models.filter(|name| self.state.is_granted(team, name));
+        granted.cloned().collect()
+    }
+
+    fn plain_service(
+        &self,
+        team: &Team,
+        name: &ServiceName,
+        method: &str,
+    ) -> Result<bool, Failure> {
+        match &self.service(team, name)?.kind {
+            ServiceKind::Plain { idempotent } => Ok(idempotent.iter().any(|one| one == method)),
+            ServiceKind::Model { .. } => Err(unknown(name)),
+        }
+    }
+
+    fn model_service(&self, team: &Team, name: &ServiceName) -> Result<u32, Failure> {
+        match &self.service(team, name)?.kind {
+            ServiceKind::Model { layers, .. } => Ok(*layers),
+            ServiceKind::Plain { .. } => Err(unknown(name)),
+        }
+    }
+
+    fn service(&self, team: &Team, name: &ServiceName) -> Result<&Service, Failure> {
+        let service = self.state.service(name).ok_or_else(|| unknown(name))?;
+        if !self.state.is_granted(team, name) {
+            let message = format!("Team {team} has no grant to service {name}.");
+            return Err(Failure::unrun(Code::Forbidden, message));
+        }
+        Ok(service)
+    }
+
+    /// Returns the endpoints that the request's team may use.
+    pub(super) fn candidates(&self, id: RequestId) -> Vec<EndpointName> {
+        let Some(open) = self.open.get(&id) else {
+            return Vec::new();
+        };
+        let endpoints = self.state.admitted(&open.team, &open.service);
+        endpoints.map(|endpoint| endpoint.name.clone()).collect()
+    }
+}
+
+impl Plain {
+    /// Says whether the call must come to its end although its caller went away: it may have
+    /// effects, and its outcome has to be recorded if it has a key.
+    fn must_end(&self, admitted: bool) -> bool {
+        let claimed = admitted && self.key.is_some();
+        !self.idempotent && (self.sending.is_some() || claimed)
+    }
+}
+
+fn unknown(name: &ServiceName) -> Failure {
+    Failure::unrun(
+        Code::NotFound,
+        format!("There is no such service as {name}."),
+    )
+}
--- /dev/null
+++ b/src/core/daemon/hints.rs
@@ -0,0 +1,322 @@
+//! What daemons tell each other of load: hints of bounded size, a few a second.
+//!
+//! Each endpoint is asked for its load by two daemons only; they pass the reports on. So neither
+//! an endpoint nor a daemon has more to do as the fleet grows (docs/CAPACITY.md).
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::core::limit::quota::Demand;
+use crate::core::route;
+use crate::core::route::Hint;
+use crate::core::route::view;
+use crate::core::route::view::Surplus;
+use crate::names::EndpointName;
+use crate::names::ServiceName;
+use crate::names::Team;
+use crate::names::Vm;
+
+use super::Core;
+use super::action::Action;
+use super::action::Note;
+use super::event::Report;
+
+/// The interval at which an endpoint is asked for its load, and hints are sent.
+const SHARE_SPAN: Millis = Millis::seconds(1);
+/// How many daemons ask an endpoint.
+const POLLERS: usize = 2;
+/// How many peers get the hints each time.
+const FANOUT: usize = 2;
+/// How many peers learn at once that an endpoint is leaving.
+const URGENT: usize = 4;
+/// The most reports in one message.
+const REPORTS: usize = 16;
+
+/// The load of endpoints and the demand of teams, as one daemon sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Hints {
+    /// Reports of endpoints.
+    #[serde(rename = "r", skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<Reported>,
+    /// Work that the reports do not count.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub work: Vec<Work>,
+    /// Requests running and waiting, by service.
+    #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<Wanted>,
+    /// Calls a second, by team.
+    #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<Calls>,
+}
+
+/// An endpoint's report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reported {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: EndpointName,
+    /// Its report.
+    #[serde(rename = "r")]
+    pub report: Report,
+}
+
+/// Work on an endpoint that no report counts yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: EndpointName,
+    /// When the report that this adds to was made.
+    #[serde(rename = "b")]
+    pub base: Millis,
+    /// The requests, less those that ended since.
+    #[serde(rename = "c")]
+    pub count: i32,
+}
+
+/// The demand for a service on one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Its requests, running and waiting.
+    #[serde(rename = "d")]
+    pub demand: u32,
+}
+
+/// The calls of a team on one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Calls {
+    /// The team.
+    #[serde(rename = "t")]
+    pub team: Team,
+    /// Its calls a second.
+    #[serde(rename = "r")]
+    pub rate: u32,
+}
+
+/// What a core remembers for its hints.
+#[derive(Debug, Default)]
+pub(super) struct Sharing {
+    due: Millis,
+    /// The endpoints that this daemon asks, found anew after a change.
+    polled: Vec<EndpointName>,
+    /// The offset and the number of peers for which they were found.
+    found: Option<Found>,
+    reports: BTreeMap<EndpointName, Report>,
+    leaving: BTreeSet<EndpointName>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Found {
+    offset: u64,
+    peers: usize,
+}
+
+impl Core {
+    /// Asks endpoints and tells peers, when it is time.
+    pub(super) fn share(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if now < self.sharing.due {
+            return;
+        }
+        self.sharing.due = now + SHARE_SPAN;
+        self.find_polled();
+        for endpoint in &self.sharing.polled {
+            if let Some(entry) = self.state.endpoint(endpoint) {
+                out.push(Action::Poll {
+                    endpoint: endpoint.clone(),
+                    addr: entry.addr,
+                });
+            }
+        }
+        let hints = self.hints();
+        if hints != Hints::default() {
+            self.tell_some(FANOUT, &hints, out);
+        }
+    }
+
+    fn find_polled(&mut self) {
+        let found = Found {
+            offset: self.sync.offset(),
+            peers: self.peers.len(),
+        };
+        if self.sharing.found == Some(found) {
+            return;
+        }
+        self.sharing.found = Some(found);
+        let mine = |name: &EndpointName| {
+            self.members
+                .rank(name)
+                .iter()
+                .take(POLLERS)
+                .any(|vm| *vm == self.me.vm)
+        };
+        let names = self.state.endpoints().map(|endpoint| &endpoint.name);
+        self.sharing.polled = names.filter(|name| mine(name)).cloned().collect();
+    }
+
+    fn hints(&mut self) -> Hints {
+        let polled = self.sharing.polled.iter();
+        let reports = polled.filter_map(|name| {
+            let report = *self.sharing.reports.get(name)?;
+            Some(Reported {
+                endpoint: name.clone(),
+                report,
+            })
+        });
+        let reports = reports.take(REPORTS).collect();
+        let work = self.router.hints().into_iter().map(|hint| Work {
+            endpoint: hint.endpoint,
+            base: hint.surplus.base,
+            count: hint.surplus.count,
+        });
+        let demands = self.gate.quota().demands().into_iter();
+        let teams = demands.map(|demand| Calls {
+            team: demand.team,
+            rate: demand.rate,
+        });
+        Hints {
+            reports,
+            work: work.collect(),
+            services: self.wanted(),
+            teams: teams.collect(),
+        }
+    }
+
+    fn wanted(&mut self) -> Vec<Wanted> {
+        let names: Vec<ServiceName> = self.state.services().map(|one| one.name.clone()).collect();
+        let mut out = Vec::new();
+        for service in names {
+            let demand = self.gate.lane(&service).share.demand();
+            if demand > 0 {
+                out.push(Wanted { service, demand });
+            }
+        }
+        out
+    }
+
+    fn tell_some(&mut self, count: usize, hints: &Hints, out: &mut Vec<Action>) {
+        let vms: Vec<Vm> = self.peers.keys().cloned().collect();
+        if vms.is_empty() {
+            return;
+        }
+        let start = self.rng.random_range(0..vms.len());
+        for step in 0..count.min(vms.len()) {
+            let vm = &vms[(start + step) % vms.len()];
+            self.tell(vm, hints.clone(), out);
+        }
+    }
+
+    /// Takes in a peer's hints.
+    pub(super) fn hear(&mut self, now: Millis, vm: &Vm, hints: Hints, out: &mut Vec<Action>) {
+        for each in hints.reports {
+            self.reported(now, &each.endpoint, each.report, out);
+        }
+        for work in hints.work {
+            let surplus = Surplus {
+                base: work.base,
+                count: work.count,
+            };
+            self.router.hint(
+                vm,
+                &Hint {
+                    endpoint: work.endpoint,
+                    surplus,
+                },
+            );
+        }
+        for wanted in hints.services {
+            if self.state.service(&wanted.service).is_some() {
+                self.gate
+                    .lane(&wanted.service)
+                    .share
+                    .hear(vm, wanted.demand);
+            }
+        }
+        for calls in hints.teams {
+            let demand = Demand {
+                team: calls.team,
+                rate: calls.rate,
+            };
+            self.gate.quota().hear(now, vm, &demand);
+        }
+    }
+
+    /// An endpoint told its load, here or to a peer.
+    pub(super) fn reported(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        if self.state.endpoint(endpoint).is_none() {
+            return;
+        }
+        let known = self.sharing.reports.get(endpoint);
+        if known.is_some_and(|known| (known.boot, known.at) >= (report.boot, report.at)) {
+            return;
+        }
+        self.sharing.reports.insert(endpoint.clone(), report);
+        let load = view::Report {
+            at: report.at,
+            running: report.running,
+            waiting: report.waiting,
+            free: report.free,
+            leaving: report.leaving,
+        };
+        self.router
+            .apply(now, endpoint, route::Event::Reported(load));
+        self.note_leaving(now, endpoint, report, out);
+    }
+
+    /// Spreads at once that an endpoint is leaving, or has come back.
+    fn note_leaving(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        let news = if report.leaving {
+            self.sharing.leaving.insert(endpoint.clone())
+        } else {
+            self.sharing.leaving.remove(endpoint)
+        };
+        if !news {
+            return;
+        }
+        self.router
+            .apply(now, endpoint, route::Event::Leaving(report.leaving));
+        let event = if report.leaving {
+            "endpoint_leaving"
+        } else {
+            "endpoint_back"
+        };
+        out.push(Action::Note(Note {
+            event,
+            subject: endpoint.as_str().into(),
+        }));
+        let reported = Reported {
+            endpoint: endpoint.clone(),
+            report,
+        };
+        let hints = Hints {
+            reports: vec![reported],
+            ..Hints::default()
+        };
+        self.tell_some(URGENT, &hints, out);
+    }
+
+    /// An endpoint did not tell its load: what it said before is forgotten.
+    pub(super) fn unreachable(&mut self, endpoint: &EndpointName) {
+        self.sharing.reports.remove(endpoint);
+    }
+}
--- /dev/null
+++ b/src/core/daemon/mod.rs
@@ -0,0 +1,209 @@
+//! A daemon's core as a whole: events in, actions out.
+//!
+//! [`Core::step`] hands each event to the part that decides on it, and turns the parts' own
+//! actions into events for other parts or into [`Action`]s for `io`. It reads no clock, no socket
+//! and no random device, so a golden session and a daemon run the very same code
+//! (docs/DESIGN.md).
+
+mod action;
+mod admit;
+mod event;
+mod fold;
+mod hints;
+mod log;
+mod model;
+mod open;
+mod operate;
+mod peer;
+mod plain;
+mod snapshot;
+mod status;
+mod stop;
+mod tick;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use self::action::Action;
+pub use self::action::AppendId;
+pub use self::action::Note;
+pub use self::action::ReadId;
+pub use self::action::Reply;
+pub use self::action::Stream;
+pub use self::event::Ask;
+pub use self::event::Call;
+pub use self::event::Event;
+pub use self::event::Found;
+pub use self::event::Operate;
+pub use self::event::PlainAnswer;
+pub use self::event::PlainFault;
+pub use self::event::Report;
+pub use self::event::Work;
+use self::hints::Sharing;
+use self::open::Open;
+pub use self::peer::Body;
+pub use self::peer::Message;
+use self::snapshot::Snapshots;
+pub use self::status::Status;
+use crate::clock::Millis;
+use crate::core::config::object::OperatorEntry;
+use crate::core::config::publish::Publisher;
+use crate::core::config::publish::Ticket;
+use crate::core::config::state::State;
+use crate::core::limit::Gate;
+use crate::core::member::Members;
+use crate::core::member::message::Member;
+use crate::core::once::Boot;
+use crate::core::once::Holder;
+use crate::core::once::Once;
+use crate::core::once::Settings;
+use crate::core::route::Router;
+use crate::core::route::choice::Policy;
+use crate::core::route::retry::RetryBudget;
+use crate::core::session::Sessions;
+use crate::core::session::event::RequestId;
+use crate::core::sync::Peer;
+use crate::core::sync::Sync;
+use crate::names::Vm;
+
+/// What a core is started with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// This daemon.
+    pub me: Member,
+    /// Who may act as long as the configuration names no operator.
+    pub operators: Vec<OperatorEntry>,
+    /// The number of streams that claims are spread over.
+    pub shards: u16,
+    /// The seed of every random choice.
+    pub seed: u64,
+}
+
+/// A daemon's core.
+#[derive(Debug)]
+pub struct Core {
+    me: Member,
+    operators: Vec<OperatorEntry>,
+    state: State,
+    publisher: Publisher,
+    members: Members,
+    sync: Sync,
+    once: Once,
+    shards: u16,
+    router: Router,
+    gate: Gate,
+    budget: RetryBudget,
+    sessions: Sessions,
+    open: BTreeMap<RequestId, Open>,
+    waiting: BTreeMap<Ticket, operate::Waiting>,
+    tickets: u64,
+    peers: BTreeMap<Vm, SocketAddr>,
+    changed: bool,
+    sharing: Sharing,
+    snapshots: Snapshots,
+    stop: Option<Millis>,
+    rng: ChaCha8Rng,
+}
+
+impl Core {
+    /// Starts a core that knows nothing yet.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let me = setup.me;
+        let peer = Peer {
+            vm: me.vm.clone(),
+            domain: me.domain.clone(),
+        };
+        let holder = Holder {
+            vm: me.vm.clone(),
+            boot: Boot(me.boot),
+        };
+        let mut settings = Settings::new(holder);
+        settings.streams = setup.shards;
+        let mut seeds = ChaCha8Rng::seed_from_u64(setup.seed);
+        let mut seed = || rand::Rng::next_u64(&mut seeds);
+        Self {
+            operators: setup.operators,
+            state: State::new(),
+            publisher: Publisher::default(),
+            members: Members::new(me.clone(), seed()),
+            sync: Sync::new(peer, seed()),
+            once: Once::new(settings),
+            shards: setup.shards,
+            router: Router::new(seed(), Policy::TwoChoices),
+            gate: Gate::default(),
+            budget: RetryBudget::default(),
+            sessions: Sessions::new(me.boot),
+            open: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            tickets: 0,
+            peers: BTreeMap::new(),
+            changed: true,
+            sharing: Sharing::default(),
+            snapshots: Snapshots::default(),
+            stop: None,
+            rng: ChaCha8Rng::seed_from_u64(seed()),
+            me,
+        }
+    }
+
+    /// Takes one event at the time `now`.
+    pub fn step(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Call(call) => self.call(now, call, out),
+            Event::Gone(id) => self.gone(now, id, out),
+            Event::Answered {
+                id,
+                attempt,
+                answer,
+            } => {
+                self.plain_answered(now, id, attempt, answer, out);
+            }
+            Event::Failed { id, attempt, fault } => {
+                self.plain_failed(now, id, attempt, fault, out);
+            }
+            Event::Session(event) => self.session(now, event, out),
+            Event::Reported { endpoint, report } => self.reported(now, &endpoint, report, out),
+            Event::Unreachable(endpoint) => self.unreachable(&endpoint),
+            Event::Operate(operate) => self.operate(now, operate, out),
+            Event::Appended { append, offset } => self.appended(now, append, offset, out),
+            Event::AppendLost(append) => self.append_lost(now, append, out),
+            Event::AppendRefused(append) => self.append_refused(now, append, out),
+            Event::Read { read, found } => self.read(now, read, found, out),
+            Event::Peer(message) => self.peer(now, message, out),
+            Event::Listed(list) => self.listed(now, &list, out),
+            Event::Stop => self.stop(now, out),
+        }
+    }
+
+    /// Returns the configuration in force on this VM.
+    #[must_use]
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the VMs that callers should use.
+    pub fn addresses(
+        &mut self,
+        now: Millis,
+        salt: u64,
+    ) -> crate::core::member::addresses::Addresses {
+        self.members.addresses(now, ADDRESSES, salt)
+    }
+
+    /// Says whether this VM takes new work.
+    ///
+    /// # Errors
+    ///
+    /// Says why it does not.
+    pub fn ready(&self, now: Millis) -> Result<(), crate::core::sync::NotServing> {
+        self.sync.may_serve(now, self.members.reach(now))
+    }
+}
+
+/// The most addresses that one answer names.
+const ADDRESSES: usize = 4;
--- /dev/null
+++ b/src/core/daemon/open.rs
@@ -0,0 +1,119 @@
+//! The requests of teams that are in progress on this VM.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::core::limit::Finish;
+use crate::core::once;
+use crate::core::route::Event;
+use crate::core::route::view::Outcome;
+use crate::core::session::event::Leg;
+use crate::core::session::event::RequestId;
+use crate::core::session::resume::EventId;
+use crate::names::EndpointName;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+use super::Core;
+use super::action::Action;
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub(super) struct Open {
+    pub(super) team: Team,
+    pub(super) service: ServiceName,
+    pub(super) deadline: Millis,
+    /// Whether it has left the queue.
+    pub(super) admitted: bool,
+    pub(super) job: Job,
+}
+
+/// What the request is for.
+#[derive(Clone, Debug)]
+pub(super) enum Job {
+    Plain(Plain),
+    Model(Box<Model>),
+}
+
+/// A call on a plain service.
+#[derive(Clone, Debug)]
+pub(super) struct Plain {
+    pub(super) idempotent: bool,
+    /// The key, if the call is not idempotent and has one.
+    pub(super) key: Option<Arc<str>>,
+    pub(super) digest: once::CallDigest,
+    pub(super) attempt: u32,
+    pub(super) sending: Option<Sending>,
+    pub(super) tried: Vec<EndpointName>,
+    /// Whether the caller went away while the call could not be taken back.
+    pub(super) gone: bool,
+}
+
+/// An attempt that is on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Sending {
+    pub(super) endpoint: EndpointName,
+    pub(super) since: Millis,
+}
+
+/// A request for tokens.
+#[derive(Clone, Debug)]
+pub(super) struct Model {
+    pub(super) prompt: Vec<u32>,
+    pub(super) limit: u32,
+    pub(super) seed: u64,
+    pub(super) resume: Option<EventId>,
+    pub(super) layers: u32,
+    pub(super) legs: Arc<[Leg]>,
+    /// When the legs were chosen.
+    pub(super) since: Millis,
+    /// When the hop on its way was sent.
+    pub(super) sent: Millis,
+    /// How endpoints failed the present legs.
+    pub(super) faults: BTreeMap<EndpointName, Outcome>,
+}
+
+impl Core {
+    pub(super) fn plain_mut(&mut self, id: RequestId) -> Option<&mut Plain> {
+        match &mut self.open.get_mut(&id)?.job {
+            Job::Plain(plain) => Some(plain),
+            Job::Model(_) => None,
+        }
+    }
+
+    pub(super) fn model_mut(&mut self, id: RequestId) -> Option<&mut Model> {
+        match &mut self.open.get_mut(&id)?.job {
+            Job::Plain(_) => None,
+            Job::Model(model) => Some(model),
+        }
+    }
+
+    /// Tells the router how an attempt on a plain endpoint ended.
+    pub(super) fn ended(&mut self, now: Millis, sending: &Sending, outcome: Outcome) {
+        let took = now.since(sending.since);
+        self.router
+            .apply(now, &sending.endpoint, Event::Ended { took, outcome });
+    }
+
+    /// Forgets a request and lets in those whose turn it is.
+    pub(super) fn close(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        finish: Finish,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.remove(&id) else {
+            return;
+        };
+        if open.admitted {
+            let mut actions = Vec::new();
+            self.gate
+                .finished(now, &open.service, id.0, finish, &mut actions);
+            self.gated(now, actions, out);
+        } else {
+            self.gate.cancel(&open.service, id.0);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/daemon/operate.rs
@@ -0,0 +1,284 @@
+//! Operators and owners: plans, confirmations, approvals, drains, rollouts.
+
+use crate::clock::Millis;
+use crate::core::config::index::Principal;
+use crate::core::config::object::Digest;
+use crate::core::config::outcome::Outcome;
+use crate::core::config::plan::Plan;
+use crate::core::config::publish::Ticket;
+use crate::core::config::publish::Verdict;
+use crate::core::config::record::Approve;
+use crate::core::config::record::Body;
+use crate::core::config::record::Confirm;
+use crate::core::config::record::DrainOrder;
+use crate::core::config::record::Party;
+use crate::core::config::record::Record;
+use crate::core::config::record::Revoke;
+use crate::core::config::rollout::Control;
+use crate::core::session::event::RequestId;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::names::EndpointName;
+use crate::names::Operator;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+use super::Core;
+use super::action::Action;
+use super::action::Reply;
+use super::event::Ask;
+use super::event::Operate;
+
+/// When to come back while the log does not answer.
+const LOG_SPAN: Millis = Millis::seconds(2);
+
+/// A request that waits for its record to be settled.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    id: RequestId,
+    /// The plan that was proposed, if that is what was asked for.
+    plan: Option<Box<Plan>>,
+}
+
+/// What a request comes to.
+enum Step {
+    Reply(Reply),
+    Publish { body: Body, plan: Option<Box<Plan>> },
+}
+
+impl Core {
+    pub(super) fn operate(&mut self, now: Millis, operate: Operate, out: &mut Vec<Action>) {
+        let id = operate.id;
+        match self.decide(now, operate) {
+            Ok(Step::Reply(reply)) => out.push(Action::Reply { id, reply }),
+            Ok(Step::Publish { body, plan }) => {
+                self.tickets += 1;
+                let ticket = Ticket(self.tickets);
+                self.waiting.insert(ticket, Waiting { id, plan });
+                let record = Record::new(self.state.next(), body);
+                self.publish(now, ticket, record, out);
+            }
+            Err(failure) => out.push(Action::Fail { id, failure }),
+        }
+    }
+
+    fn decide(&self, now: Millis, operate: Operate) -> Result<Step, Failure> {
+        let by = self.party(operate.token.as_ref())?;
+        match operate.ask {
+            Ask::Status => Ok(Step::Reply(Reply::Status(Box::new(self.status(now))))),
+            Ask::Audit => {
+                let entries = self.state.audit().entries().cloned().collect();
+                Ok(Step::Reply(Reply::Audit(entries)))
+            }
+            Ask::Objects => Ok(Step::Reply(Reply::Objects(self.state.objects()))),
+            Ask::Plan(intent) => {
+                self.may_change(now)?;
+                let by = operator(by)?;
+                let plan = self
+                    .state
+                    .plan(now, &by, &intent)
+                    .map_err(|error| Failure::unrun(Code::InvalidIntent, error.to_string()))?;
+                Ok(propose(plan))
+            }
+            Ask::Confirm(plan) => {
+                self.may_change(now)?;
+                let confirm = Confirm {
+                    plan,
+                    by: operator(by)?,
+                    at: now,
+                };
+                Ok(change(confirm))
+            }
+            Ask::Approve {
+                team,
+                service,
+                endpoint,
+                on,
+            } => {
+                self.may_change(now)?;
+                approve(now, by, team, service, endpoint, on)
+            }
+            Ask::Drain { endpoint, on } => {
+                self.may_change(now)?;
+                self.drain(now, by, endpoint, on)
+            }
+            Ask::Rollout { service, step } => {
+                self.may_change(now)?;
+                Ok(change(Control {
+                    service,
+                    step,
+                    by: operator(by)?,
+                    at: now,
+                }))
+            }
+        }
+    }
+
+    fn drain(
+        &self,
+        now: Millis,
+        by: Party,
+        endpoint: EndpointName,
+        on: bool,
+    ) -> Result<Step, Failure> {
+        if self.state.endpoint(&endpoint).is_none() {
+            let message = format!("There is no such endpoint as {endpoint}.");
+            return Err(Failure::unrun(Code::NotFound, message));
+        }
+        Ok(change(DrainOrder {
+            endpoint,
+            by,
+            at: now,
+            on,
+        }))
+    }
+
+    fn may_change(&self, now: Millis) -> Result<(), Failure> {
+        let reach = self.members.reach(now);
+        self.sync
+            .may_confirm(now, reach)
+            .map_err(|why| Failure::unrun(Code::NotReady, why.to_string()).after(LOG_SPAN))
+    }
+
+    fn party(&self, token: Option<&Digest>) -> Result<Party, Failure> {
+        let unknown = || {
+            Failure::unrun(
+                Code::Unauthorized,
+                "The bearer token is missing or unknown.",
+            )
+        };
+        let token = token.ok_or_else(unknown)?;
+        match self.state.authenticate(token).map(Principal::party) {
+            Some(Some(party)) => Ok(party),
+            Some(None) => {
+                let message = "Teams may not see or change the configuration.";
+                Err(Failure::unrun(Code::Forbidden, message))
+            }
+            None => self
+                .first_operator(token)
+                .map(Party::Operator)
+                .ok_or_else(unknown),
+        }
+    }
+
+    /// Returns the operator of the settings, as long as the configuration names none.
+    fn first_operator(&self, token: &Digest) -> Option<Operator> {
+        if self.state.has_operators() {
+            return None;
+        }
+        let entry = self.operators.iter().find(|entry| entry.token == *token)?;
+        Some(entry.name.clone())
+    }
+
+    /// A record is settled: its author gets an answer.
+    pub(super) fn settled(&mut self, ticket: Ticket, verdict: Verdict, out: &mut Vec<Action>) {
+        let Some(Waiting { id, plan }) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        match (failure(&verdict), plan) {
+            (Some(failure), _) => out.push(Action::Fail { id, failure }),
+            (None, Some(plan)) => out.push(Action::Reply {
+                id,
+                reply: Reply::Plan(plan),
+            }),
+            (None, None) => out.push(Action::Reply {
+                id,
+                reply: Reply::Verdict(verdict),
+            }),
+        }
+    }
+}
+
+fn change<B>(body: B) -> Step
+where
+    B: Into<Body>,
+{
+    Step::Publish {
+        body: body.into(),
+        plan: None,
+    }
+}
+
+/// A plan that would change nothing needs no confirmation, so it is not kept.
+fn propose(plan: Plan) -> Step {
+    if plan.changes.is_empty() {
+        return Step::Reply(Reply::Plan(Box::new(plan)));
+    }
+    let body = Body::Plan(plan.clone());
+    Step::Publish {
+        body,
+        plan: Some(Box::new(plan)),
+    }
+}
+
+fn operator(by: Party) -> Result<Operator, Failure> {
+    match by {
+        Party::Operator(name) => Ok(name),
+        Party::Owner(_) => Err(Failure::unrun(
+            Code::Forbidden,
+            "Only operators may do this.",
+        )),
+    }
+}
+
+fn approve(
+    at: Millis,
+    by: Party,
+    team: Team,
+    service: ServiceName,
+    endpoint: Option<EndpointName>,
+    on: bool,
+) -> Result<Step, Failure> {
+    let Party::Owner(owner) = by else {
+        let message = "Only the owner of the endpoints may approve a team.";
+        return Err(Failure::unrun(Code::Forbidden, message));
+    };
+    Ok(if on {
+        change(Approve {
+            owner,
+            team,
+            service,
+            endpoint,
+            at,
+        })
+    } else {
+        change(Revoke {
+            owner,
+            team,
+            service,
+            endpoint,
+            at,
+        })
+    })
+}
+
+/// Returns the failure that a verdict is for its author, if it is one.
+fn failure(verdict: &Verdict) -> Option<Failure> {
+    match verdict {
+        Verdict::Accepted { .. } => None,
+        Verdict::Refused { outcome } => Some(refusal(outcome)),
+        Verdict::NotAppended => {
+            let message = "The log did not take the record.";
+            Some(Failure::unrun(Code::LogUnavailable, message).after(LOG_SPAN))
+        }
+        Verdict::NotKnown => {
+            let message = "It is not known yet whether the change was accepted; ask again.";
+            Some(Failure::unknown(Code::OutcomeUnknown, message).after(LOG_SPAN))
+        }
+    }
+}
+
+fn refusal(outcome: &Outcome) -> Failure {
+    let code = match outcome {
+        Outcome::StalePlan { .. }
+        | Outcome::Expired
+        | Outcome::Conflict(_)
+        | Outcome::StaleRollout
+        | Outcome::RolloutBound
+        | Outcome::Late => Code::StalePlan,
+        Outcome::UnknownPlan | Outcome::NotFound => Code::NotFound,
+        Outcome::NotAllowed => Code::Forbidden,
+        _ => Code::InvalidIntent,
+    };
+    Failure::unrun(code, outcome.to_string())
+}
--- /dev/null
+++ b/src/core/daemon/plain.rs
@@ -0,0 +1,297 @@
+//! Calls on plain services: sent once, or again only where that is harmless.
+//!
+//! A call that is not idempotent is never sent again once its first byte may have reached an
+//! endpoint; with an idempotency key it is sent only under a winning claim (docs/ONCE.md).
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::core::limit::Finish;
+use crate::core::once;
+use crate::core::once::CallId;
+use crate::core::route;
+use crate::core::route::Need;
+use crate::core::route::view::Outcome;
+use crate::core::session::event::RequestId;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::names::EndpointName;
+
+use super::Core;
+use super::action::Action;
+use super::action::ReadId;
+use super::event::PlainAnswer;
+use super::event::PlainFault;
+use super::open::Plain;
+use super::open::Sending;
+
+/// The most endpoints that one call is sent to.
+const MOST_TRIES: usize = 3;
+
+impl Core {
+    /// Claims the call's key; the call is sent when the claim has won.
+    pub(super) fn claim(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let (team, deadline) = (open.team.clone(), open.deadline);
+        let Some(plain) = self.plain_mut(id) else {
+            return;
+        };
+        let Some(key) = plain.key.as_ref().map(Arc::clone) else {
+            return;
+        };
+        let digest = plain.digest;
+        let call = once::Event::Call {
+            id: CallId(id.0),
+            team,
+            key,
+            digest,
+            deadline,
+        };
+        self.once(now, call, out);
+    }
+
+    /// Hands an event to the claims and carries out what follows.
+    pub(super) fn once(&mut self, now: Millis, event: once::Event, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.once.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                once::Action::Append {
+                    ticket,
+                    stream,
+                    batch,
+                } => {
+                    self.append_claims(now, ticket, stream, &batch, out);
+                }
+                once::Action::Read { stream, from } => {
+                    let read = ReadId::Once(stream);
+                    out.push(Action::Read { read, from: from.0 });
+                }
+                once::Action::Tell { vm, message } => self.tell(&vm, message, out),
+                once::Action::Run(CallId(id)) => self.run(now, RequestId(id), out),
+                once::Action::Reply {
+                    id: CallId(id),
+                    reply,
+                } => {
+                    self.replied(now, RequestId(id), reply, out);
+                }
+            }
+        }
+    }
+
+    /// The call's claim has won.
+    fn run(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        let gone = self.plain_mut(id).is_none_or(|plain| plain.gone);
+        if gone {
+            self.once(now, once::Event::Unsent(CallId(id.0)), out);
+            self.close(now, id, Finish::Dropped, out);
+            out.push(Action::Drop(id));
+            return;
+        }
+        self.send_plain(now, id, out);
+    }
+
+    /// The call is answered without being run here.
+    fn replied(&mut self, now: Millis, id: RequestId, reply: once::Reply, out: &mut Vec<Action>) {
+        self.close(now, id, Finish::Dropped, out);
+        out.push(match reply {
+            once::Reply::Replay(answer) => Action::Replay { id, answer },
+            once::Reply::Failure(failure) => Action::Fail { id, failure },
+        });
+    }
+
+    /// Sends the call to an endpoint that has not been tried.
+    pub(super) fn send_plain(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
+        let candidates = self.candidates(id);
+        match self.pick(now, id, &candidates) {
+            Ok(endpoint) => self.send_to(now, id, &endpoint, out),
+            Err(failure) => self.give_up(now, id, failure, out),
+        }
+    }
+
+    fn pick(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        candidates: &[EndpointName],
+    ) -> Result<EndpointName, Failure> {
+        let Some(open) = self.open.get(&id) else {
+            return Err(Failure::unrun(Code::NotFound, "The call is over."));
+        };
+        let service = open.service.clone();
+        let tried = self
+            .plain_mut(id)
+            .map(|plain| plain.tried.clone())
+            .unwrap_or_default();
+        let need = Need {
+            cost: 1,
+            prefix: &[],
+            avoid: &tried,
+        };
+        self.router
+            .pick(now, &service, candidates, &need)
+            .map_err(|none| Failure::unrun(Code::NoCapacity, none.to_string()).after(none.retry))
+    }
+
+    fn send_to(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        endpoint: &EndpointName,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(addr) = self.state.endpoint(endpoint).map(|entry| entry.addr) else {
+            return;
+        };
+        let patience = self.router.patience(endpoint);
+        let left = self
+            .open
+            .get(&id)
+            .map_or(Millis(0), |open| open.deadline.since(now));
+        let Some(plain) = self.plain_mut(id) else {
+            return;
+        };
+        plain.attempt += 1;
+        let attempt = plain.attempt;
+        let fresh = !plain.idempotent;
+        let keyed = plain.key.is_some();
+        let span = match patience {
+            Some(patience) if plain.idempotent => patience.min(left),
+            _ => left,
+        };
+        plain.sending = Some(Sending {
+            endpoint: endpoint.clone(),
+            since: now,
+        });
+        self.router
+            .apply(now, endpoint, route::Event::Started { cost: 1 });
+        if keyed {
+            self.once(now, once::Event::Sent(CallId(id.0)), out);
+        }
+        out.push(Action::Send {
+            id,
+            attempt,
+            addr,
+            fresh,
+            span,
+        });
+    }
+
+    pub(super) fn plain_answered(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u32,
+        answer: PlainAnswer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(sending) = self.take_sending(id, attempt) else {
+            return;
+        };
+        if answer.unrun {
+            self.ended(now, &sending, Outcome::Unrun);
+            self.unrun(now, id, sending.endpoint, out);
+            return;
+        }
+        self.ended(now, &sending, Outcome::Ok);
+        self.budget.succeeded();
+        if let Some(record) = answer.record
+            && self.plain_mut(id).is_some_and(|plain| plain.key.is_some())
+        {
+            let event = once::Event::Answered {
+                id: CallId(id.0),
+                answer: record,
+            };
+            self.once(now, event, out);
+        }
+        self.close(now, id, Finish::Served, out);
+        out.push(Action::Relay { id, attempt });
+    }
+
+    pub(super) fn plain_failed(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u32,
+        fault: PlainFault,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(sending) = self.take_sending(id, attempt) else {
+            return;
+        };
+        self.ended(now, &sending, Outcome::Failed);
+        let idempotent = self.plain_mut(id).is_some_and(|plain| plain.idempotent);
+        if fault == PlainFault::Unsent {
+            self.unrun(now, id, sending.endpoint, out);
+        } else if idempotent && self.may_retry(now, id) {
+            self.note_tried(id, sending.endpoint);
+            self.send_plain(now, id, out);
+        } else {
+            self.doubt(now, id, fault, out);
+        }
+    }
+
+    /// The endpoint surely did not run the call: another may.
+    fn unrun(&mut self, now: Millis, id: RequestId, endpoint: EndpointName, out: &mut Vec<Action>) {
+        self.note_tried(id, endpoint);
+        if self.may_retry(now, id) {
+            self.send_plain(now, id, out);
+            return;
+        }
+        let failure = Failure::unrun(Code::NoCapacity, "No endpoint took the call.");
+        self.give_up(now, id, failure.after(Millis::seconds(1)), out);
+    }
+
+    /// The call may have run, and is not sent again.
+    fn doubt(&mut self, now: Millis, id: RequestId, fault: PlainFault, out: &mut Vec<Action>) {
+        if self.plain_mut(id).is_some_and(|plain| plain.key.is_some()) {
+            self.once(now, once::Event::Broke(CallId(id.0)), out);
+        }
+        self.close(now, id, Finish::Dropped, out);
+        let failure = match fault {
+            PlainFault::Silent => {
+                Failure::unknown(Code::DeadlinePassed, "The endpoint did not answer in time.")
+            }
+            PlainFault::Broken | PlainFault::Unsent => {
+                Failure::unknown(Code::EndpointFailed, "The endpoint broke the connection.")
+            }
+        };
+        out.push(Action::Fail { id, failure });
+    }
+
+    /// The call was not run and never will be.
+    fn give_up(&mut self, now: Millis, id: RequestId, failure: Failure, out: &mut Vec<Action>) {
+        if self.plain_mut(id).is_some_and(|plain| plain.key.is_some()) {
+            self.once(now, once::Event::Unsent(CallId(id.0)), out);
+        }
+        self.close(now, id, Finish::Congested, out);
+        out.push(Action::Fail { id, failure });
+    }
+
+    fn may_retry(&mut self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else {
+            return false;
+        };
+        let late = now >= open.deadline;
+        let few = self
+            .plain_mut(id)
+            .is_some_and(|plain| plain.tried.len() < MOST_TRIES);
+        !late && few && self.budget.take()
+    }
+
+    fn note_tried(&mut self, id: RequestId, endpoint: EndpointName) {
+        if let Some(plain) = self.plain_mut(id) {
+            plain.tried.push(endpoint);
+        }
+    }
+
+    fn take_sending(&mut self, id: RequestId, attempt: u32) -> Option<Sending> {
+        let plain: &mut Plain = self.plain_mut(id)?;
+        if plain.attempt != attempt {
+            return None;
+        }
+        plain.sending.take()
+    }
+}
--- /dev/null
+++ b/src/core/daemon/snapshot.rs
@@ -0,0 +1,186 @@
+//! Snapshots of the configuration: written well within the log's retention, and loaded by a VM
+//! for which the log has expired too far.
+
+use std::collections::VecDeque;
+
+use crate::clock::Millis;
+use crate::core::config::change::Offset;
+use crate::core::config::publish;
+use crate::core::config::record::Body;
+use crate::core::config::record::Record;
+use crate::core::config::snapshot::Loader;
+use crate::core::config::snapshot::Part;
+use crate::core::config::snapshot::Snapshot;
+use crate::names::Vm;
+
+use super::Core;
+use super::action::Action;
+use super::action::AppendId;
+use super::action::Note;
+use super::action::ReadId;
+use super::event::Found;
+
+/// The longest time between two snapshots.
+const SNAPSHOT_SPAN: Millis = Millis::seconds(600);
+/// The most records between two snapshots.
+const SNAPSHOT_RECORDS: u64 = 512;
+/// How long the VM that ranks first may leave a due snapshot to be written before the next VM
+/// steps in, for each rank.
+const RANK_SPAN: Millis = Millis::seconds(30);
+
+/// The snapshots that are being written and loaded.
+#[derive(Debug, Default)]
+pub(super) struct Snapshots {
+    loader: Loader,
+    parts: VecDeque<Part>,
+    busy: bool,
+    /// When the last snapshot was seen, or this VM started.
+    since: Option<Millis>,
+    /// What it covers.
+    covers: Offset,
+}
+
+impl Snapshots {
+    /// A part was appended: the next may follow.
+    pub(super) fn appended(&mut self) {
+        self.busy = false;
+    }
+
+    /// A part may be missing: the whole snapshot is begun again when it is due.
+    pub(super) fn abandon(&mut self) {
+        self.busy = false;
+        self.parts.clear();
+    }
+
+    /// A part stands in the stream.
+    pub(super) fn seen(&mut self, now: Millis, part: &Part) {
+        if part.number + 1 == part.count && part.covers >= self.covers {
+            self.since = Some(now);
+            self.covers = part.covers;
+        }
+    }
+}
+
+impl Core {
+    /// Writes the next part, or begins a snapshot if one is due and this VM's turn has come.
+    pub(super) fn snapshot_if_due(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.snapshots.busy || self.ready(now).is_err() {
+            return;
+        }
+        if self.snapshots.parts.is_empty() && self.snapshot_due(now) {
+            self.begin_snapshot(now, out);
+        }
+        let Some(part) = self.snapshots.parts.pop_front() else {
+            return;
+        };
+        self.snapshots.busy = true;
+        let record = Record::new(self.state.next(), Body::Snapshot(part));
+        out.push(Action::Append {
+            append: AppendId::Part,
+            record: record.encode(),
+        });
+    }
+
+    fn snapshot_due(&mut self, now: Millis) -> bool {
+        let since = *self.snapshots.since.get_or_insert(now);
+        let Some(offset) = self.state.offset() else {
+            return false;
+        };
+        let records = offset.since(self.snapshots.covers);
+        if records <= u64::from(self.state.offset() == Some(self.snapshots.covers)) {
+            return false;
+        }
+        let many = records >= SNAPSHOT_RECORDS;
+        let old = now.since(since) >= SNAPSHOT_SPAN;
+        (many || old) && self.snapshot_rank(now.since(since))
+    }
+
+    /// Says whether it is this VM's turn: the first in rank writes, and the next ones step in.
+    fn snapshot_rank(&self, waited: Millis) -> bool {
+        let late = waited.since(SNAPSHOT_SPAN).0 / RANK_SPAN.0;
+        let ranked = self.members.rank("config-snapshot");
+        let place = ranked.iter().position(|vm| *vm == self.me.vm);
+        place.is_some_and(|place| place as u64 <= late)
+    }
+
+    fn begin_snapshot(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.snapshots.since = Some(now);
+        match Snapshot::of(&self.state) {
+            Ok(snapshot) => {
+                let subject = snapshot.covers.to_string().into();
+                out.push(Action::Note(Note {
+                    event: "snapshot",
+                    subject,
+                }));
+                self.snapshots.parts = snapshot.parts().into();
+            }
+            Err(error) => {
+                let subject = error.to_string().into();
+                out.push(Action::Note(Note {
+                    event: "snapshot_failed",
+                    subject,
+                }));
+            }
+        }
+    }
+
+    /// The records that are wanted have expired.
+    pub(super) fn need_snapshot(&self, first: u64, peer: Option<Vm>, out: &mut Vec<Action>) {
+        match peer {
+            Some(vm) => self.tell(&vm, super::peer::Body::WantState, out),
+            None => out.push(Action::Read {
+                read: ReadId::Snapshot,
+                from: first,
+            }),
+        }
+    }
+
+    /// Looks through the stream's oldest records for a snapshot.
+    pub(super) fn snapshot_page(&mut self, now: Millis, found: Found, out: &mut Vec<Action>) {
+        let Found::Records { batch, end } = found else {
+            return;
+        };
+        for record in &batch.records {
+            if let Body::Snapshot(part) = Record::decode(record.data.as_bytes()).body {
+                self.offer_part(now, &part, out);
+            }
+        }
+        if !end && self.sync.offset() < batch.from {
+            out.push(Action::Read {
+                read: ReadId::Snapshot,
+                from: batch.next,
+            });
+        }
+    }
+
+    /// Takes a part, from the stream or from a peer.
+    pub(super) fn offer_part(&mut self, now: Millis, part: &Part, out: &mut Vec<Action>) {
+        let Some(snapshot) = self.snapshots.loader.offer(part) else {
+            return;
+        };
+        let Ok(state) = snapshot.load() else {
+            return;
+        };
+        if !self.state.adopt(state) {
+            return;
+        }
+        let next = self.state.next();
+        let subject = next.to_string().into();
+        out.push(Action::Note(Note {
+            event: "snapshot_loaded",
+            subject,
+        }));
+        self.sync.adopt(next.0);
+        self.refresh();
+        self.publisher(now, publish::Event::Jumped { next }, out);
+    }
+
+    /// Sends the state to a peer that cannot get it from the log.
+    pub(super) fn give_state(&self, vm: &Vm, out: &mut Vec<Action>) {
+        if let Ok(snapshot) = Snapshot::of(&self.state) {
+            for part in snapshot.parts() {
+                self.tell(vm, part, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/daemon/stop.rs
@@ -0,0 +1,40 @@
+//! Stopping without cutting anybody off.
+//!
+//! A stopping VM leaves everybody's addresses at once, but serves whoever kept an answer that
+//! names it, until that answer has lapsed and the last request is done.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::consts::ADDRESS_SPAN;
+
+use super::Core;
+use super::action::Action;
+use super::action::Note;
+
+/// How long news of the leaving may take to every VM that gives out addresses.
+const SPREAD_SPAN: Millis = Millis::seconds(2);
+
+impl Core {
+    pub(super) fn stop(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.stop.is_some() {
+            return;
+        }
+        self.stop = Some(now + ADDRESS_SPAN + SPREAD_SPAN);
+        let subject = Arc::from(self.me.vm.as_str());
+        out.push(Action::Note(Note {
+            event: "stopping",
+            subject,
+        }));
+        let mut actions = Vec::new();
+        self.members.leave(now, &mut actions);
+        self.membership(now, actions, out);
+    }
+
+    pub(super) fn exit_if_due(&self, now: Millis, out: &mut Vec<Action>) {
+        let due = self.stop.is_some_and(|at| now >= at);
+        if due && self.open.is_empty() && self.waiting.is_empty() && self.sessions.is_empty() {
+            out.push(Action::Exit);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,8 +4,10 @@
 //! them out (docs/DESIGN.md).
 
 pub mod config;
+pub mod daemon;
 pub mod limit;
 pub mod member;
 pub mod once;
 pub mod route;
 pub mod session;
+pub mod sync;
--- /dev/null
+++ b/src/core/order/mod.rs
@@ -0,0 +1,1 @@
+//! To be described.
--- /dev/null
+++ b/src/io/hop.rs
@@ -0,0 +1,184 @@
+//! Hops, probes, releases and polls: what a daemon asks of model engines.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use monoio::time::timeout;
+
+use crate::clock::Millis;
+use crate::core::daemon::Event;
+use crate::core::daemon::Report;
+use crate::core::session;
+use crate::core::session::event::Fault;
+use crate::core::session::event::Health;
+use crate::core::session::event::HopKey;
+use crate::core::session::event::RequestId;
+use crate::core::session::wire::Hop;
+use crate::core::session::wire::HopError;
+use crate::core::session::wire::HopReply;
+use crate::core::session::wire::Output;
+use crate::core::session::wire::Refusal;
+use crate::core::session::wire::Release;
+use crate::names::EndpointName;
+
+use super::http::Conn;
+use super::http::HttpError;
+use super::http::Request;
+use super::http::Response;
+use super::lines::Lines;
+use super::shell::Shell;
+
+/// The longest that a hop's connection is kept open without a line on it.
+const LINE_SPAN: Millis = Millis::seconds(60);
+/// How long a probe, a release or a poll may take.
+const SHORT_SPAN: Millis = Millis::seconds(1);
+
+/// Sends a hop and feeds its replies to the core.
+pub async fn send(shell: Shell, id: RequestId, addr: SocketAddr, hop: Hop) {
+    let key = hop.key();
+    let fault = match Conn::request(&shell, addr, &hop).await {
+        Ok((conn, head)) if head.status == StatusCode::OK => {
+            replies(&shell, id, addr, &hop, conn).await
+        }
+        Ok((conn, head)) => Some(refused(&shell, addr, conn, head).await),
+        Err(fault) => Some(fault),
+    };
+    if let Some(fault) = fault {
+        if matches!(fault, Fault::Broken | Fault::Silent) {
+            shell.pool().clear(addr);
+        }
+        shell.feed(Event::Session(session::Event::Failed { id, key, fault }));
+    }
+}
+
+impl Conn {
+    /// Sends the hop, on a kept connection or a fresh one, and reads the answer's head.
+    async fn request(
+        shell: &Shell,
+        addr: SocketAddr,
+        hop: &Hop,
+    ) -> Result<(Self, Response), Fault> {
+        let uri = Uri::from_static("/v1/hops");
+        let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Bad)?;
+        let mut conn = shell.pool().get(addr).await.map_err(|_| Fault::Refused)?;
+        conn.writer
+            .request(&request)
+            .await
+            .map_err(|_| Fault::Broken)?;
+        let head = timeout(LINE_SPAN.duration(), conn.reader.response_head(false)).await;
+        match head {
+            Ok(Ok(head)) => Ok((conn, head)),
+            Ok(Err(HttpError::Malformed | HttpError::TooLarge)) => Err(Fault::Bad),
+            Ok(Err(_)) => Err(Fault::Broken),
+            Err(_) => Err(Fault::Silent),
+        }
+    }
+}
+
+/// Reads the lines of an answer; returns the fault if it ends too early.
+async fn replies(
+    shell: &Shell,
+    id: RequestId,
+    addr: SocketAddr,
+    hop: &Hop,
+    mut conn: Conn,
+) -> Option<Fault> {
+    let mut lines = Lines::default();
+    let mut left = hop.steps.max(1);
+    loop {
+        let part = match timeout(LINE_SPAN.duration(), conn.reader.chunk()).await {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) => break,
+            Ok(Err(_)) => return Some(Fault::Broken),
+            Err(_) => return Some(Fault::Silent),
+        };
+        lines.add(&part);
+        for line in lines.by_ref() {
+            let Ok(reply) = serde_json::from_slice::<HopReply>(&line) else {
+                return Some(Fault::Bad);
+            };
+            left = if ends(&reply) {
+                0
+            } else {
+                left.saturating_sub(1)
+            };
+            shell.metrics().hop();
+            shell.feed(Event::Session(session::Event::Reply { id, reply }));
+        }
+        if lines.is_over() {
+            return Some(Fault::Bad);
+        }
+    }
+    shell.pool().keep(addr, conn);
+    (left > 0).then_some(Fault::Broken)
+}
+
+fn ends(reply: &HopReply) -> bool {
+    matches!(reply.output, Output::Token { end: true, .. })
+}
+
+async fn refused(shell: &Shell, addr: SocketAddr, mut conn: Conn, head: Response) -> Fault {
+    let mut body = Vec::new();
+    while let Ok(Some(part)) = conn.reader.chunk().await {
+        body.extend_from_slice(&part);
+        if body.len() > crate::consts::HEAD_BYTES {
+            return Fault::Bad;
+        }
+    }
+    shell.pool().keep(addr, conn);
+    let response = Response {
+        body: Bytes::from(body),
+        ..head
+    };
+    match response.parse::<HopError>().map(|error| error.error) {
+        Ok(Refusal::Unrun) => Fault::Refused,
+        Ok(Refusal::Lost) => Fault::Lost,
+        Ok(Refusal::Bad) | Err(_) => Fault::Bad,
+    }
+}
+
+/// Asks on a fresh connection whether the endpoint works on a hop.
+pub async fn probe(shell: Shell, id: RequestId, addr: SocketAddr, key: HopKey) {
+    shell.pool().clear(addr);
+    let target = format!("/v1/hops/{}/{}", key.session, key.attempt);
+    let health = match get(addr, &target).await {
+        Some(response) if response.status == StatusCode::OK => Health::Working,
+        Some(_) => Health::Idle,
+        None => Health::Gone,
+    };
+    shell.feed(Event::Session(session::Event::Probed { id, key, health }));
+}
+
+/// Frees what an endpoint holds for a session; a lost release costs the endpoint memory only.
+pub async fn release(shell: Shell, addr: SocketAddr, release: Release) {
+    let uri = Uri::from_static("/v1/releases");
+    let Ok(request) = Request::json(Method::POST, uri, &release) else {
+        return;
+    };
+    if let Ok(mut conn) = shell.pool().get(addr).await
+        && conn.call(&request, SHORT_SPAN).await.is_ok()
+    {
+        shell.pool().keep(addr, conn);
+    }
+}
+
+/// Asks an endpoint for its load.
+pub async fn poll(shell: Shell, endpoint: EndpointName, addr: SocketAddr) {
+    let response = get(addr, "/v1/load").await;
+    let report = response.and_then(|response| response.parse::<Report>().ok());
+    shell.feed(match report {
+        Some(report) => Event::Reported { endpoint, report },
+        None => Event::Unreachable(endpoint),
+    });
+}
+
+async fn get(addr: SocketAddr, target: &str) -> Option<Response> {
+    let uri: Uri = target.parse().ok()?;
+    let mut conn = Conn::dial(addr).await.ok()?;
+    conn.call(&Request::new(Method::GET, uri), SHORT_SPAN)
+        .await
+        .ok()
+}
--- /dev/null
+++ b/src/io/metrics.rs
@@ -0,0 +1,110 @@
+//! Metrics by OpenTelemetry, on a page that Prometheus reads.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::clock::Millis;
+
+/// The bounds of the histograms, in milliseconds.
+const BOUNDS: [f64; 12] = [
+    1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 125.0, 250.0, 500.0, 1000.0, 2000.0,
+];
+
+/// The counters and histograms of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    tokens: Counter<u64>,
+    hops: Counter<u64>,
+    peer: Counter<u64>,
+    first: Histogram<f64>,
+    between: Histogram<f64>,
+    calls: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let provider = match opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+        {
+            Ok(reader) => SdkMeterProvider::builder().with_reader(reader).build(),
+            Err(_) => SdkMeterProvider::default(),
+        };
+        let meter = provider.meter("cornelwharf");
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder
+                .with_unit("ms")
+                .with_boundaries(BOUNDS.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            answers: counter("answers", "Answers to callers, by HTTP status."),
+            tokens: counter("tokens", "Tokens given to callers."),
+            hops: counter("hops", "Replies of model engines to hops."),
+            peer: counter("peer_bytes", "Bytes sent to other daemons."),
+            first: histogram("first_token", "Time to the first token."),
+            between: histogram("between_tokens", "Time between tokens."),
+            calls: histogram("calls", "Time of calls on plain services."),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answer.
+    pub fn answer(&self, status: u16) {
+        self.answers
+            .add(1, &[KeyValue::new("status", i64::from(status))]);
+    }
+
+    /// Counts the time of a call on a plain service.
+    pub fn call(&self, span: Millis) {
+        self.calls.record(span.0 as f64, &[]);
+    }
+
+    /// Counts a token; the first one of an answer apart from the others.
+    pub fn token(&self, first: bool, span: Millis) {
+        self.tokens.add(1, &[]);
+        let histogram = if first { &self.first } else { &self.between };
+        histogram.record(span.0 as f64, &[]);
+    }
+
+    /// Counts an engine's reply.
+    pub fn hop(&self) {
+        self.hops.add(1, &[]);
+    }
+
+    /// Counts the bytes of a message to another daemon.
+    pub fn sent(&self, bytes: usize) {
+        self.peer.add(bytes as u64, &[]);
+    }
+
+    /// Returns the page that Prometheus reads.
+    #[must_use]
+    pub fn page(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -1,10 +1,18 @@
 //! Sockets, timers, logs and metrics round the core.
 
+pub mod command;
+pub mod daemon;
+mod hop;
 pub mod http;
+mod lines;
 pub mod listen;
 pub mod log;
 pub mod mailbox;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
 pub mod pool;
 pub mod runtime;
+mod serve;
+pub mod shell;
+mod stream;
--- a/src/io/peer/frame.rs
+++ b/src/io/peer/frame.rs
@@ -1,14 +1,14 @@
-//! Frames: a length of four bytes, then that many bytes of JSON.
+//! Frames: a length of four bytes, then that many bytes of JSON-RPC.
 
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
-use jsonrpsee_types::Notification;
+use jsonrpsee_types::TwoPointZero;
 use serde::Serialize;
-use serde_json::value::RawValue;
 
 use crate::consts::FRAME_BYTES;
+use crate::core::daemon::Body;
 use crate::io::http::HttpError;
 use crate::io::http::Reader;
 use crate::io::http::Writer;
@@ -16,33 +16,41 @@
 /// The bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
 
-/// A frame that is no message.
+/// A frame that is no message of this release.
 #[derive(Debug, Display, Error, From)]
 pub enum FrameError {
-    /// The frame is no JSON-RPC notification, or its parameters are of another type.
+    /// The frame is no JSON-RPC notification, or of a method that this release does not know.
     #[display("malformed message: {_0}")]
     Json(serde_json::Error),
 }
 
+/// A JSON-RPC notification; the method and the parameters are those of the body.
+#[derive(Debug, Serialize)]
+struct Notification<'a> {
+    jsonrpc: TwoPointZero,
+    #[serde(flatten)]
+    body: &'a Body,
+}
+
 /// Returns a message as the content of a frame.
 ///
 /// # Errors
 ///
-/// Fails if the parameters have no JSON form.
-pub fn encode<T>(method: &str, params: &T) -> Result<Bytes, FrameError>
-where
-    T: Serialize,
-{
-    let message = Notification::new(method.into(), params);
+/// Fails if the message has no JSON form.
+pub fn encode(body: &Body) -> Result<Bytes, FrameError> {
+    let message = Notification {
+        jsonrpc: TwoPointZero,
+        body,
+    };
     Ok(serde_json::to_vec(&message)?.into())
 }
 
-/// Reads the method and the parameters out of the content of a frame.
+/// Reads a message out of the content of a frame.
 ///
 /// # Errors
 ///
-/// Fails if the content is no JSON-RPC notification.
-pub fn decode(content: &[u8]) -> Result<Notification<'_, &RawValue>, FrameError> {
+/// Fails if the content is no message of this release; the sender does not rely on any one.
+pub fn decode(content: &[u8]) -> Result<Body, FrameError> {
     Ok(serde_json::from_slice(content)?)
 }
 
--- /dev/null
+++ b/src/io/serve/answer.rs
@@ -0,0 +1,50 @@
+//! Answers that several routes share.
+
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::RETRY_AFTER;
+
+use crate::api::ErrorBody;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// Returns the answer that tells a failure.
+pub(super) fn of_failure(failure: Failure) -> Response {
+    let status = StatusCode::from_u16(failure.code.status());
+    let retry = failure.retry;
+    let body = ErrorBody::from(failure);
+    let mut response = Response::json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body);
+    if let Some(span) = retry {
+        let seconds = span.0.div_ceil(1000);
+        response
+            .headers
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Returns the answer to a message that cannot be read, if its sender still listens.
+pub(super) fn of_error(error: &HttpError) -> Option<Response> {
+    let (code, message) = match error {
+        HttpError::TooLarge => (Code::TooLarge, "The message is over its bound."),
+        HttpError::Malformed => (Code::BadRequest, "The message is not HTTP/1.1."),
+        HttpError::TimedOut => (Code::DeadlinePassed, "The message did not arrive in time."),
+        HttpError::Closed | HttpError::Io(_) => return None,
+    };
+    let mut response = of_failure(Failure::unrun(code, message));
+    response
+        .headers
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+    Some(response)
+}
+
+/// Says whether the caller wants the connection closed after this request.
+pub(super) fn is_last(request: &Request) -> bool {
+    request
+        .header(&CONNECTION)
+        .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
--- /dev/null
+++ b/src/io/serve/mod.rs
@@ -0,0 +1,69 @@
+//! Serving callers, operators and owners over HTTP.
+
+mod answer;
+mod digest;
+mod model;
+mod operate;
+mod plain;
+mod route;
+
+use std::net::SocketAddr;
+
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Response;
+use crate::io::listen;
+use crate::io::shell::Shell;
+
+/// Listens for callers at `addr`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn listen(addr: SocketAddr, shell: Shell) -> std::io::Result<()> {
+    let listener = listen::bind(addr)?;
+    monoio::spawn(listen::accept(listener, move |conn, _| {
+        serve(conn, shell.clone())
+    }));
+    Ok(())
+}
+
+/// Serves one connection, request after request.
+async fn serve(mut conn: Conn, shell: Shell) {
+    loop {
+        match conn.reader.request().await {
+            Ok(Some(request)) => {
+                let last = answer::is_last(&request);
+                let served = route::serve(&mut conn, &shell, request).await;
+                if served.is_err() || last {
+                    break;
+                }
+            }
+            Ok(None) => break,
+            Err(error) => {
+                refuse(&mut conn, &shell, &error).await;
+                break;
+            }
+        }
+    }
+    conn.writer.close().await;
+}
+
+/// Tells a caller what is wrong with what it sent, before its connection is closed.
+async fn refuse(conn: &mut Conn, shell: &Shell, error: &HttpError) {
+    let Some(response) = answer::of_error(error) else {
+        return;
+    };
+    let _ = send(conn, shell, &response, false).await;
+}
+
+/// Sends a whole answer and counts it.
+async fn send(
+    conn: &mut Conn,
+    shell: &Shell,
+    response: &Response,
+    bodiless: bool,
+) -> Result<(), HttpError> {
+    shell.metrics().answer(response.status.as_u16());
+    conn.writer.response(response, bodiless).await
+}
--- /dev/null
+++ b/src/io/serve/model.rs
@@ -0,0 +1,302 @@
+//! Requests for tokens: whole answers and server-sent events.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::CACHE_CONTROL;
+use http::header::CONTENT_TYPE;
+
+use super::answer;
+use super::digest;
+use super::plain::timeout;
+use super::send;
+use crate::api::Answer;
+use crate::api::Ask;
+use crate::api::ErrorBody;
+use crate::api::Model;
+use crate::api::Models;
+use crate::api::Shape;
+use crate::api::Text;
+use crate::clock::Millis;
+use crate::core::daemon::Call;
+use crate::core::daemon::Event;
+use crate::core::daemon::Work;
+use crate::core::session::event::Reason;
+use crate::core::session::resume::EventId;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::io::command::Command;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::shell::Caller;
+use crate::io::shell::Shell;
+
+/// The header that names the last event of a stream that was lost.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// The end of a stream of events.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// Answers a request for a completion.
+pub(super) async fn serve(
+    conn: &mut Conn,
+    shell: &Shell,
+    request: &Request,
+    shape: Shape,
+) -> Result<(), HttpError> {
+    if request.method != Method::POST {
+        let failure = Failure::unrun(Code::MethodNotAllowed, "The method is POST.");
+        return send(conn, shell, &answer::of_failure(failure), false).await;
+    }
+    let caller = shell.open();
+    let writing = match begin(shell, &caller, request, shape) {
+        Ok(writing) => writing,
+        Err(failure) => return send(conn, shell, &answer::of_failure(failure), false).await,
+    };
+    follow(conn, shell, &caller, writing).await
+}
+
+/// Answers a request for the list of models.
+pub(super) async fn list(
+    conn: &mut Conn,
+    shell: &Shell,
+    request: &Request,
+) -> Result<(), HttpError> {
+    let caller = shell.open();
+    let token = digest::token(request);
+    let call = Call {
+        id: caller.id,
+        token,
+        deadline: shell.now(),
+        work: Work::Models,
+    };
+    shell.feed(Event::Call(call));
+    let response = match caller.command().await {
+        Command::Models(names) => {
+            let model = |id| Model {
+                id,
+                object: "model",
+                owned_by: "cornelwharf",
+            };
+            let data = names.into_iter().map(model).collect();
+            Response::json(
+                StatusCode::OK,
+                &Models {
+                    object: "list",
+                    data,
+                },
+            )
+        }
+        Command::Fail(failure) => answer::of_failure(failure),
+        _ => return Err(HttpError::Closed),
+    };
+    send(conn, shell, &response, request.method == Method::HEAD).await
+}
+
+/// An answer that is being written.
+#[derive(Debug)]
+struct Writing {
+    answer: Answer,
+    stream: bool,
+    /// The number of the prompt's tokens.
+    prompt: usize,
+    text: Text,
+    whole: String,
+    given: usize,
+    started: bool,
+    last: Millis,
+}
+
+fn begin(
+    shell: &Shell,
+    caller: &Caller,
+    request: &Request,
+    shape: Shape,
+) -> Result<Writing, Failure> {
+    let ask = Ask::parse(&request.body, shape)
+        .map_err(|error| Failure::unrun(Code::BadRequest, error.to_string()))?;
+    let now = shell.now();
+    let resume = resume(request)?;
+    let writing = Writing {
+        answer: Answer {
+            id: format!("cmpl-{}", caller.id.0),
+            created: now,
+            model: ask.model.clone(),
+            shape,
+        },
+        stream: ask.stream,
+        prompt: ask.prompt.len(),
+        text: Text::default(),
+        whole: String::new(),
+        given: 0,
+        started: false,
+        last: now,
+    };
+    let call = Call {
+        id: caller.id,
+        token: digest::token(request),
+        deadline: now + timeout(request)?,
+        work: Work::Model {
+            service: ask.model,
+            prompt: ask.prompt,
+            limit: ask.limit,
+            seed: ask.seed,
+            resume,
+        },
+    };
+    shell.feed(Event::Call(call));
+    Ok(writing)
+}
+
+fn resume(request: &Request) -> Result<Option<EventId>, Failure> {
+    let Some(value) = request.headers.get(&LAST_EVENT) else {
+        return Ok(None);
+    };
+    let event = value.to_str().ok().and_then(|text| text.parse().ok());
+    let bad = || {
+        Failure::unrun(
+            Code::BadRequest,
+            "Last-Event-ID is not an id of this service.",
+        )
+    };
+    event.map(Some).ok_or_else(bad)
+}
+
+async fn follow(
+    conn: &mut Conn,
+    shell: &Shell,
+    caller: &Caller,
+    mut writing: Writing,
+) -> Result<(), HttpError> {
+    loop {
+        let command = monoio::select! {
+            command = caller.command() => command,
+            () = conn.reader.closed() => {
+                shell.feed(Event::Gone(caller.id));
+                return Err(HttpError::Closed);
+            }
+        };
+        let done = match command {
+            Command::Token { value, event } => {
+                let span = shell.now().since(writing.last);
+                shell.metrics().token(writing.given == 0, span);
+                writing.last = shell.now();
+                writing.token(conn, value, event).await.map(|()| false)
+            }
+            Command::Finish(reason) => writing.finish(conn, shell, reason).await.map(|()| true),
+            Command::Fail(failure) => writing.fail(conn, shell, failure).await.map(|()| true),
+            _ => Err(HttpError::Closed),
+        };
+        match done {
+            Ok(true) => return Ok(()),
+            Ok(false) => {}
+            Err(error) => {
+                shell.feed(Event::Gone(caller.id));
+                return Err(error);
+            }
+        }
+    }
+}
+
+impl Writing {
+    async fn token(
+        &mut self,
+        conn: &mut Conn,
+        value: u32,
+        event: EventId,
+    ) -> Result<(), HttpError> {
+        let text = self.text.push(value);
+        let first = self.given == 0;
+        self.given += 1;
+        if !self.stream {
+            self.whole.push_str(&text);
+            return Ok(());
+        }
+        self.start(conn).await?;
+        let part = self
+            .answer
+            .part(&text, first, None)
+            .map_err(|_| HttpError::Malformed)?;
+        let mut chunk = format!("id: {event}\ndata: ").into_bytes();
+        chunk.extend_from_slice(&part);
+        chunk.extend_from_slice(b"\n\n");
+        conn.writer.chunk(&chunk).await
+    }
+
+    async fn finish(
+        &mut self,
+        conn: &mut Conn,
+        shell: &Shell,
+        reason: Reason,
+    ) -> Result<(), HttpError> {
+        let reason = match reason {
+            Reason::Stop => "stop",
+            Reason::Length => "length",
+        };
+        if self.stream {
+            return self.finish_stream(conn, shell, reason).await;
+        }
+        let body = self
+            .answer
+            .whole(&self.whole, reason, self.prompt, self.given);
+        let mut response = Response::new(StatusCode::OK);
+        response.body = body.map_err(|_| HttpError::Malformed)?.into();
+        response
+            .headers
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        send(conn, shell, &response, false).await
+    }
+
+    async fn finish_stream(
+        &mut self,
+        conn: &mut Conn,
+        shell: &Shell,
+        reason: &str,
+    ) -> Result<(), HttpError> {
+        self.start(conn).await?;
+        let first = self.given == 0;
+        let part = self
+            .answer
+            .part("", first, Some(reason))
+            .map_err(|_| HttpError::Malformed)?;
+        let mut chunk = b"data: ".to_vec();
+        chunk.extend_from_slice(&part);
+        chunk.extend_from_slice(b"\n\n");
+        chunk.extend_from_slice(DONE);
+        conn.writer.chunk(&chunk).await?;
+        shell.metrics().answer(StatusCode::OK.as_u16());
+        conn.writer.finish().await
+    }
+
+    /// Tells a failure: as an answer of its own, or as the last event of a stream that began.
+    async fn fail(
+        &mut self,
+        conn: &mut Conn,
+        shell: &Shell,
+        failure: Failure,
+    ) -> Result<(), HttpError> {
+        if !self.started {
+            return send(conn, shell, &answer::of_failure(failure), false).await;
+        }
+        shell.metrics().answer(failure.code.status());
+        let body = serde_json::to_string(&ErrorBody::from(failure));
+        let body = body.map_err(|_| HttpError::Malformed)?;
+        conn.writer
+            .chunk(format!("event: error\ndata: {body}\n\n").as_bytes())
+            .await?;
+        conn.writer.finish().await
+    }
+
+    async fn start(&mut self, conn: &mut Conn) -> Result<(), HttpError> {
+        if std::mem::replace(&mut self.started, true) {
+            return Ok(());
+        }
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        conn.writer.start(StatusCode::OK, &headers).await
+    }
+}
--- /dev/null
+++ b/src/io/serve/operate.rs
@@ -0,0 +1,136 @@
+//! The routes of operators and owners.
+
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+
+use super::answer;
+use super::digest;
+use super::send;
+use crate::core::config::intent::Intent;
+use crate::core::config::object::Digest;
+use crate::core::config::plan::PlanId;
+use crate::core::config::rollout::Step;
+use crate::core::daemon::Ask;
+use crate::core::daemon::Event;
+use crate::core::daemon::Operate;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::io::command::Command;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::shell::Shell;
+use crate::names::EndpointName;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+/// What the paths of operators and owners begin with.
+pub(super) const PREFIX: &str = "/v1/operate/";
+
+/// The body of an approval.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Approval {
+    team: Team,
+    service: ServiceName,
+    #[serde(default)]
+    endpoint: Option<EndpointName>,
+    on: bool,
+}
+
+/// The body of a drain.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Drain {
+    endpoint: EndpointName,
+    on: bool,
+}
+
+/// The body of a step of a rollout.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Rollout {
+    service: ServiceName,
+    step: Step,
+}
+
+/// Answers a request of an operator or an owner.
+pub(super) async fn serve(
+    conn: &mut Conn,
+    shell: &Shell,
+    request: Request,
+) -> Result<(), HttpError> {
+    let response = match ask(&request) {
+        Ok(ask) => run(shell, &request, ask).await,
+        Err(failure) => answer::of_failure(failure),
+    };
+    send(conn, shell, &response, request.method == Method::HEAD).await
+}
+
+async fn run(shell: &Shell, request: &Request, ask: Ask) -> Response {
+    let caller = shell.open();
+    let token = digest::token(request);
+    shell.feed(Event::Operate(Operate {
+        id: caller.id,
+        token,
+        ask,
+    }));
+    match caller.command().await {
+        Command::Reply(reply) => Response::json(StatusCode::OK, &reply),
+        Command::Fail(failure) => answer::of_failure(failure),
+        _ => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn ask(request: &Request) -> Result<Ask, Failure> {
+    let path = request.uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let parts: Vec<&str> = path.split('/').collect();
+    match (&request.method, parts.as_slice()) {
+        (&Method::GET, ["status"]) => Ok(Ask::Status),
+        (&Method::GET, ["audit"]) => Ok(Ask::Audit),
+        (&Method::GET, ["objects"]) => Ok(Ask::Objects),
+        (&Method::POST, ["plans"]) => plan(request),
+        (&Method::POST, ["plans", id, "confirm"]) => Ok(Ask::Confirm(PlanId(Digest((*id).into())))),
+        (&Method::POST, ["approvals"]) => {
+            let Approval {
+                team,
+                service,
+                endpoint,
+                on,
+            } = body(request)?;
+            Ok(Ask::Approve {
+                team,
+                service,
+                endpoint,
+                on,
+            })
+        }
+        (&Method::POST, ["drains"]) => {
+            let Drain { endpoint, on } = body(request)?;
+            Ok(Ask::Drain { endpoint, on })
+        }
+        (&Method::POST, ["rollouts"]) => {
+            let Rollout { service, step } = body(request)?;
+            Ok(Ask::Rollout { service, step })
+        }
+        _ => Err(Failure::unrun(Code::NotFound, "There is no such route.")),
+    }
+}
+
+fn plan(request: &Request) -> Result<Ask, Failure> {
+    let text = std::str::from_utf8(&request.body)
+        .map_err(|_| Failure::unrun(Code::InvalidIntent, "The intent is not UTF-8."))?;
+    let intent = Intent::parse(text)
+        .map_err(|error| Failure::unrun(Code::InvalidIntent, error.to_string()))?;
+    Ok(Ask::Plan(Box::new(intent)))
+}
+
+fn body<'a, T>(request: &'a Request) -> Result<T, Failure>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(&request.body)
+        .map_err(|error| Failure::unrun(Code::BadRequest, error.to_string()))
+}
--- /dev/null
+++ b/src/io/serve/plain.rs
@@ -0,0 +1,364 @@
+//! Calls on plain services: bodies pass unchanged in both directions.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+
+use super::answer;
+use super::digest;
+use super::send;
+use crate::clock::Millis;
+use crate::consts::DEADLINE_SPAN;
+use crate::core::daemon::Call;
+use crate::core::daemon::Event;
+use crate::core::daemon::PlainAnswer;
+use crate::core::daemon::PlainFault;
+use crate::core::daemon::Work;
+use crate::core::once;
+use crate::error::Code;
+use crate::error::Failure;
+use crate::io::command::Command;
+use crate::io::command::Sending;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::shell::Caller;
+use crate::io::shell::Shell;
+use crate::names::ServiceName;
+
+/// What the paths of plain services begin with.
+pub(super) const PREFIX: &str = "/v1/services/";
+/// The header that names how long the caller waits, in milliseconds.
+pub(super) const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
+/// The header by which an endpoint says that it refused a call unrun.
+const RAN: HeaderName = HeaderName::from_static("x-ran");
+/// The header that binds a call to its repetitions.
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// The header that marks an answer that was recorded for the key.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+/// The longest idempotency key, in bytes.
+const KEY_BYTES: usize = 128;
+
+/// Answers a call on a plain service.
+pub(super) async fn serve(
+    conn: &mut Conn,
+    shell: &Shell,
+    request: Request,
+) -> Result<(), HttpError> {
+    let bodiless = request.method == Method::HEAD;
+    let start = shell.now();
+    let caller = shell.open();
+    let onward = match begin(shell, &caller, request) {
+        Ok(onward) => onward,
+        Err(failure) => {
+            return send(conn, shell, &answer::of_failure(failure), bodiless).await;
+        }
+    };
+    let Some(response) = follow(conn, shell, &caller, &onward).await else {
+        return Err(HttpError::Closed);
+    };
+    shell.metrics().call(shell.now().since(start));
+    send(conn, shell, &response, bodiless).await
+}
+
+/// Tells the core of the call and returns the request as an endpoint gets it.
+fn begin(shell: &Shell, caller: &Caller, mut request: Request) -> Result<Request, Failure> {
+    let bad = |message: &str| Failure::unrun(Code::BadRequest, message);
+    let rest = request
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    let rest = rest.strip_prefix(PREFIX).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let service = ServiceName::from(&rest[..end]);
+    let target = target(&rest[end..]);
+    let key = key(&request)?;
+    let now = shell.now();
+    let deadline = now + timeout(&request)?;
+    let call = Call {
+        id: caller.id,
+        token: digest::token(&request),
+        deadline,
+        work: Work::Plain {
+            service,
+            method: request.method.as_str().into(),
+            key,
+            digest: digest::call(&request, &target),
+        },
+    };
+    request.uri = target
+        .parse::<Uri>()
+        .map_err(|_| bad("The path is malformed."))?;
+    forwardable(&mut request.headers);
+    request.headers.remove(AUTHORIZATION);
+    shell.feed(Event::Call(call));
+    Ok(request)
+}
+
+fn target(rest: &str) -> String {
+    if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    }
+}
+
+fn key(request: &Request) -> Result<Option<Arc<str>>, Failure> {
+    if !request.headers.contains_key(&KEY) {
+        return Ok(None);
+    }
+    let key = request
+        .header(&KEY)
+        .filter(|key| (1..=KEY_BYTES).contains(&key.len()));
+    let key = key.ok_or_else(|| {
+        let message = format!("An idempotency key has 1 to {KEY_BYTES} visible characters.");
+        Failure::unrun(Code::BadRequest, message)
+    })?;
+    Ok(Some(key.into()))
+}
+
+/// Returns how long the caller waits.
+pub(super) fn timeout(request: &Request) -> Result<Millis, Failure> {
+    let Some(value) = request.headers.get(&TIMEOUT) else {
+        return Ok(DEADLINE_SPAN);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    let span = number
+        .map(Millis)
+        .filter(|span| *span > Millis(0))
+        .ok_or_else(|| {
+            Failure::unrun(
+                Code::BadRequest,
+                "x-timeout-ms is a number of milliseconds above 0.",
+            )
+        })?;
+    Ok(span.min(DEADLINE_SPAN))
+}
+
+/// Takes out the headers that concern one connection only.
+fn forwardable(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let always = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "upgrade",
+    ];
+    for name in named {
+        headers.remove(name);
+    }
+    for name in always {
+        headers.remove(name);
+    }
+    headers.remove(http::header::EXPECT);
+}
+
+/// Carries out the core's commands until the call is answered; `None` if the caller is gone.
+async fn follow(
+    conn: &mut Conn,
+    shell: &Shell,
+    caller: &Caller,
+    onward: &Request,
+) -> Option<Response> {
+    let mut gone = false;
+    let mut held = None;
+    loop {
+        let command = watched(conn, shell, caller, &mut gone, caller.command()).await;
+        match command {
+            Command::Send(sending) => {
+                let exchange = exchange(shell, onward, sending);
+                let outcome = watched(conn, shell, caller, &mut gone, exchange).await;
+                held = report(shell, caller, onward, sending, outcome);
+            }
+            Command::Relay(_) if gone => return None,
+            Command::Relay(_) => return held,
+            Command::Replay(answer) => return Some(replayed(answer)),
+            Command::Fail(failure) => return Some(answer::of_failure(failure)),
+            _ => return None,
+        }
+    }
+}
+
+/// Waits for `work`, and tells the core if the caller goes away meanwhile.
+async fn watched<T, F>(
+    conn: &mut Conn,
+    shell: &Shell,
+    caller: &Caller,
+    gone: &mut bool,
+    work: F,
+) -> T
+where
+    F: Future<Output = T>,
+{
+    let mut work = std::pin::pin!(work);
+    if !*gone {
+        monoio::select! {
+            done = &mut work => return done,
+            () = conn.reader.closed() => {}
+        }
+        *gone = true;
+        shell.feed(Event::Gone(caller.id));
+    }
+    work.await
+}
+
+/// Sends the call to an endpoint.
+///
+/// A kept connection that turns out to be closed is no fault of the endpoint's, so an idempotent
+/// call goes out once more on a fresh one.
+async fn exchange(
+    shell: &Shell,
+    request: &Request,
+    sending: Sending,
+) -> Result<Response, PlainFault> {
+    let addr = sending.addr;
+    if !sending.fresh
+        && let Some(mut conn) = shell.pool().reuse(addr)
+    {
+        match conn.call(&onward(request, sending), sending.span).await {
+            Ok(response) => {
+                shell.pool().keep(addr, conn);
+                return Ok(response);
+            }
+            Err(HttpError::TimedOut) => {
+                shell.pool().clear(addr);
+                return Err(PlainFault::Silent);
+            }
+            Err(_) => shell.pool().clear(addr),
+        }
+    }
+    let mut conn = Conn::dial(addr).await.map_err(|_| PlainFault::Unsent)?;
+    match conn.call(&onward(request, sending), sending.span).await {
+        Ok(response) => {
+            shell.pool().keep(addr, conn);
+            Ok(response)
+        }
+        Err(HttpError::TimedOut) => Err(PlainFault::Silent),
+        Err(_) => Err(PlainFault::Broken),
+    }
+}
+
+fn onward(request: &Request, sending: Sending) -> Request {
+    let mut onward = request.clone();
+    if let Ok(host) = HeaderValue::try_from(sending.addr.to_string()) {
+        onward.headers.insert(HOST, host);
+    }
+    onward
+        .headers
+        .insert(TIMEOUT, HeaderValue::from(sending.span.0));
+    onward
+}
+
+/// Tells the core what became of an attempt, and keeps the answer until it says what to do.
+fn report(
+    shell: &Shell,
+    caller: &Caller,
+    request: &Request,
+    sending: Sending,
+    outcome: Result<Response, PlainFault>,
+) -> Option<Response> {
+    let id = caller.id;
+    let attempt = sending.attempt;
+    match outcome {
+        Ok(mut response) => {
+            forwardable(&mut response.headers);
+            let unrun = response.status == StatusCode::SERVICE_UNAVAILABLE
+                && response.header(&RAN) == Some("no");
+            let record = request
+                .headers
+                .contains_key(&KEY)
+                .then(|| record(&response));
+            let answer = PlainAnswer { unrun, record };
+            shell.feed(Event::Answered {
+                id,
+                attempt,
+                answer,
+            });
+            Some(response)
+        }
+        Err(fault) => {
+            shell.feed(Event::Failed { id, attempt, fault });
+            None
+        }
+    }
+}
+
+/// Returns what is recorded of an answer.
+fn record(response: &Response) -> once::Answer {
+    let status = response.status.as_u16();
+    if response.body.len() > once::ANSWER_BYTES {
+        return once::Answer::Large {
+            status,
+            digest: digest::of_body(&response.body),
+        };
+    }
+    let header = |value: &str| once::Header {
+        name: CONTENT_TYPE.as_str().into(),
+        value: value.into(),
+    };
+    once::Answer::Small {
+        status,
+        headers: response
+            .header(&CONTENT_TYPE)
+            .map(header)
+            .into_iter()
+            .collect(),
+        body: response.body.clone().into(),
+    }
+}
+
+/// Returns the answer that was recorded for the key.
+fn replayed(answer: once::Answer) -> Response {
+    match answer {
+        once::Answer::Small {
+            status,
+            headers,
+            body,
+        } => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+            let mut response = Response::new(status);
+            response.body = body.0;
+            for header in headers {
+                let name = header.name.parse::<HeaderName>();
+                let value = HeaderValue::try_from(header.value.as_ref());
+                if let (Ok(name), Ok(value)) = (name, value) {
+                    response.headers.insert(name, value);
+                }
+            }
+            response
+                .headers
+                .insert(REPLAYED, HeaderValue::from_static("true"));
+            response
+        }
+        once::Answer::Large { status, .. } => {
+            let message = format!(
+                "The call ran and was answered {status}; its answer was too large to keep."
+            );
+            let mut failure = Failure::unknown(Code::OutcomeUnknown, message);
+            failure.ran = crate::error::Ran::Yes;
+            answer::of_failure(failure)
+        }
+        once::Answer::NotKnown => {
+            let message = "The call may have run; it is not run again.";
+            answer::of_failure(Failure::unknown(Code::OutcomeUnknown, message))
+        }
+    }
+}
--- /dev/null
+++ b/src/io/stream.rs
@@ -0,0 +1,70 @@
+//! Appends and reads of the platform's log for the core.
+
+use crate::core::daemon::AppendId;
+use crate::core::daemon::Event;
+use crate::core::daemon::Found;
+use crate::core::daemon::ReadId;
+use crate::core::daemon::Stream;
+use crate::core::sync::message::Batch;
+use crate::core::sync::message::Record;
+
+use super::platform::PlatformError;
+use super::platform::Read;
+use super::platform::wire::Page;
+use super::shell::Shell;
+
+/// Appends a record and tells the core what became of it.
+pub async fn append(shell: Shell, append: AppendId, record: Vec<u8>) {
+    let name = name(append.stream());
+    let event = match shell.platform().append(&name, record).await {
+        Ok(appended) => Event::Appended {
+            append,
+            offset: appended.offset,
+        },
+        Err(PlatformError::Refused) => Event::AppendRefused(append),
+        Err(error) => {
+            log::warn!(stream = name.as_str(), error:% = error; "append_lost");
+            Event::AppendLost(append)
+        }
+    };
+    shell.feed(event);
+}
+
+/// Reads a stream and tells the core what it found.
+pub async fn read(shell: Shell, read: ReadId, from: u64) {
+    let name = name(read.stream());
+    let found = match shell.platform().read(&name, from).await {
+        Ok(Read::Page(page)) => records(from, page),
+        Ok(Read::Expired(page)) => Found::Expired(page.first),
+        Err(error) => {
+            log::debug!(stream = name.as_str(), error:% = error; "read_failed");
+            Found::Failed
+        }
+    };
+    shell.feed(Event::Read { read, found });
+}
+
+fn records(from: u64, page: Page) -> Found {
+    let tail = page.next;
+    let record = |stored: super::platform::wire::Stored| Record {
+        offset: stored.offset,
+        data: stored.data.get().into(),
+    };
+    let records: Vec<Record> = page.records.into_iter().map(record).collect();
+    let next = records.last().map_or(from, |last| last.offset + 1);
+    Found::Records {
+        batch: Batch {
+            from,
+            next,
+            records,
+        },
+        end: next >= tail,
+    }
+}
+
+fn name(stream: Stream) -> String {
+    match stream {
+        Stream::Config => "config".to_owned(),
+        Stream::Once(id) => format!("once-{id}"),
+    }
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -14,9 +14,9 @@
 /// The shortest secret, in bytes.
 const SECRET_BYTES: usize = 16;
 /// The most streams that claims are spread over.
-const MOST_SHARDS: u32 = 64;
+const MOST_SHARDS: u16 = 64;
 /// The streams that claims are spread over unless the settings say otherwise.
-const SHARDS: u32 = 4;
+const SHARDS: u16 = 4;
 
 pub(super) fn check(file: File) -> Result<Settings, SettingsError> {
     name(&file.vm, "vm")?;
@@ -41,7 +41,7 @@
     })
 }
 
-fn shards(value: Option<&Spanned<u32>>) -> Result<u32, SettingsError> {
+fn shards(value: Option<&Spanned<u16>>) -> Result<u16, SettingsError> {
     let Some(value) = value else {
         return Ok(SHARDS);
     };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -39,7 +39,7 @@
     /// The least level of events that are logged.
     pub level: LevelFilter,
     /// The number of streams that claims are spread over; the same on every VM.
-    pub shards: u32,
+    pub shards: u16,
 }
 
 /// The file as it is written, with the place of each value that is checked.
@@ -57,7 +57,7 @@
     #[serde(default)]
     level: Level,
     #[serde(default)]
-    shards: Option<Spanned<u32>>,
+    shards: Option<Spanned<u16>>,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -23,8 +24,8 @@
 use self::batch::Batch;
 pub use self::faults::Faults;
 use self::kv::Cache;
+use self::kv::Key;
 pub use self::ledger::Ledger;
-pub use self::load::LoadReport;
 use self::load::Reports;
 pub use self::model::draw;
 use super::serve;
@@ -33,6 +34,7 @@
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::core::config::object::Layers;
+use crate::core::daemon::Report;
 use crate::core::session::wire::Release;
 use crate::io::http::Request;
 use crate::io::http::Response;
@@ -80,6 +82,8 @@
     clock: Clock,
     boot: u64,
     cache: Cache,
+    /// The attempts that a hop is running of.
+    works: BTreeSet<Key>,
     batch: Batch,
     faults: Faults,
     ledger: Ledger,
@@ -102,6 +106,7 @@
         clock,
         boot: clock.now().0,
         cache: Cache::new(engine.positions),
+        works: BTreeSet::new(),
         batch: Batch::start(engine.slots, engine.step, engine.prefill),
         faults: Faults::default(),
         ledger: Ledger::default(),
@@ -115,6 +120,9 @@
     })
 }
 
+/// What the path of a probe begins with.
+const HOPS: &str = "/v1/hops/";
+
 async fn answer(state: &Shared, request: &Request, conn: Handed) -> (Handed, Reply) {
     if request.method == Method::PUT && request.uri.path() == "/faults" {
         return (conn, switch(state, request));
@@ -125,7 +133,9 @@
     if state.borrow().faults.hang {
         return (conn, Reply::Silence);
     }
-    match (&request.method, request.uri.path()) {
+    let path = request.uri.path().to_owned();
+    match (&request.method, path.as_str()) {
+        (&Method::GET, path) if path.starts_with(HOPS) => (conn, probe(state, path)),
         (&Method::POST, "/v1/hops") => run::hop(state, request, conn).await,
         (&Method::POST, "/v1/releases") => (conn, release(state, request)),
         (&Method::GET, "/v1/load") => (conn, report(state)),
@@ -137,18 +147,38 @@
     }
 }
 
+/// Says whether the engine works on a hop of an attempt.
+fn probe(state: &Shared, path: &str) -> Reply {
+    let names = path
+        .strip_prefix(HOPS)
+        .and_then(|rest| rest.split_once('/'));
+    let key = names.and_then(|(session, attempt)| {
+        Some(Key {
+            session: session.parse().ok()?,
+            attempt: attempt.parse().ok()?,
+        })
+    });
+    let works = key.is_some_and(|key| state.borrow().works.contains(&key));
+    let status = if works {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    Reply::Whole(Response::new(status))
+}
+
 fn release(state: &Shared, request: &Request) -> Reply {
     let Ok(release) = serde_json::from_slice::<Release>(&request.body) else {
         return Reply::Whole(Response::new(StatusCode::BAD_REQUEST));
     };
-    state.borrow_mut().cache.release(release);
+    state.borrow_mut().release(release);
     Reply::Whole(Response::new(StatusCode::NO_CONTENT))
 }
 
 fn report(state: &Shared) -> Reply {
     let mut state = state.borrow_mut();
     let now = state.clock.now();
-    let fresh = LoadReport {
+    let fresh = Report {
         boot: state.boot,
         at: now,
         running: state.batch.running(),
@@ -179,11 +209,18 @@
         self.clock.now() < self.down
     }
 
+    fn release(&mut self, release: Release) {
+        self.cache.release(release);
+        let kept = |key: &Key| key.session != release.session || key.attempt > release.attempt;
+        self.works.retain(kept);
+    }
+
     /// Loses everything and comes back, under another boot id, after the stated time.
     fn crash(&mut self) {
         let now = self.clock.now();
         self.boot = now.0.max(self.boot + 1);
         self.cache = Cache::new(self.engine.positions);
+        self.works.clear();
         self.down = now + self.faults.down;
         self.ledger.crashes += 1;
         self.faults.crash = false;
--- a/src/standin/engine/run.rs
+++ b/src/standin/engine/run.rs
@@ -42,10 +42,12 @@
         Ok(step) => step,
         Err(refusal) => return (conn, refuse(refusal)),
     };
-    let reply = match stream(state, &hop, step, &mut conn).await {
-        Ok(reply) => reply,
-        Err(_) => Reply::Cut,
-    };
+    let key = step.key;
+    state.borrow_mut().works.insert(key);
+    let reply = stream(state, &hop, step, &mut conn)
+        .await
+        .unwrap_or(Reply::Cut);
+    state.borrow_mut().works.remove(&key);
     (conn, reply)
 }
 
@@ -72,7 +74,7 @@
             (state.batch.clone(), state.faults.delay)
         };
         batch.run(step.positions, delay).await;
-        if state.borrow().boot != boot || state.borrow().is_down() {
+        if state.borrow().boot != boot || !state.borrow().works.contains(&step.key) {
             return Ok(Reply::Cut);
         }
         let end = step.start.run(hop.layers.to);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,3 +7,4 @@
 pub mod platform;
 mod serve;
 pub mod service;
+pub mod site;
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -17,7 +17,9 @@
 use super::serve;
 use super::serve::Handed;
 use super::serve::Reply;
+use crate::clock::Clock;
 use crate::clock::Millis;
+use crate::core::daemon::Report;
 use crate::io::http::Request;
 use crate::io::http::Response;
 
@@ -53,8 +55,11 @@
     pub receipt: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Ledger {
+    clock: Clock,
+    boot: u64,
+    running: u32,
     faults: Faults,
     effects: BTreeMap<String, u32>,
     total: u64,
@@ -66,7 +71,7 @@
 ///
 /// Fails if the address cannot be bound.
 pub fn start(addr: SocketAddr) -> std::io::Result<()> {
-    let ledger = Rc::new(RefCell::new(Ledger::default()));
+    let ledger = Rc::new(RefCell::new(Ledger::new()));
     serve::listen(addr, move |request, conn: Handed| {
         let ledger = Rc::clone(&ledger);
         async move { (conn, answer(&ledger, &request).await) }
@@ -75,20 +80,28 @@
 
 async fn answer(ledger: &RefCell<Ledger>, request: &Request) -> Reply {
     match (&request.method, request.uri.path()) {
-        (&Method::GET, "/health") => health(&ledger.borrow()),
+        (&Method::GET, "/v1/load") => load(&ledger.borrow()),
         (&Method::GET, "/effects") => effects(&ledger.borrow()),
         (&Method::PUT, "/faults") => switch(ledger, request),
-        _ => run(ledger, request).await,
+        _ => {
+            ledger.borrow_mut().running += 1;
+            let reply = run(ledger, request).await;
+            ledger.borrow_mut().running -= 1;
+            reply
+        }
     }
 }
 
-fn health(ledger: &Ledger) -> Reply {
-    let code = if ledger.faults.leaving {
-        StatusCode::SERVICE_UNAVAILABLE
-    } else {
-        StatusCode::OK
+fn load(ledger: &Ledger) -> Reply {
+    let report = Report {
+        boot: ledger.boot,
+        at: ledger.clock.now(),
+        running: ledger.running,
+        waiting: 0,
+        free: 0,
+        leaving: ledger.faults.leaving,
     };
-    Reply::Whole(Response::new(code))
+    Reply::Whole(Response::json(StatusCode::OK, &report))
 }
 
 fn effects(ledger: &Ledger) -> Reply {
@@ -151,6 +164,18 @@
 }
 
 impl Ledger {
+    fn new() -> Self {
+        let clock = Clock::start();
+        Self {
+            clock,
+            boot: clock.now().0,
+            running: 0,
+            faults: Faults::default(),
+            effects: BTreeMap::new(),
+            total: 0,
+        }
+    }
+
     fn post(&mut self, request: &Request) -> Receipt {
         let key = request
             .header(&HeaderName::from_static("idempotency-key"))
