--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,5 +6,6 @@
 pub mod config;
 pub mod member;
 pub mod once;
+pub mod poison;
 pub mod route;
 pub mod session;
--- /dev/null
+++ b/src/core/poison/digest.rs
@@ -0,0 +1,93 @@
+//! The digest by which a request is known again, whoever sends it and wherever.
+
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::fmt::Result as FmtResult;
+use std::str::FromStr;
+
+use derive_more::Display as DeriveDisplay;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::names::ServiceName;
+
+const BYTES: usize = 32;
+
+/// The SHA-256 digest of a request's model and prompt.
+///
+/// The team, the VM and the idempotency key stay out of it, so that a request sent again is known
+/// whatever its caller changes around it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct RequestDigest([u8; BYTES]);
+
+impl RequestDigest {
+    /// Returns the digest of a request.
+    pub fn of(model: &ServiceName, prompt: &[u32]) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((model.len() as u64).to_be_bytes());
+        hash.update(model.as_str());
+        for token in prompt {
+            hash.update(token.to_be_bytes());
+        }
+        Self(hash.finalize().into())
+    }
+
+    /// Returns 64 bits of the digest, as the key of a rank.
+    pub fn key(&self) -> u64 {
+        let first = self.0.iter().take(size_of::<u64>());
+        first.fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+    }
+}
+
+impl Display for RequestDigest {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A text that is no digest.
+#[derive(Clone, Copy, Debug, DeriveDisplay, Error, PartialEq, Eq)]
+#[display("not {} hexadecimal digits", 2 * BYTES)]
+pub struct DigestError;
+
+impl FromStr for RequestDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.as_bytes();
+        if digits.len() != 2 * BYTES {
+            return Err(DigestError);
+        }
+        let mut bytes = [0; BYTES];
+        for (byte, pair) in bytes.iter_mut().zip(digits.chunks_exact(2)) {
+            *byte = digit(pair[0])? << 4 | digit(pair[1])?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+fn digit(text: u8) -> Result<u8, DigestError> {
+    let value = char::from(text).to_digit(16).ok_or(DigestError)?;
+    Ok(value as u8)
+}
+
+impl From<RequestDigest> for String {
+    fn from(digest: RequestDigest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for RequestDigest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/src/core/poison/rank.rs
@@ -0,0 +1,65 @@
+//! Ranks by rendezvous hashing: which VM is a suspect's home, and which endpoints may run a
+//! request.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::core::poison::digest::RequestDigest;
+use crate::names::EndpointName;
+use crate::names::Vm;
+
+/// How many endpoints of one layer range may run the same content.
+pub const SHORTLIST: usize = 3;
+
+/// The place of a name in the ranks, worked out once for each name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seat(u64);
+
+impl Seat {
+    /// Returns the seat of a name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        let bytes = Sha256::digest(name.as_bytes());
+        let first = bytes.iter().take(size_of::<u64>());
+        Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
+    }
+
+    fn score(self, digest: &RequestDigest) -> u64 {
+        mix(self.0 ^ digest.key())
+    }
+}
+
+/// The finishing step of `SplitMix64`, a bijection that spreads each bit over all.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
+
+/// Returns the VM that grants the permits of a suspect, `None` only without VMs.
+#[must_use]
+pub fn home<'a>(digest: &RequestDigest, vms: &'a [Vm]) -> Option<&'a Vm> {
+    vms.iter()
+        .max_by_key(|vm| (Seat::of(vm).score(digest), vm.as_str()))
+}
+
+/// Returns the endpoints that may run a request, of those that hold the same layers.
+///
+/// `range` has every configured endpoint of the range, up or down: were it only those that are
+/// up, each crash would bring the next endpoint in. Its length is that of one range of one model.
+#[must_use]
+pub fn shortlist<'a, R>(digest: &RequestDigest, range: R) -> Vec<&'a EndpointName>
+where
+    R: IntoIterator<Item = (&'a EndpointName, Seat)>,
+{
+    let mut best: Vec<(u64, &EndpointName)> = Vec::with_capacity(SHORTLIST + 1);
+    for (name, seat) in range {
+        let entry = (seat.score(digest), name);
+        let at = best.partition_point(|held| *held > entry);
+        if at < SHORTLIST {
+            best.insert(at, entry);
+            best.truncate(SHORTLIST);
+        }
+    }
+    best.into_iter().map(|(_, name)| name).collect()
+}
--- a/src/core/session/event.rs
+++ b/src/core/session/event.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::Millis;
 use crate::core::config::object::Layers;
 use crate::core::session::resume::EventId;
@@ -13,7 +16,8 @@
 use crate::names::EndpointName;
 
 /// The number of a caller's request on this VM; it is never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct RequestId(pub u64);
 
 /// One endpoint of a chain and the layers that it runs there.
