--- a/src/core/config/approval.rs
+++ b/src/core/config/approval.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 
 use crate::core::config::audit::Subject;
+use crate::core::config::change::Change;
+use crate::core::config::change::Object;
 use crate::core::config::content::Content;
 use crate::core::config::fold::Folded;
 use crate::core::config::object::Endpoint;
@@ -72,20 +74,68 @@
     }
 }
 
+/// What approvals may refer to and changes take away.
+#[derive(Debug, Default)]
+struct Gone<'a> {
+    grants: BTreeSet<(&'a Team, &'a ServiceName)>,
+    owners: BTreeSet<&'a Owner>,
+    endpoints: BTreeSet<(&'a Owner, &'a ServiceName, &'a EndpointName)>,
+}
+
+impl<'a> Gone<'a> {
+    fn of(changes: &'a [Change]) -> Self {
+        let mut gone = Self::default();
+        for change in changes {
+            match (&change.before, &change.after) {
+                (Some(Object::Grant(grant)), None) => {
+                    gone.grants.insert((&grant.team, &grant.service));
+                }
+                (Some(Object::Owner(owner)), None) => {
+                    gone.owners.insert(&owner.name);
+                }
+                (Some(Object::Endpoint(old)), Some(Object::Endpoint(new)))
+                    if old.owner == new.owner && old.service == new.service => {}
+                (Some(Object::Endpoint(old)), _) => {
+                    let endpoint = (&old.owner, &old.service, &old.name);
+                    gone.endpoints.insert(endpoint);
+                }
+                _ => {}
+            }
+        }
+        gone
+    }
+
+    fn is_empty(&self) -> bool {
+        self.grants.is_empty() && self.owners.is_empty() && self.endpoints.is_empty()
+    }
+
+    /// Takes what is gone out of an approval, and says whether anything is left of it.
+    fn spares(&self, key: &ApprovalKey, approval: &mut Approval) -> bool {
+        if self.owners.contains(&key.owner) || self.grants.contains(&(&key.team, &key.service)) {
+            return false;
+        }
+        let Approval::Only(names) = approval else {
+            return true;
+        };
+        names.retain(|name| !self.endpoints.contains(&(&key.owner, &key.service, name)));
+        !names.is_empty()
+    }
+}
+
 impl Content {
     /// Returns the approvals for a grant, by owner.
     pub(super) fn approvals_of(
         &self,
         team: &Team,
         service: &ServiceName,
-    ) -> impl Iterator<Item = (&ApprovalKey, &Approval)> {
+    ) -> impl Iterator<Item = (&ApprovalKey, &Approval)> + use<'_> {
         let first = ApprovalKey {
             team: team.clone(),
             service: service.clone(),
             owner: Owner::from(""),
         };
-        let range = self.approvals.range(first..);
-        range.take_while(move |(key, _)| key.team == *team && key.service == *service)
+        let range = self.approvals.range(first.clone()..);
+        range.take_while(move |(key, _)| key.team == first.team && key.service == first.service)
     }
 
     /// Says whether the owner approved the team for the endpoint.
@@ -99,31 +149,17 @@
         approval.is_some_and(|approval| approval.covers(&endpoint.name))
     }
 
-    /// Drops the approvals for a grant, so that a later grant needs new ones.
-    pub(super) fn forget_approvals(&mut self, grant: &Grant) {
-        let keys: Vec<ApprovalKey> = self
-            .approvals_of(&grant.team, &grant.service)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in keys {
-            self.approvals.remove(&key);
+    /// Drops the approvals that changes leave without their grant, owner or endpoint.
+    ///
+    /// So a grant, owner or endpoint that is created again needs new ones.
+    pub(super) fn forget_approvals(&mut self, changes: &[Change]) {
+        let gone = Gone::of(changes);
+        if !gone.is_empty() {
+            self.approvals
+                .retain(|key, approval| gone.spares(key, approval));
         }
     }
 
-    /// Drops approvals that name an endpoint, since it is gone or means something else now.
-    pub(super) fn forget_endpoint(&mut self, endpoint: &Endpoint) {
-        self.approvals.retain(|key, approval| {
-            if key.owner == endpoint.owner
-                && key.service == endpoint.service
-                && let Approval::Only(names) = approval
-            {
-                names.remove(&endpoint.name);
-                return !names.is_empty();
-            }
-            true
-        });
-    }
-
     /// Approves a team for one endpoint, or for all of an owner's.
     pub(super) fn approve(&mut self, key: ApprovalKey, endpoint: Option<&EndpointName>) {
         let Some(name) = endpoint else {
--- a/src/core/config/content.rs
+++ b/src/core/config/content.rs
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Removes an object and what hangs on it.
+    /// Removes an object and what hangs on it, except approvals.
     pub(super) fn remove(&mut self, key: &Key) {
         match key {
             Key::Service(name) => {
@@ -185,11 +185,9 @@
             }
             Key::Grant(grant) => {
                 self.grants.remove(grant);
-                self.forget_approvals(grant);
             }
             Key::Owner(name) => {
                 self.owners.remove(name);
-                self.approvals.retain(|key, _| key.owner != *name);
             }
             Key::Operator(name) => {
                 self.operators.remove(name);
--- a/src/core/config/effect.rs
+++ b/src/core/config/effect.rs
@@ -105,7 +105,7 @@
         of_capacity(state, service, &before, after, &mut effects);
     }
     of_approvals(state, after, changes, &mut effects);
-    for service in &services {
+    for service in &exposed(changes) {
         of_callers(state, service, &before, after, &mut effects);
     }
     limit(effects)
@@ -134,6 +134,25 @@
     services.cloned().collect()
 }
 
+/// Returns the services where endpoints may lose callers or come under another owner.
+fn exposed(changes: &[Change]) -> BTreeSet<ServiceName> {
+    let mut services = BTreeSet::new();
+    for change in changes {
+        match (&change.before, &change.after) {
+            (Some(Object::Grant(grant)), None) => {
+                services.insert(grant.service.clone());
+            }
+            (Some(Object::Endpoint(old)), Some(Object::Endpoint(new)))
+                if old.owner == new.owner && old.service == new.service => {}
+            (_, Some(Object::Endpoint(new))) => {
+                services.insert(new.service.clone());
+            }
+            _ => {}
+        }
+    }
+    services
+}
+
 fn of_capacity(
     state: &State,
     service: &ServiceName,
--- a/src/core/config/fold.rs
+++ b/src/core/config/fold.rs
@@ -16,7 +16,6 @@
 use crate::core::config::content::Settled;
 use crate::core::config::intent::INTENT_OBJECTS;
 use crate::core::config::object::Digest;
-use crate::core::config::object::Endpoint;
 use crate::core::config::outcome::Gap;
 use crate::core::config::outcome::Outcome;
 use crate::core::config::plan::PENDING_PLANS;
@@ -89,11 +88,9 @@
                 self.skipped += 1;
                 Outcome::Skipped
             }
+            Body::Lease(_) | Body::Snapshot(_) if !is_timely(offset, record) => Outcome::Late,
+            Body::Lease(request) => self.content.lease(offset, request),
             Body::Snapshot(_) => Outcome::Noted,
-            Body::Lease(request) if is_timely(offset, record) => {
-                self.content.lease(offset, request)
-            }
-            Body::Lease(_) => Outcome::Late,
             _ => self.once(offset, record),
         }
     }
@@ -213,8 +210,11 @@
         let Some(pending) = self.content.pending.remove(&confirm.plan) else {
             return Outcome::UnknownPlan.into();
         };
-        let plan = pending.plan;
+        let mut plan = pending.plan;
         let outcome = self.judge(&plan, confirm);
+        for change in &mut plan.changes {
+            change.before = self.content.object(&change.key);
+        }
         if outcome == Outcome::Accepted {
             self.commit(offset, &plan.changes);
         }
@@ -255,11 +255,9 @@
 
     /// Brings changes into force.
     fn commit(&mut self, offset: Offset, changes: &[Change]) {
-        for change in changes {
-            if let Some(before) = self.content.object(&change.key) {
-                self.index.drop(&before);
-                self.detach(&before, change.after.as_ref());
-            }
+        self.content.forget_approvals(changes);
+        for before in changes.iter().filter_map(|change| change.before.as_ref()) {
+            self.index.drop(before);
         }
         for change in changes {
             match &change.after {
@@ -275,17 +273,6 @@
         }
     }
 
-    /// Drops approvals of an endpoint that goes, or passes to another owner or service.
-    fn detach(&mut self, before: &Object, after: Option<&Object>) {
-        let Object::Endpoint(old) = before else {
-            return;
-        };
-        let stays = |new: &Endpoint| new.owner == old.owner && new.service == old.service;
-        if !matches!(after, Some(Object::Endpoint(new)) if stays(new)) {
-            self.content.forget_endpoint(old);
-        }
-    }
-
     /// Brings rollouts and pins in line with a change that is in force now.
     fn adjust(&mut self, offset: Offset, change: &Change) {
         match (&change.before, &change.after) {
--- a/src/core/config/outcome.rs
+++ b/src/core/config/outcome.rs
@@ -94,6 +94,7 @@
             self,
             Self::Accepted
                 | Self::Unchanged
+                | Self::Noted
                 | Self::AlreadyAccepted { .. }
                 | Self::Duplicate { accepted: true, .. }
         )
--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -64,13 +64,14 @@
     Lease(LeaseRequest),
     /// A part of a snapshot.
     Snapshot(Part),
-    /// A record that this release cannot read. It is never written.
-    #[serde(skip)]
+    /// A record that this release cannot read. It is never read back as such.
+    #[serde(skip_deserializing)]
     Unread(Unread),
 }
 
 /// Why a record cannot be read.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Unread {
     /// It is of another kind or shape than this release knows.
     #[display("unknown kind of record")]
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -157,7 +157,11 @@
     /// Returns the endpoints of a service that the team may use and that are not drained.
     ///
     /// It visits only the endpoints of owners who approved the team.
-    pub fn admitted(&self, team: &Team, service: &ServiceName) -> impl Iterator<Item = &Endpoint> {
+    pub fn admitted(
+        &self,
+        team: &Team,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &Endpoint> + use<'_> {
         let granted = self.is_granted(team, service);
         let serving = self.index.serving.get(service).filter(|_| granted);
         let approvals = serving.map(|_| self.content.approvals_of(team, service));
--- /dev/null
+++ b/tests/config/leases.rs
@@ -0,0 +1,79 @@
+//! Leases: log order decides.
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::config::lease::Holder;
+use cornelwharf::core::config::lease::LeaseRequest;
+use cornelwharf::core::config::lease::PAUSE_SPAN;
+use cornelwharf::core::config::outcome::Outcome;
+
+use crate::log::Log;
+
+const SPAN: Millis = Millis::seconds(10);
+
+fn ask(log: &mut Log, vm: &str, boot: u64, at: Millis, span: Millis) -> Outcome {
+    log.append(LeaseRequest {
+        name: "orders.low".into(),
+        holder: Holder {
+            vm: vm.into(),
+            boot,
+        },
+        at,
+        span,
+    })
+}
+
+fn fence(log: &Log) -> u64 {
+    log.state.lease(&"orders.low".into()).unwrap().fence.0
+}
+
+#[test]
+fn the_first_in_the_log_holds_and_renews() {
+    let mut log = Log::base();
+    assert_eq!(ask(&mut log, "a", 1, Millis(100), SPAN), Outcome::Accepted);
+    let first = fence(&log);
+    assert!(matches!(
+        ask(&mut log, "b", 1, Millis(101), SPAN),
+        Outcome::LeaseHeld { .. }
+    ));
+    assert!(matches!(
+        ask(&mut log, "a", 2, Millis(102), SPAN),
+        Outcome::LeaseHeld { .. }
+    ));
+    assert_eq!(ask(&mut log, "a", 1, Millis(5000), SPAN), Outcome::Accepted);
+    assert_eq!(fence(&log), first);
+    assert_eq!(ask(&mut log, "a", 1, Millis(200), SPAN), Outcome::Unchanged);
+}
+
+#[test]
+fn a_lapsed_lease_passes_on_after_the_pause_bound() {
+    let mut log = Log::base();
+    ask(&mut log, "a", 1, Millis(0), SPAN);
+    let first = fence(&log);
+    let end = SPAN + PAUSE_SPAN;
+    assert!(matches!(
+        ask(&mut log, "b", 1, end, SPAN),
+        Outcome::LeaseHeld { .. }
+    ));
+    assert_eq!(
+        ask(&mut log, "b", 1, end + Millis(1), SPAN),
+        Outcome::Accepted
+    );
+    assert!(fence(&log) > first);
+    assert!(matches!(
+        ask(&mut log, "a", 1, end, SPAN),
+        Outcome::LeaseHeld { .. }
+    ));
+}
+
+#[test]
+fn a_lease_can_be_given_back_and_is_bounded() {
+    let mut log = Log::base();
+    assert_eq!(
+        ask(&mut log, "a", 1, Millis(0), Millis::seconds(61)),
+        Outcome::Invalid
+    );
+    ask(&mut log, "a", 1, Millis(0), SPAN);
+    ask(&mut log, "a", 1, Millis(1), Millis(0));
+    let free = PAUSE_SPAN + Millis(2);
+    assert_eq!(ask(&mut log, "b", 1, free, SPAN), Outcome::Accepted);
+}
