Wait for a chain when a stream has lost its own

A stage that failed on every endpoint at once ended streams with no_capacity although the endpoints came back within a second. A session that has lost its chain now asks again every 100 ms for up to 5 s. By hand: crossed, lost and refused replies on all four engines in mid stream ended the stream before and leave it whole now; a crash of both first stages for 2 s still ends it (the session's limit of tries).

--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -27,6 +27,21 @@
 /// How long a prefill may be unanswered before the endpoint is probed.
 const PREFILL_SPAN: Millis = Millis::seconds(5);
 
+/// How long a session that lost its chain waits for another one.
+const PARK_SPAN: Millis = Millis::seconds(5);
+/// The interval at which it asks for one.
+const PARK_STEP: Millis = Millis(100);
+
+/// A session that lost its chain and found no other yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Parked {
+    id: RequestId,
+    /// The number of its question for a chain.
+    ask: u32,
+    since: Millis,
+    due: Millis,
+}
+
 impl Core {
     pub(super) fn start_model(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
         match self.chain(now, id, &[]) {
@@ -191,8 +206,7 @@
             }
             session::Action::NeedChain { id, ask, avoid } => {
                 self.end_legs(now, id, Outcome::Unrun);
-                let legs = self.chain(now, id, &avoid);
-                self.session(now, session::Event::Chain { id, ask, legs }, out);
+                self.replace_chain(now, id, ask, &avoid, out);
             }
             session::Action::Probe { id, endpoint, key } => {
                 if let Some(entry) = self.state.endpoint(&endpoint) {
@@ -206,6 +220,61 @@
         }
     }
 
+    /// Finds another chain: one without the endpoints that failed, else one with them, else later.
+    fn replace_chain(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        ask: u32,
+        avoid: &[EndpointName],
+        out: &mut Vec<Action>,
+    ) {
+        let chain = self
+            .chain(now, id, avoid)
+            .or_else(|_| self.chain(now, id, &[]));
+        match chain {
+            Ok(legs) => self.session(
+                now,
+                session::Event::Chain {
+                    id,
+                    ask,
+                    legs: Ok(legs),
+                },
+                out,
+            ),
+            Err(_) => self.parked.push(Parked {
+                id,
+                ask,
+                since: now,
+                due: now + PARK_STEP,
+            }),
+        }
+    }
+
+    /// Tries again for the sessions that found no chain.
+    pub(super) fn unpark(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.parked.iter().all(|parked| now < parked.due) {
+            return;
+        }
+        for mut parked in std::mem::take(&mut self.parked) {
+            if now < parked.due {
+                self.parked.push(parked);
+                continue;
+            }
+            let Parked { id, ask, since, .. } = parked;
+            let Some(deadline) = self.open.get(&id).map(|open| open.deadline) else {
+                continue;
+            };
+            let legs = self.chain(now, id, &[]);
+            if legs.is_err() && now < (since + PARK_SPAN).min(deadline) {
+                parked.due = now + PARK_STEP;
+                self.parked.push(parked);
+            } else {
+                self.session(now, session::Event::Chain { id, ask, legs }, out);
+            }
+        }
+    }
+
     fn send_hop(
         &mut self,
         now: Millis,
--- a/src/core/daemon/tick.rs
+++ b/src/core/daemon/tick.rs
@@ -27,6 +27,7 @@
         let mut actions = Vec::new();
         self.sessions.tick(now, &mut actions);
         self.sessions_out(now, actions, out);
+        self.unpark(now, out);
         self.share(now, out);
         self.snapshot_if_due(now, out);
         self.exit_if_due(now, out);
