--- a/src/core/config/approval.rs
+++ b/src/core/config/approval.rs
@@ -16,6 +16,7 @@
 use crate::core::config::object::Endpoint;
 use crate::core::config::object::Grant;
 use crate::core::config::outcome::Outcome;
+use crate::core::config::record::Consent;
 use crate::core::config::record::DrainOrder;
 use crate::core::config::record::Party;
 use crate::core::config::state::State;
@@ -204,12 +205,9 @@
 
 impl State {
     /// Carries out an owner's approval, or its withdrawal.
-    pub(super) fn decide(
-        &mut self,
-        key: ApprovalKey,
-        endpoint: Option<&EndpointName>,
-        on: bool,
-    ) -> Folded {
+    pub(super) fn decide(&mut self, consent: &Consent, on: bool) -> Folded {
+        let key = consent.key();
+        let endpoint = consent.endpoint.as_ref();
         let before = self.content.approvals.get(&key).cloned();
         let outcome = self.may_decide(&key, endpoint);
         if outcome != Outcome::Accepted {
--- a/src/core/config/audit.rs
+++ b/src/core/config/audit.rs
@@ -142,8 +142,7 @@
     pub(super) fn of(body: &Body) -> Option<Self> {
         let (who, at, plan) = match body {
             Body::Confirm(each) => (each.by.clone().into(), each.at, Some(each.plan.clone())),
-            Body::Approve(each) => (each.owner.clone().into(), each.at, None),
-            Body::Revoke(each) => (each.owner.clone().into(), each.at, None),
+            Body::Approve(each) | Body::Revoke(each) => (each.owner.clone().into(), each.at, None),
             Body::Drain(each) => (each.by.clone(), each.at, None),
             Body::Rollout(each) => (each.by.clone().into(), each.at, None),
             Body::Plan(_)
--- a/src/core/config/fold.rs
+++ b/src/core/config/fold.rs
@@ -3,7 +3,6 @@
 //! It depends on nothing but the state and the record, so that every VM reaches the same state. No
 //! record stops it: what cannot be read or is not allowed has no effect.
 
-use crate::core::config::approval::ApprovalKey;
 use crate::core::config::audit::Author;
 use crate::core::config::audit::Entry;
 use crate::core::config::audit::Subject;
@@ -107,7 +106,9 @@
             Outcome::Late.into()
         };
         let outcome = folded.outcome.clone();
-        self.remember(offset, digest, &outcome);
+        if outcome != Outcome::Late {
+            self.remember(offset, digest, &outcome);
+        }
         if let Some(author) = Author::of(&record.body) {
             self.content.audit.push(Entry {
                 offset,
@@ -123,22 +124,8 @@
         match body {
             Body::Plan(plan) => self.propose(offset, plan).into(),
             Body::Confirm(confirm) => self.confirm(offset, confirm),
-            Body::Approve(each) => {
-                let key = ApprovalKey {
-                    team: each.team.clone(),
-                    service: each.service.clone(),
-                    owner: each.owner.clone(),
-                };
-                self.decide(key, each.endpoint.as_ref(), true)
-            }
-            Body::Revoke(each) => {
-                let key = ApprovalKey {
-                    team: each.team.clone(),
-                    service: each.service.clone(),
-                    owner: each.owner.clone(),
-                };
-                self.decide(key, each.endpoint.as_ref(), false)
-            }
+            Body::Approve(each) => self.decide(each, true),
+            Body::Revoke(each) => self.decide(each, false),
             Body::Drain(order) => self.drain(order),
             Body::Rollout(control) => self.control(offset, control),
             Body::Advance(advance) => self.advance(advance).into(),
--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
+use crate::core::config::approval::ApprovalKey;
 use crate::core::config::change::Offset;
 use crate::core::config::encoding::canonical;
 use crate::core::config::lease::LeaseRequest;
@@ -51,9 +52,11 @@
     /// An operator confirms a plan.
     Confirm(Confirm),
     /// An owner approves a team.
-    Approve(Approve),
+    #[from(skip)]
+    Approve(Consent),
     /// An owner takes an approval back.
-    Revoke(Revoke),
+    #[from(skip)]
+    Revoke(Consent),
     /// An endpoint is told to leave, or to come back.
     Drain(DrainOrder),
     /// An operator controls a rollout.
@@ -93,36 +96,33 @@
     pub at: Millis,
 }
 
-/// An owner's approval of a team.
+/// An owner's word on a team: an approval, or that it is taken back.
+///
+/// Only the owner's own token may lead to one: who writes it checks that.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Approve {
-    /// Who approves.
+pub struct Consent {
+    /// Whose word it is.
     pub owner: Owner,
     /// The team.
     pub team: Team,
     /// The service.
     pub service: ServiceName,
-    /// One endpoint, or `None` for all of the owner's, now and later.
+    /// One endpoint, or `None` for all of the owner's.
     pub endpoint: Option<EndpointName>,
     /// When.
     pub at: Millis,
 }
 
-/// An owner takes an approval back.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Revoke {
-    /// Whose approval it is.
-    pub owner: Owner,
-    /// The team.
-    pub team: Team,
-    /// The service.
-    pub service: ServiceName,
-    /// One endpoint, or `None` for all of the owner's.
-    pub endpoint: Option<EndpointName>,
-    /// When.
-    pub at: Millis,
+impl Consent {
+    /// Returns what the approval is about.
+    pub fn key(&self) -> ApprovalKey {
+        ApprovalKey {
+            team: self.team.clone(),
+            service: self.service.clone(),
+            owner: self.owner.clone(),
+        }
+    }
 }
 
 /// Tells an endpoint to leave, or lifts that.
--- a/tests/config/approvals.rs
+++ b/tests/config/approvals.rs
@@ -1,7 +1,8 @@
 //! Approvals by owners, and drains.
 
 use cornelwharf::core::config::outcome::Outcome;
-use cornelwharf::core::config::record::Approve;
+use cornelwharf::core::config::record::Body;
+use cornelwharf::core::config::record::Consent;
 use cornelwharf::core::config::record::Party;
 
 use crate::log::BASE;
@@ -26,13 +27,13 @@
     let mut log = Log::base();
     assert_eq!(log.approve("ada", "web", "chat"), Outcome::NotAllowed);
     assert_eq!(log.approve("oak", "mail", "chat"), Outcome::NotFound);
-    let foreign = Approve {
+    let foreign = Body::Approve(Consent {
         owner: "oak".into(),
         team: "web".into(),
         service: "chat".into(),
         endpoint: Some("high".into()),
         at: log.now,
-    };
+    });
     assert_eq!(log.append(foreign), Outcome::NotAllowed);
     assert_eq!(log.admitted("web", "chat"), "");
 }
@@ -63,13 +64,13 @@
 #[test]
 fn an_approval_of_one_endpoint_ends_with_it() {
     let mut log = Log::base();
-    log.append(Approve {
+    log.append(Body::Approve(Consent {
         owner: "oak".into(),
         team: "web".into(),
         service: "chat".into(),
         endpoint: Some("low".into()),
         at: log.now,
-    });
+    }));
     assert_eq!(log.admitted("web", "chat"), "low");
     log.change("ada", "remove: {endpoints: [low]}");
     log.change("ada", BASE);
--- a/tests/config/intents.rs
+++ b/tests/config/intents.rs
@@ -40,6 +40,14 @@
     assert_eq!(Intent::parse("{}").unwrap(), Intent::default());
 }
 
+#[test]
+fn the_intent_of_the_operators_page_is_valid() {
+    let page = include_str!("../../docs/operators/plan-and-confirm.md");
+    let yaml = page.split("```yaml").nth(1).unwrap();
+    let yaml = yaml.split("```").next().unwrap();
+    assert_eq!(Intent::parse(yaml).unwrap().objects().len(), 6);
+}
+
 #[test]
 fn malformed_documents_name_the_line() {
     let cases = [
--- a/tests/config/log.rs
+++ b/tests/config/log.rs
@@ -5,13 +5,12 @@
 use cornelwharf::core::config::intent::Intent;
 use cornelwharf::core::config::outcome::Outcome;
 use cornelwharf::core::config::plan::PlanId;
-use cornelwharf::core::config::record::Approve;
 use cornelwharf::core::config::record::Body;
 use cornelwharf::core::config::record::Confirm;
+use cornelwharf::core::config::record::Consent;
 use cornelwharf::core::config::record::DrainOrder;
 use cornelwharf::core::config::record::Party;
 use cornelwharf::core::config::record::Record;
-use cornelwharf::core::config::record::Revoke;
 use cornelwharf::core::config::state::State;
 
 pub const BASE: &str = include_str!("../data/config/base.yaml");
@@ -71,23 +70,23 @@
     }
 
     pub fn approve(&mut self, owner: &str, team: &str, service: &str) -> Outcome {
-        self.append(Approve {
+        self.append(Body::Approve(Consent {
             owner: owner.into(),
             team: team.into(),
             service: service.into(),
             endpoint: None,
             at: self.now,
-        })
+        }))
     }
 
     pub fn revoke(&mut self, owner: &str, endpoint: Option<&str>) -> Outcome {
-        self.append(Revoke {
+        self.append(Body::Revoke(Consent {
             owner: owner.into(),
             team: "web".into(),
             service: "chat".into(),
             endpoint: endpoint.map(Into::into),
             at: self.now,
-        })
+        }))
     }
 
     pub fn drain<P>(&mut self, by: P, on: bool) -> Outcome
--- a/tests/config/plans.rs
+++ b/tests/config/plans.rs
@@ -241,6 +241,7 @@
     ];
     for text in texts {
         let record = Record::decode(text.as_bytes());
+        assert!(record.digest().is_valid());
         let outcome = log.state.apply(log.state.next(), &record);
         assert_eq!(outcome, Ok(Outcome::Skipped));
     }
--- a/tests/config/publisher.rs
+++ b/tests/config/publisher.rs
@@ -10,7 +10,8 @@
 use cornelwharf::core::config::publish::SETTLE_SPAN;
 use cornelwharf::core::config::publish::Ticket;
 use cornelwharf::core::config::publish::Verdict;
-use cornelwharf::core::config::record::Approve;
+use cornelwharf::core::config::record::Body;
+use cornelwharf::core::config::record::Consent;
 use cornelwharf::core::config::record::LATE_RECORDS;
 use cornelwharf::core::config::record::Record;
 
@@ -30,13 +31,13 @@
     /// Submits an approval.
     fn new(team: &str) -> Self {
         let log = Log::base();
-        let approve = Approve {
+        let approve = Body::Approve(Consent {
             owner: "oak".into(),
             team: team.into(),
             service: "chat".into(),
             endpoint: None,
             at: Millis(0),
-        };
+        });
         let record = Record::new(log.state.next(), approve);
         let mut h = Self {
             publisher: Publisher::new(log.state.next()),
