--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,8 +4,11 @@
 //! them out (docs/DESIGN.md).
 
 pub mod config;
+pub mod daemon;
+pub mod limit;
 pub mod member;
 pub mod once;
 pub mod poison;
 pub mod route;
 pub mod session;
+pub mod sync;
--- /dev/null
+++ b/src/io/peer/frame.rs
@@ -0,0 +1,76 @@
+//! Frames: a length of four bytes, then that many bytes of JSON-RPC.
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use jsonrpsee_types::TwoPointZero;
+use serde::Serialize;
+
+use crate::consts::FRAME_BYTES;
+use crate::core::daemon::Body;
+use crate::io::http::HttpError;
+use crate::io::http::Reader;
+use crate::io::http::Writer;
+
+/// The bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+
+/// A frame that is no message of this release.
+#[derive(Debug, Display, Error, From)]
+pub enum FrameError {
+    /// The frame is no JSON-RPC notification, or of a method that this release does not know.
+    #[display("malformed message: {_0}")]
+    Json(serde_json::Error),
+}
+
+/// A JSON-RPC notification; the method and the parameters are those of the body.
+#[derive(Debug, Serialize)]
+struct Notification<'a> {
+    jsonrpc: TwoPointZero,
+    #[serde(flatten)]
+    body: &'a Body,
+}
+
+/// Returns a message as the content of a frame.
+///
+/// # Errors
+///
+/// Fails if the message has no JSON form.
+pub fn encode(body: &Body) -> Result<Bytes, FrameError> {
+    let message = Notification {
+        jsonrpc: TwoPointZero,
+        body,
+    };
+    Ok(serde_json::to_vec(&message)?.into())
+}
+
+/// Reads a message out of the content of a frame.
+///
+/// # Errors
+///
+/// Fails if the content is no message of this release; the sender does not rely on any one.
+pub fn decode(content: &[u8]) -> Result<Body, FrameError> {
+    Ok(serde_json::from_slice(content)?)
+}
+
+pub(super) async fn read(reader: &mut Reader) -> Result<Bytes, HttpError> {
+    let length = reader.exact(LENGTH_BYTES).await?;
+    let length: [u8; LENGTH_BYTES] = length
+        .as_ref()
+        .try_into()
+        .map_err(|_| HttpError::Malformed)?;
+    let size = u32::from_be_bytes(length) as usize;
+    if size > FRAME_BYTES {
+        return Err(HttpError::TooLarge);
+    }
+    reader.exact(size).await
+}
+
+pub(super) async fn write(writer: &mut Writer, content: &[u8]) -> Result<(), HttpError> {
+    let size = u32::try_from(content.len()).map_err(|_| HttpError::TooLarge)?;
+    let mut frame = Vec::with_capacity(LENGTH_BYTES + content.len());
+    frame.extend_from_slice(&size.to_be_bytes());
+    frame.extend_from_slice(content);
+    writer.raw(&frame).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,13 @@
 //! assert_eq!(start + Millis(500), Millis(1500));
 //! ```
 
+pub mod api;
+pub mod cli;
 pub mod clock;
 pub mod consts;
 pub mod core;
 pub mod error;
+pub mod io;
 pub mod names;
+pub mod settings;
+pub mod standin;
