Play the fault matrix on real cores; tell the truth about a call that broke before

It found that an idempotent call whose first attempts broke was answered 'ran: no' when no endpoint was left; it says 'unknown' now.

--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -65,6 +65,7 @@
                     attempt: 0,
                     sending: None,
                     tried: Vec::new(),
+                    doubt: false,
                     gone: false,
                 };
                 (service, Job::Plain(job))
--- a/src/core/daemon/open.rs
+++ b/src/core/daemon/open.rs
@@ -46,6 +46,8 @@
     pub(super) attempt: u32,
     pub(super) sending: Option<Sending>,
     pub(super) tried: Vec<EndpointName>,
+    /// Whether an attempt that may have run went before.
+    pub(super) doubt: bool,
     /// Whether the caller went away while the call could not be taken back.
     pub(super) gone: bool,
 }
--- a/src/core/daemon/operate.rs
+++ b/src/core/daemon/operate.rs
@@ -7,13 +7,12 @@
 use crate::core::config::plan::Plan;
 use crate::core::config::publish::Ticket;
 use crate::core::config::publish::Verdict;
-use crate::core::config::record::Approve;
 use crate::core::config::record::Body;
 use crate::core::config::record::Confirm;
+use crate::core::config::record::Consent;
 use crate::core::config::record::DrainOrder;
 use crate::core::config::record::Party;
 use crate::core::config::record::Record;
-use crate::core::config::record::Revoke;
 use crate::core::config::rollout::Control;
 use crate::core::session::event::RequestId;
 use crate::error::Code;
@@ -233,23 +232,19 @@
         let message = "Only the owner of the endpoints may approve a team.";
         return Err(Failure::unrun(Code::Forbidden, message));
     };
-    Ok(if on {
-        change(Approve {
-            owner,
-            team,
-            service,
-            endpoint,
-            at,
-        })
+    let consent = Consent {
+        owner,
+        team,
+        service,
+        endpoint,
+        at,
+    };
+    let body = if on {
+        Body::Approve(consent)
     } else {
-        change(Revoke {
-            owner,
-            team,
-            service,
-            endpoint,
-            at,
-        })
-    })
+        Body::Revoke(consent)
+    };
+    Ok(Step::Publish { body, plan: None })
 }
 
 /// Returns the failure that a verdict is for its author, if it is one.
--- a/src/core/daemon/plain.rs
+++ b/src/core/daemon/plain.rs
@@ -15,6 +15,7 @@
 use crate::core::session::event::RequestId;
 use crate::error::Code;
 use crate::error::Failure;
+use crate::error::Ran;
 use crate::names::EndpointName;
 
 use super::Core;
@@ -227,6 +228,7 @@
             self.unrun(now, id, sending.endpoint, out);
         } else if idempotent && self.may_retry(now, id) {
             self.note_tried(id, sending.endpoint);
+            self.note_doubt(id);
             self.send_plain(now, id, out);
         } else {
             self.doubt(now, id, fault, out);
@@ -261,8 +263,11 @@
         out.push(Action::Fail { id, failure });
     }
 
-    /// The call was not run and never will be.
-    fn give_up(&mut self, now: Millis, id: RequestId, failure: Failure, out: &mut Vec<Action>) {
+    /// The call is not sent again; it was not run, unless an attempt before broke.
+    fn give_up(&mut self, now: Millis, id: RequestId, mut failure: Failure, out: &mut Vec<Action>) {
+        if self.plain_mut(id).is_some_and(|plain| plain.doubt) {
+            failure.ran = Ran::Unknown;
+        }
         if self.plain_mut(id).is_some_and(|plain| plain.key.is_some()) {
             self.once(now, once::Event::Unsent(CallId(id.0)), out);
         }
@@ -281,6 +286,13 @@
         !late && few && self.budget.take()
     }
 
+    /// An attempt may have run.
+    fn note_doubt(&mut self, id: RequestId) {
+        if let Some(plain) = self.plain_mut(id) {
+            plain.doubt = true;
+        }
+    }
+
     fn note_tried(&mut self, id: RequestId, endpoint: EndpointName) {
         if let Some(plain) = self.plain_mut(id) {
             plain.tried.push(endpoint);
--- /dev/null
+++ b/tests/world/check.rs
@@ -0,0 +1,396 @@
+//! What must hold, checked from the records of the fakes and not from the cores.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::config::publish::Verdict;
+use cornelwharf::core::daemon::Reply;
+use cornelwharf::core::daemon::Stream;
+use cornelwharf::core::once;
+use cornelwharf::core::session::event::RequestId;
+use cornelwharf::core::session::resume::EventId;
+use cornelwharf::core::session::wire::Hop;
+use cornelwharf::core::session::wire::SessionId;
+use cornelwharf::error::Failure;
+use cornelwharf::error::Ran;
+use cornelwharf::names::ServiceName;
+
+use super::World;
+use super::endpoints::embed;
+use super::endpoints::layer;
+use super::endpoints::token;
+
+/// Within this span an accepted change is in force, and a leaving endpoint gets no new work.
+pub const BOUND: Millis = Millis::seconds(3);
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Finished,
+    Failed(Failure),
+    Receipt(Option<u64>),
+    Replayed(u64),
+    Accepted(u64),
+    Planned(String, usize),
+    Models(Vec<ServiceName>),
+    Report(String),
+    Dropped,
+}
+
+impl Answer {
+    pub fn replay(answer: &once::Answer) -> Self {
+        match answer {
+            once::Answer::Small { body, .. } => {
+                let text = std::str::from_utf8(&body.0).unwrap_or_default();
+                Self::Replayed(text.parse().unwrap_or(0))
+            }
+            _ => Self::Report("not kept".to_owned()),
+        }
+    }
+
+    pub fn reply(reply: Reply) -> Self {
+        match reply {
+            Reply::Plan(plan) => Self::Planned(plan.id.0.0.to_string(), plan.changes.len()),
+            Reply::Verdict(Verdict::Accepted { offset }) => Self::Accepted(offset.0),
+            Reply::Verdict(verdict) => Self::Report(verdict.to_string()),
+            Reply::Status(status) => Self::Report(format!("{} vms", status.vms.len())),
+            Reply::Audit(entries) => Self::Report(format!("{} entries", entries.len())),
+            Reply::Objects(objects) => Self::Report(format!("{} objects", objects.len())),
+        }
+    }
+}
+
+/// What a caller asked for.
+pub enum Asked {
+    Plain {
+        key: Option<String>,
+        idempotent: bool,
+    },
+    Model {
+        prompt: Vec<u32>,
+        limit: u32,
+        seed: u64,
+        from: u32,
+    },
+    Other,
+}
+
+struct Request {
+    name: String,
+    node: usize,
+    boot: u64,
+    asked: Asked,
+    answers: Vec<Answer>,
+    tokens: Vec<(u32, EventId)>,
+}
+
+struct Effect {
+    id: RequestId,
+    receipt: u64,
+}
+
+struct Work {
+    at: Millis,
+    addr: SocketAddr,
+}
+
+/// The records of the fakes.
+#[derive(Default)]
+pub struct Ledger {
+    requests: BTreeMap<RequestId, Request>,
+    names: BTreeMap<String, RequestId>,
+    effects: Vec<Effect>,
+    layers: BTreeMap<(SessionId, u32, u32, u32), u32>,
+    works: Vec<Work>,
+    /// When each endpoint began to leave.
+    pub leaving: BTreeMap<SocketAddr, Millis>,
+    reached: BTreeMap<(usize, u64), u64>,
+    /// When a VM was last cut off, paused or started.
+    pub disturbed: BTreeMap<usize, Millis>,
+    broken: Vec<String>,
+}
+
+impl Ledger {
+    pub fn asked(&mut self, id: RequestId, name: &str, node: usize, boot: u64, asked: Asked) {
+        let name = name.to_owned();
+        self.names.insert(name.clone(), id);
+        let request = Request {
+            name,
+            node,
+            boot,
+            asked,
+            answers: Vec::new(),
+            tokens: Vec::new(),
+        };
+        self.requests.insert(id, request);
+    }
+
+    pub fn id(&self, name: &str) -> RequestId {
+        self.names[name]
+    }
+
+    pub fn node(&self, name: &str) -> usize {
+        self.requests[&self.id(name)].node
+    }
+
+    pub fn answers(&self, name: &str) -> &[Answer] {
+        &self.requests[&self.id(name)].answers
+    }
+
+    pub fn last_event(&self, name: &str) -> Option<EventId> {
+        self.requests[&self.id(name)]
+            .tokens
+            .last()
+            .map(|(_, event)| *event)
+    }
+
+    pub fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.answers.push(answer);
+        }
+    }
+
+    pub fn token(&mut self, id: RequestId, value: u32, event: EventId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            if !request.answers.is_empty() {
+                self.broken
+                    .push(format!("{}: a token after the end", request.name));
+            }
+            request.tokens.push((value, event));
+        }
+    }
+
+    pub fn effect(&mut self, _now: Millis, id: RequestId, receipt: u64) {
+        self.effects.push(Effect { id, receipt });
+    }
+
+    pub fn work(&mut self, at: Millis, addr: SocketAddr) {
+        self.works.push(Work { at, addr });
+    }
+
+    pub fn layers(&mut self, hop: &Hop) {
+        for layer in hop.layers.from..hop.layers.to {
+            *self
+                .layers
+                .entry((hop.session, hop.attempt, hop.token, layer))
+                .or_default() += 1;
+        }
+    }
+
+    /// Notes what a VM has in force; it never goes back while its daemon runs.
+    pub fn in_force(&mut self, now: Millis, node: usize, boot: u64, offset: u64) {
+        let reached = self.reached.entry((node, boot)).or_default();
+        if offset < *reached {
+            self.broken
+                .push(format!("vm-{}: from {reached} back to {offset}", node + 1));
+        }
+        *reached = offset;
+        let _ = now;
+    }
+
+    fn receipts(&self, id: RequestId) -> Vec<u64> {
+        let own = self.effects.iter().filter(|effect| effect.id == id);
+        own.map(|effect| effect.receipt).collect()
+    }
+
+    /// Returns what each caller saw, a line each, in the order of the requests.
+    pub fn transcript(&self) -> Vec<String> {
+        let mut named: Vec<&Request> = self.requests.values().collect();
+        named.sort_by_key(|request| &request.name);
+        named.iter().map(|request| request.line()).collect()
+    }
+
+    /// Returns how many requests ended with `ran: unknown`.
+    pub fn unknown(&self) -> usize {
+        let answers = self.requests.values().flat_map(|request| &request.answers);
+        let unknown = |answer: &&Answer| matches!(answer, Answer::Failed(failure) if failure.ran == Ran::Unknown);
+        answers.filter(unknown).count()
+    }
+}
+
+impl Request {
+    fn line(&self) -> String {
+        let text: String = self
+            .tokens
+            .iter()
+            .filter_map(|(value, _)| char::from_u32(*value))
+            .collect();
+        let answers: Vec<String> = self.answers.iter().map(describe).collect();
+        let said = if text.is_empty() {
+            String::new()
+        } else {
+            format!("{text:?} ")
+        };
+        let end = if answers.is_empty() {
+            "no answer".to_owned()
+        } else {
+            answers.join(", ")
+        };
+        format!("{}: {said}{end}", self.name)
+    }
+
+    /// Says whether the tokens are what the model gives, from the first that is due.
+    fn tokens_fit(&self, layers: u32) -> bool {
+        let Asked::Model {
+            prompt,
+            limit,
+            seed,
+            from,
+        } = &self.asked
+        else {
+            return self.tokens.is_empty();
+        };
+        let mut all = prompt.clone();
+        let mut expected = Vec::new();
+        for index in 0..*limit {
+            let value = (0..layers).fold(embed(*seed, index, &all), layer);
+            all.push(token(value));
+            if index >= *from {
+                expected.push((index, token(value)));
+            }
+        }
+        let got: Vec<(u32, u32)> = self
+            .tokens
+            .iter()
+            .map(|(value, event)| (event.index, *value))
+            .collect();
+        let whole = !self.answers.contains(&Answer::Finished) || got.len() == expected.len();
+        expected.starts_with(&got) && whole
+    }
+}
+
+fn describe(answer: &Answer) -> String {
+    match answer {
+        Answer::Finished => "finished".to_owned(),
+        Answer::Failed(failure) => format!("failed {} ran={}", failure.code, failure.ran),
+        Answer::Receipt(receipt) => format!("receipt {}", receipt.unwrap_or(0)),
+        Answer::Replayed(receipt) => format!("replayed {receipt}"),
+        Answer::Accepted(_) => "accepted".to_owned(),
+        Answer::Planned(_, changes) => format!("plan of {changes} changes"),
+        Answer::Models(models) => format!("{} models", models.len()),
+        Answer::Report(text) => text.clone(),
+        Answer::Dropped => "dropped".to_owned(),
+    }
+}
+
+/// Returns every promise that the world broke.
+pub fn violations(world: &World) -> Vec<String> {
+    let mut broken = world.ledger.broken.clone();
+    effects(&world.ledger, &mut broken);
+    answers(world, &mut broken);
+    tokens(&world.ledger, &mut broken);
+    leaving(&world.ledger, &mut broken);
+    configuration(world, &mut broken);
+    broken
+}
+
+/// Non-idempotent work runs at most once, and not at all where the answer says so.
+fn effects(ledger: &Ledger, broken: &mut Vec<String>) {
+    let mut keyed: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    let mut told: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for (id, request) in &ledger.requests {
+        let Asked::Plain { key, idempotent } = &request.asked else {
+            continue;
+        };
+        let receipts = ledger.receipts(*id);
+        if !idempotent && receipts.len() > 1 {
+            broken.push(format!("{}: ran {} times", request.name, receipts.len()));
+        }
+        for answer in &request.answers {
+            match answer {
+                Answer::Failed(failure) if failure.ran == Ran::No && !receipts.is_empty() => {
+                    broken.push(format!("{}: ran although it said not run", request.name));
+                }
+                Answer::Receipt(Some(receipt)) | Answer::Replayed(receipt) => {
+                    told.entry(key.as_deref().unwrap_or(&request.name))
+                        .or_default()
+                        .push(*receipt);
+                }
+                _ => {}
+            }
+        }
+        if let (Some(key), false) = (key, idempotent) {
+            keyed.entry(key).or_default().extend(receipts);
+        }
+    }
+    for (key, receipts) in &keyed {
+        if receipts.len() > 1 {
+            broken.push(format!("key {key}: ran {} times", receipts.len()));
+        }
+        let told = told.get(key).map(Vec::as_slice).unwrap_or_default();
+        if told.iter().any(|one| !receipts.contains(one)) {
+            broken.push(format!("key {key}: told another's answer"));
+        }
+    }
+}
+
+/// Every caller whose VM lives gets one final answer.
+fn answers(world: &World, broken: &mut Vec<String>) {
+    for request in world.ledger.requests.values() {
+        let node = &world.nodes[request.node];
+        let alive = node.core.is_some() && node.boot == request.boot;
+        match request.answers.len() {
+            0 if alive => broken.push(format!("{}: never answered", request.name)),
+            0 | 1 => {}
+            count => broken.push(format!("{}: answered {count} times", request.name)),
+        }
+    }
+}
+
+fn tokens(ledger: &Ledger, broken: &mut Vec<String>) {
+    for request in ledger.requests.values() {
+        if !request.tokens_fit(super::script::LAYERS) {
+            broken.push(format!("{}: wrong tokens", request.line()));
+        }
+    }
+    for ((session, attempt, token, layer), count) in &ledger.layers {
+        if *count > 1 {
+            broken.push(format!(
+                "{session}/{attempt}: layer {layer} ran {count} times for token {token}"
+            ));
+        }
+    }
+}
+
+fn leaving(ledger: &Ledger, broken: &mut Vec<String>) {
+    for work in &ledger.works {
+        if ledger
+            .leaving
+            .get(&work.addr)
+            .is_some_and(|since| work.at > *since + BOUND)
+        {
+            broken.push(format!("{}: new work after it left", work.addr));
+        }
+    }
+}
+
+/// Every VM that could hear of it has the whole configuration, and all have the same.
+fn configuration(world: &World, broken: &mut Vec<String>) {
+    let tail = world.log.next(Stream::Config);
+    let mut digests = Vec::new();
+    for (index, node) in world.nodes.iter().enumerate() {
+        let Some(core) = &node.core else {
+            continue;
+        };
+        let since = world
+            .ledger
+            .disturbed
+            .get(&index)
+            .copied()
+            .unwrap_or_default();
+        let apart = node.paused || (node.cut_log && node.cut_peers) || world.log.down;
+        if apart || world.now.since(since) < BOUND + BOUND {
+            continue;
+        }
+        if core.state().next().0 < tail {
+            let next = core.state().next();
+            broken.push(format!("vm-{}: at {next} of {tail}", index + 1));
+        }
+        digests.push(core.state().digest());
+    }
+    digests.dedup();
+    if digests.len() > 1 {
+        broken.push("VMs hold different configurations".to_owned());
+    }
+}
--- /dev/null
+++ b/tests/world/log.rs
@@ -0,0 +1,105 @@
+//! A fake of the platform's log.
+
+use std::collections::BTreeMap;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::daemon::Found;
+use cornelwharf::core::daemon::Stream;
+use cornelwharf::core::sync::message::Batch;
+use cornelwharf::core::sync::message::Record;
+
+use super::take;
+
+/// The most records that one read returns.
+const PAGE: usize = 64;
+
+/// The streams, and the fault switches.
+#[derive(Default)]
+pub struct Log {
+    streams: BTreeMap<Stream, Kept>,
+    pub down: bool,
+    pub slow: Millis,
+    /// How many of the next appends take effect without an answer.
+    pub lose: u32,
+    /// How many of the next appends take effect much later, without an answer.
+    pub later: u32,
+}
+
+#[derive(Default)]
+struct Kept {
+    first: u64,
+    records: Vec<String>,
+}
+
+/// What became of an append.
+pub enum Append {
+    Done(u64),
+    Lost,
+    Later,
+    Refused,
+}
+
+impl Log {
+    pub fn append(&mut self, _now: Millis, stream: Stream, record: &[u8], cut: bool) -> Append {
+        if self.down || cut {
+            return Append::Refused;
+        }
+        if take(&mut self.later) {
+            return Append::Later;
+        }
+        let kept = self.streams.entry(stream).or_default();
+        kept.records
+            .push(String::from_utf8(record.to_vec()).expect("records are JSON"));
+        if take(&mut self.lose) {
+            return Append::Lost;
+        }
+        Append::Done(kept.first + kept.records.len() as u64 - 1)
+    }
+
+    pub fn read(&self, stream: Stream, from: u64, cut: bool) -> Found {
+        if self.down || cut {
+            return Found::Failed;
+        }
+        let empty = Kept::default();
+        let kept = self.streams.get(&stream).unwrap_or(&empty);
+        if from < kept.first {
+            return Found::Expired(kept.first);
+        }
+        let skip = (from - kept.first) as usize;
+        let records: Vec<Record> = (from..)
+            .zip(kept.records.iter().skip(skip).take(PAGE))
+            .map(|(offset, data)| Record {
+                offset,
+                data: data.as_str().into(),
+            })
+            .collect();
+        let next = from + records.len() as u64;
+        let end = next >= self.next(stream);
+        Found::Records {
+            batch: Batch {
+                from,
+                next,
+                records,
+            },
+            end,
+        }
+    }
+
+    pub fn next(&self, stream: Stream) -> u64 {
+        self.streams
+            .get(&stream)
+            .map_or(0, |kept| kept.first + kept.records.len() as u64)
+    }
+
+    /// Drops a stream's records before `first`, as retention does.
+    pub fn expire(&mut self, stream: Stream, first: u64) {
+        let Some(kept) = self.streams.get_mut(&stream) else {
+            return;
+        };
+        let count = first
+            .saturating_sub(kept.first)
+            .min(kept.records.len() as u64);
+        kept.records.drain(..count as usize);
+        kept.first += count;
+    }
+}
--- /dev/null
+++ b/tests/world/script.rs
@@ -0,0 +1,623 @@
+//! What a session does to the world: orders of callers, operators and owners, and faults.
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::config::intent::Intent;
+use cornelwharf::core::config::object::Digest;
+use cornelwharf::core::config::object::Layers;
+use cornelwharf::core::config::object::OperatorEntry;
+use cornelwharf::core::config::plan::PlanId;
+use cornelwharf::core::config::rollout::Step;
+use cornelwharf::core::daemon::Ask;
+use cornelwharf::core::daemon::Call;
+use cornelwharf::core::daemon::Event;
+use cornelwharf::core::daemon::Operate;
+use cornelwharf::core::daemon::Stream;
+use cornelwharf::core::daemon::Work;
+use cornelwharf::core::once::CallDigest;
+use cornelwharf::core::session::event::RequestId;
+use serde::Deserialize;
+
+use super::Due;
+use super::World;
+use super::check::Answer;
+use super::check::Asked;
+use super::endpoints::Endpoint;
+
+/// The layers of the one model.
+pub const LAYERS: u32 = 6;
+/// How long callers wait for an answer.
+const TIMEOUT: Millis = Millis::seconds(20);
+
+/// One order, or a span of time that passes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Order {
+    /// Time passes, in milliseconds.
+    Run(u64),
+    /// A team calls the plain service.
+    Call(CallOrder),
+    /// A team asks for tokens.
+    Complete(CompleteOrder),
+    /// A team asks for the list of models.
+    Models {
+        vm: usize,
+        name: String,
+        #[serde(default = "team")]
+        token: String,
+    },
+    /// A caller goes away.
+    Gone(String),
+    /// An operator or an owner asks for something.
+    Operate(OperateOrder),
+    /// A VM is told to stop.
+    Stop(usize),
+    /// Something breaks.
+    Fault(Fault),
+}
+
+/// A call on the plain service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallOrder {
+    vm: usize,
+    name: String,
+    #[serde(default = "post")]
+    method: String,
+    #[serde(default)]
+    key: Option<String>,
+    #[serde(default)]
+    body: String,
+    #[serde(default = "ledger")]
+    service: String,
+    #[serde(default = "team")]
+    token: String,
+    #[serde(default = "timeout")]
+    timeout: u64,
+}
+
+/// A request for tokens.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CompleteOrder {
+    vm: usize,
+    name: String,
+    #[serde(default = "prompt")]
+    prompt: String,
+    #[serde(default = "limit")]
+    limit: u32,
+    #[serde(default)]
+    seed: u64,
+    /// The name of the request whose last event this one resumes from.
+    #[serde(default)]
+    resume: Option<String>,
+    #[serde(default = "model")]
+    service: String,
+    #[serde(default = "team")]
+    token: String,
+    #[serde(default = "timeout")]
+    timeout: u64,
+}
+
+/// A request of an operator or an owner.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperateOrder {
+    vm: usize,
+    name: String,
+    #[serde(default = "operator")]
+    token: String,
+    ask: Asking,
+}
+
+/// What is asked.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Asking {
+    Plan(String),
+    /// The name of the request whose plan is confirmed.
+    Confirm(String),
+    Approve {
+        team: String,
+        service: String,
+    },
+    Revoke {
+        team: String,
+        service: String,
+    },
+    Drain(String),
+    Undrain(String),
+    Rollout {
+        service: String,
+        step: Step,
+    },
+    Status,
+    Audit,
+    Objects,
+}
+
+/// Something that breaks. Spans are in milliseconds; a VM is named by its number from 1.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    Kill(usize),
+    Restart(usize),
+    /// Killed, and started anew after the span.
+    Replace {
+        vm: usize,
+        span: u64,
+    },
+    Pause {
+        vm: usize,
+        span: u64,
+    },
+    CutPeers {
+        vm: usize,
+        span: u64,
+    },
+    CutLog {
+        vm: usize,
+        span: u64,
+    },
+    CutBoth {
+        vm: usize,
+        span: u64,
+    },
+    LogDown(u64),
+    LogSlow {
+        span: u64,
+        delay: u64,
+    },
+    LoseAppend(u32),
+    LateAppend(u32),
+    Expire(u64),
+    LoseMessages(u32),
+    DoubleMessages(u32),
+    LateMessages(u32),
+    /// The endpoint used last crashes, and is down for the span.
+    Crash(u64),
+    Silent(u32),
+    Broken(u32),
+    Refuse(u32),
+    Slow(u32),
+    Double(u32),
+    Cross(u32),
+    /// The endpoint of this number reports that it is leaving.
+    Leave(u8),
+    Back(u8),
+    /// What ends a fault with a span.
+    #[serde(skip)]
+    Heal(Heal),
+}
+
+/// What ends a fault with a span.
+#[derive(Clone, Debug)]
+pub enum Heal {
+    Boot(usize),
+    Wake(usize),
+    Join(usize),
+    Log,
+    Endpoint(std::net::SocketAddr),
+}
+
+/// A fault before a step.
+#[derive(Clone, Debug)]
+pub struct Strike {
+    pub step: usize,
+    pub fault: Fault,
+}
+
+fn team() -> String {
+    "team".to_owned()
+}
+fn operator() -> String {
+    "ada".to_owned()
+}
+fn post() -> String {
+    "POST".to_owned()
+}
+fn ledger() -> String {
+    "ledger".to_owned()
+}
+fn model() -> String {
+    "blazer".to_owned()
+}
+fn prompt() -> String {
+    "abc".to_owned()
+}
+fn limit() -> u32 {
+    4
+}
+fn timeout() -> u64 {
+    TIMEOUT.0
+}
+
+/// Tokens are their own digests here: the cores only ever compare them.
+pub fn digest(token: &str) -> Digest {
+    Digest(format!("{:0>64}", hex(token)).as_str().into())
+}
+
+fn hex(text: &str) -> String {
+    use std::fmt::Write;
+    text.bytes().fold(String::new(), |mut out, byte| {
+        let _ = write!(out, "{byte:02x}");
+        out
+    })
+}
+
+pub fn operators() -> Vec<OperatorEntry> {
+    vec![OperatorEntry {
+        name: "ada".into(),
+        token: digest("ada"),
+    }]
+}
+
+/// Where the endpoint of a number listens.
+pub fn endpoint(number: u8) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([10, 0, 1, number], 80))
+}
+
+/// The intent of the standard site: a model in two stages, twice; a service on two endpoints.
+const SITE: &str = include_str!("../data/site.yaml");
+
+/// Brings the standard site up: endpoints, plan, confirmation, approvals.
+pub fn set_up(world: &mut World) {
+    for number in 1..=6u8 {
+        let layers = match number {
+            1 | 3 => Some(Layers { from: 0, to: 3 }),
+            2 | 4 => Some(Layers {
+                from: 3,
+                to: LAYERS,
+            }),
+            _ => None,
+        };
+        let made = Endpoint::new(layers, LAYERS);
+        world.endpoints.all.insert(endpoint(number), made);
+    }
+    world.run(Millis::seconds(4));
+    let operate = |name: &str, token: &str, ask| {
+        Order::Operate(OperateOrder {
+            vm: 1,
+            name: name.to_owned(),
+            token: token.to_owned(),
+            ask,
+        })
+    };
+    let approve = |service: &str| Asking::Approve {
+        team: team(),
+        service: service.to_owned(),
+    };
+    for order in [
+        operate("setup-plan", "ada", Asking::Plan(SITE.to_owned())),
+        Order::Run(200),
+        operate(
+            "setup-confirm",
+            "ada",
+            Asking::Confirm("setup-plan".to_owned()),
+        ),
+        Order::Run(200),
+        operate("setup-blazer", "olive", approve("blazer")),
+        operate("setup-ledger", "olive", approve("ledger")),
+        Order::Run(3000),
+    ] {
+        order.run(world);
+    }
+    world.steps.clear();
+}
+
+impl Order {
+    pub fn run(self, world: &mut World) {
+        match self {
+            Self::Run(span) => world.run(Millis(span)),
+            Self::Call(order) => order.run(world),
+            Self::Complete(order) => order.run(world),
+            Self::Models { vm, name, token } => {
+                world.ask(vm, &name, Asked::Other, &token, Work::Models, TIMEOUT);
+            }
+            Self::Gone(name) => {
+                let id = world.ledger.id(&name);
+                let node = world.ledger.node(&name);
+                world.event(node, Millis(0), Event::Gone(id));
+            }
+            Self::Operate(order) => order.run(world),
+            Self::Stop(vm) => world.event(vm - 1, Millis(0), Event::Stop),
+            Self::Fault(fault) => fault.strike(world),
+        }
+    }
+}
+
+impl World {
+    fn ask(
+        &mut self,
+        vm: usize,
+        name: &str,
+        asked: Asked,
+        token: &str,
+        work: Work,
+        timeout: Millis,
+    ) {
+        let id = self.open(vm, name, asked);
+        let deadline = self.now + timeout;
+        let call = Call {
+            id,
+            token: Some(digest(token)),
+            deadline,
+            work,
+        };
+        self.event(vm - 1, Millis(0), Event::Call(call));
+    }
+
+    fn open(&mut self, vm: usize, name: &str, asked: Asked) -> RequestId {
+        let id = self.request(vm - 1);
+        let boot = self.nodes[vm - 1].boot;
+        self.ledger.asked(id, name, vm - 1, boot, asked);
+        id
+    }
+}
+
+impl CallOrder {
+    fn run(self, world: &mut World) {
+        let idempotent = self.method == "GET";
+        let body = self
+            .body
+            .bytes()
+            .fold(7u128, |sum, byte| sum * 31 + u128::from(byte));
+        let work = Work::Plain {
+            service: self.service.as_str().into(),
+            method: self.method.as_str().into(),
+            key: self.key.as_deref().map(Into::into),
+            digest: CallDigest(body),
+        };
+        let asked = Asked::Plain {
+            key: self.key,
+            idempotent,
+        };
+        world.ask(
+            self.vm,
+            &self.name,
+            asked,
+            &self.token,
+            work,
+            Millis(self.timeout),
+        );
+    }
+}
+
+impl CompleteOrder {
+    fn run(self, world: &mut World) {
+        let prompt: Vec<u32> = self.prompt.bytes().map(u32::from).collect();
+        let resume = self.resume.and_then(|name| world.ledger.last_event(&name));
+        let from = resume.map_or(0, |event| event.index + 1);
+        let (limit, seed) = (self.limit, self.seed);
+        let asked = Asked::Model {
+            prompt: prompt.clone(),
+            limit,
+            seed,
+            from,
+        };
+        let service = self.service.as_str().into();
+        let work = Work::Model {
+            service,
+            prompt,
+            limit,
+            seed,
+            resume,
+        };
+        world.ask(
+            self.vm,
+            &self.name,
+            asked,
+            &self.token,
+            work,
+            Millis(self.timeout),
+        );
+    }
+}
+
+impl OperateOrder {
+    fn run(self, world: &mut World) {
+        let approve = |team: String, service: String, on| Ask::Approve {
+            team: team.as_str().into(),
+            service: service.as_str().into(),
+            endpoint: None,
+            on,
+        };
+        let ask = match self.ask {
+            Asking::Plan(text) => Ask::Plan(Box::new(
+                Intent::parse(&text).expect("the script's intent is valid"),
+            )),
+            Asking::Confirm(name) => Ask::Confirm(world.ledger.plan(&name)),
+            Asking::Approve { team, service } => approve(team, service, true),
+            Asking::Revoke { team, service } => approve(team, service, false),
+            Asking::Drain(name) => {
+                world.leaves(&name);
+                Ask::Drain {
+                    endpoint: name.as_str().into(),
+                    on: true,
+                }
+            }
+            Asking::Undrain(name) => {
+                world.returns(&name);
+                Ask::Drain {
+                    endpoint: name.as_str().into(),
+                    on: false,
+                }
+            }
+            Asking::Rollout { service, step } => Ask::Rollout {
+                service: service.as_str().into(),
+                step,
+            },
+            Asking::Status => Ask::Status,
+            Asking::Audit => Ask::Audit,
+            Asking::Objects => Ask::Objects,
+        };
+        let id = world.open(self.vm, &self.name, Asked::Other);
+        let token = Some(digest(&self.token));
+        world.event(
+            self.vm - 1,
+            Millis(0),
+            Event::Operate(Operate { id, token, ask }),
+        );
+    }
+}
+
+impl Fault {
+    pub fn strike(self, world: &mut World) {
+        match self {
+            Self::Kill(vm) => world.kill(vm - 1),
+            Self::Restart(vm) => Heal::Boot(vm - 1).heal(world),
+            Self::Replace { vm, span } => {
+                world.kill(vm - 1);
+                world.heal_after(span, Heal::Boot(vm - 1));
+            }
+            Self::Pause { vm, span } => {
+                world.nodes[vm - 1].paused = true;
+                world.heal_after(span, Heal::Wake(vm - 1));
+            }
+            Self::CutPeers { vm, span } => world.cut(vm - 1, false, true, span),
+            Self::CutLog { vm, span } => world.cut(vm - 1, true, false, span),
+            Self::CutBoth { vm, span } => world.cut(vm - 1, true, true, span),
+            Self::LogDown(span) => {
+                world.log.down = true;
+                world.heal_after(span, Heal::Log);
+            }
+            Self::LogSlow { span, delay } => {
+                world.log.slow = Millis(delay);
+                world.heal_after(span, Heal::Log);
+            }
+            Self::LoseAppend(count) => world.log.lose = count,
+            Self::LateAppend(count) => world.log.later = count,
+            Self::Expire(keep) => {
+                let next = world.log.next(Stream::Config);
+                world.log.expire(Stream::Config, next.saturating_sub(keep));
+            }
+            Self::LoseMessages(count) => world.lose = count,
+            Self::DoubleMessages(count) => world.double = count,
+            Self::LateMessages(count) => world.late = count,
+            Self::Crash(span) => {
+                let Some(addr) = world.endpoints.last else {
+                    return;
+                };
+                if let Some(endpoint) = world.endpoints.all.get_mut(&addr) {
+                    endpoint.crash();
+                    endpoint.down = true;
+                    world.heal_after(span, Heal::Endpoint(addr));
+                }
+            }
+            Self::Silent(count) => world.endpoints.next.silent = count,
+            Self::Broken(count) => world.endpoints.next.broken = count,
+            Self::Refuse(count) => world.endpoints.next.refuse = count,
+            Self::Slow(count) => world.endpoints.next.slow = count,
+            Self::Double(count) => world.endpoints.next.double = count,
+            Self::Cross(count) => world.endpoints.next.cross = count,
+            Self::Leave(number) => {
+                if let Some(one) = world.endpoints.all.get_mut(&endpoint(number)) {
+                    one.leaving = true;
+                }
+                world.leaves(&format!("e{number}"));
+            }
+            Self::Back(number) => {
+                if let Some(one) = world.endpoints.all.get_mut(&endpoint(number)) {
+                    one.leaving = false;
+                }
+                world.returns(&format!("e{number}"));
+            }
+            Self::Heal(heal) => heal.heal(world),
+        }
+    }
+}
+
+impl World {
+    fn cut(&mut self, node: usize, log: bool, peers: bool, span: u64) {
+        self.nodes[node].cut_log |= log;
+        self.nodes[node].cut_peers |= peers;
+        self.heal_after(span, Heal::Join(node));
+    }
+
+    fn heal_after(&mut self, span: u64, heal: Heal) {
+        let order = Box::new(Order::Fault(Fault::Heal(heal)));
+        self.push(Millis(span), Due::Order(order));
+    }
+
+    fn leaves(&mut self, name: &str) {
+        let number = name
+            .trim_start_matches('e')
+            .parse()
+            .expect("endpoints are numbered");
+        self.ledger.leaving.insert(endpoint(number), self.now);
+    }
+
+    fn returns(&mut self, name: &str) {
+        let number = name
+            .trim_start_matches('e')
+            .parse()
+            .expect("endpoints are numbered");
+        self.ledger.leaving.remove(&endpoint(number));
+    }
+}
+
+impl Heal {
+    fn heal(self, world: &mut World) {
+        let now = world.now;
+        match self {
+            Self::Boot(node) => {
+                world.boot(node);
+                world.ledger.disturbed.insert(node, now);
+            }
+            Self::Wake(node) => {
+                world.nodes[node].paused = false;
+                world.ledger.disturbed.insert(node, now);
+            }
+            Self::Join(node) => {
+                world.nodes[node].cut_log = false;
+                world.nodes[node].cut_peers = false;
+                world.ledger.disturbed.insert(node, now);
+            }
+            Self::Log => {
+                world.log.down = false;
+                world.log.slow = Millis(0);
+                for node in 0..world.nodes.len() {
+                    world.ledger.disturbed.insert(node, now);
+                }
+            }
+            Self::Endpoint(addr) => {
+                if let Some(endpoint) = world.endpoints.all.get_mut(&addr) {
+                    endpoint.down = false;
+                }
+            }
+        }
+    }
+}
+
+/// A session: what is done, and what everybody saw.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Session {
+    #[serde(default = "three")]
+    pub vms: usize,
+    #[serde(default)]
+    pub seed: u64,
+    #[serde(default = "yes")]
+    pub setup: bool,
+    #[serde(rename = "do")]
+    pub orders: Vec<Order>,
+    #[serde(default)]
+    pub expect: Vec<String>,
+}
+
+const fn three() -> usize {
+    3
+}
+
+const fn yes() -> bool {
+    true
+}
+
+impl super::check::Ledger {
+    fn plan(&self, name: &str) -> PlanId {
+        let id = self.answers(name).iter().find_map(|answer| match answer {
+            Answer::Planned(id, _) => Some(id.as_str()),
+            _ => None,
+        });
+        PlanId(Digest(id.unwrap_or("none").into()))
+    }
+}
