--- /dev/null
+++ b/src/core/session/reroute.rs
@@ -0,0 +1,75 @@
+//! The search for another chain: what failed, what was asked, and what is ready.
+
+use std::sync::Arc;
+
+use crate::core::session::event::Leg;
+use crate::names::EndpointName;
+
+/// How many attempts may fail in a row without a new token.
+pub const TRY_LIMIT: u32 = 4;
+
+/// A session's search for another chain.
+#[derive(Debug, Default)]
+pub struct Reroute {
+    tries: u32,
+    ask: u32,
+    asked: bool,
+    avoid: Vec<EndpointName>,
+    /// The chain to move to at the next token.
+    next: Option<Arc<[Leg]>>,
+}
+
+impl Reroute {
+    /// Notes that an attempt failed, perhaps by the fault of an endpoint.
+    pub fn failed(&mut self, culprit: Option<EndpointName>) {
+        self.tries += 1;
+        self.avoid.extend(culprit);
+    }
+
+    /// Returns whether too many attempts failed in a row.
+    pub fn is_spent(&self) -> bool {
+        self.tries >= TRY_LIMIT
+    }
+
+    /// Notes that a token came: what failed before counts no more.
+    pub fn progressed(&mut self) {
+        self.tries = 0;
+        self.avoid = Vec::new();
+    }
+
+    /// Returns whether no chain is asked for or ready.
+    pub fn is_idle(&self) -> bool {
+        !self.asked && self.next.is_none()
+    }
+
+    /// Begins a question and returns its number; an older one is void.
+    pub fn ask(&mut self) -> u32 {
+        self.ask += 1;
+        self.asked = true;
+        self.ask
+    }
+
+    /// Returns the endpoints that failed the session since its last token.
+    pub fn avoid(&self) -> &[EndpointName] {
+        &self.avoid
+    }
+
+    /// Ends a question; returns whether it was the open one.
+    pub fn answered(&mut self, ask: u32) -> bool {
+        let open = self.asked && ask == self.ask;
+        self.asked &= !open;
+        open
+    }
+
+    /// Keeps a chain for the next token.
+    pub fn keep(&mut self, legs: Arc<[Leg]>) {
+        self.next = Some(legs);
+    }
+
+    /// Takes the chain that is ready, unless one of its endpoints failed the session.
+    pub fn take(&mut self) -> Option<Arc<[Leg]>> {
+        let legs = self.next.take()?;
+        let failed = legs.iter().any(|leg| self.avoid.contains(&leg.endpoint));
+        (!failed).then_some(legs)
+    }
+}
--- a/src/core/session/state.rs
+++ b/src/core/session/state.rs
@@ -18,6 +18,7 @@
 use crate::core::session::fit::Awaited;
 use crate::core::session::fit::Fit;
 use crate::core::session::flight::Flight;
+use crate::core::session::reroute::Reroute;
 use crate::core::session::wire::Hop;
 use crate::core::session::wire::HopReply;
 use crate::core::session::wire::Input;
@@ -29,8 +30,6 @@
 use crate::error::Ran;
 use crate::names::EndpointName;
 
-/// How many attempts may fail in a row without a new token.
-pub const TRY_LIMIT: u32 = 4;
 /// How many attempts a session has in all, moves included; each costs a prefill.
 pub const ATTEMPT_LIMIT: u32 = 32;
 
@@ -45,14 +44,9 @@
     attempt: u32,
     /// The index of the token that the attempt's prefill works towards.
     base: u32,
-    tries: u32,
-    ask: u32,
-    asked: bool,
     touched: bool,
     chain: Arc<[Leg]>,
-    /// The chain to move to at the next token.
-    next: Option<Arc<[Leg]>>,
-    avoid: Vec<EndpointName>,
+    reroute: Reroute,
     stage: Stage,
 }
 
@@ -85,13 +79,9 @@
             answer: Answer::new(start.prompt, start.limit, start.seed, start.resume),
             attempt: 0,
             base: 0,
-            tries: 0,
-            ask: 0,
-            asked: false,
             touched,
             chain: start.chain,
-            next: None,
-            avoid: Vec::new(),
+            reroute: Reroute::default(),
             stage: Stage::Waiting,
         };
         session.prefill(now, out);
@@ -175,13 +165,12 @@
         legs: Result<Arc<[Leg]>, Failure>,
         out: &mut Vec<Action>,
     ) -> Fit {
-        if !self.asked || ask != self.ask {
+        if !self.reroute.answered(ask) {
             return Fit::Late;
         }
-        self.asked = false;
         let legs = legs.and_then(|legs| covering(legs, self.layers));
         match (legs, self.stage) {
-            (Ok(legs), Stage::Running(_)) => self.next = Some(legs),
+            (Ok(legs), Stage::Running(_)) => self.reroute.keep(legs),
             (Ok(legs), _) => self.switch(now, legs, out),
             (Err(failure), Stage::Waiting) => self.close(failure, out),
             // A move that finds no other chain leaves the session where it is.
@@ -192,8 +181,7 @@
 
     /// Asks for another chain, to which the session moves at its next token.
     pub fn relocate(&mut self, out: &mut Vec<Action>) -> Fit {
-        let idle = !self.asked && self.next.is_none();
-        if idle && self.attempt + 1 < ATTEMPT_LIMIT {
+        if self.reroute.is_idle() && self.attempt + 1 < ATTEMPT_LIMIT {
             self.ask(out);
         }
         Fit::Fits
@@ -296,8 +284,7 @@
     }
 
     fn token(&mut self, now: Millis, flight: Flight, value: u32, end: bool, out: &mut Vec<Action>) {
-        self.tries = 0;
-        self.avoid = Vec::new();
+        self.reroute.progressed();
         let last = end || self.answer.left() == 1;
         match self.answer.take(value, last) {
             Taken::Emit(event) => {
@@ -316,7 +303,7 @@
     }
 
     fn go_on(&mut self, now: Millis, flight: Flight, value: u32, out: &mut Vec<Action>) {
-        if let Some(legs) = self.next.take() {
+        if let Some(legs) = self.reroute.take() {
             self.release(out);
             self.switch(now, legs, out);
         } else if self.chain.len() == 1 {
@@ -380,40 +367,37 @@
 
     /// Ends the attempt and goes on with another, within the bounds.
     fn retry(&mut self, now: Millis, avoid: bool, out: &mut Vec<Action>) {
-        if let Stage::Running(flight) = self.stage
-            && avoid
-        {
-            self.avoid.push(self.chain[flight.leg].endpoint.clone());
-        }
+        let culprit = self.endpoint().filter(|_| avoid).cloned();
+        self.reroute.failed(culprit);
         self.release(out);
         self.stage = Stage::Waiting;
-        self.tries += 1;
-        if self.tries >= TRY_LIMIT || self.attempt + 1 >= ATTEMPT_LIMIT {
+        if self.reroute.is_spent() || self.attempt + 1 >= ATTEMPT_LIMIT {
             let code = if self.touched {
                 Code::EndpointFailed
             } else {
                 Code::Overloaded
             };
             self.close(Failure::unrun(code, "every attempt failed"), out);
-            return;
-        }
-        match self.next.take() {
-            Some(legs) if !self.avoids(&legs) => self.switch(now, legs, out),
-            _ => self.ask(out),
+        } else if let Some(legs) = self.reroute.take() {
+            self.switch(now, legs, out);
+        } else {
+            self.ask(out);
         }
     }
 
-    fn avoids(&self, legs: &[Leg]) -> bool {
-        legs.iter().any(|leg| self.avoid.contains(&leg.endpoint))
+    /// Returns the endpoint that has the outstanding hop.
+    fn endpoint(&self) -> Option<&EndpointName> {
+        match self.stage {
+            Stage::Running(flight) => Some(&self.chain[flight.leg].endpoint),
+            Stage::Waiting | Stage::Closed => None,
+        }
     }
 
     fn ask(&mut self, out: &mut Vec<Action>) {
-        self.ask += 1;
-        self.asked = true;
         out.push(Action::NeedChain {
             id: self.id,
-            ask: self.ask,
-            avoid: self.avoid.clone(),
+            ask: self.reroute.ask(),
+            avoid: self.reroute.avoid().to_vec(),
         });
     }
 
