Check why replies are dropped, for each fault

Each falsified, crossed, doubled and late reply of the single faults must now be counted for its own reason.

--- a/tests/session.rs
+++ b/tests/session.rs
@@ -23,6 +23,7 @@
 use cornelwharf::core::session::resume::EVENT_BYTES;
 use cornelwharf::core::session::resume::EventError;
 use cornelwharf::core::session::resume::EventId;
+use cornelwharf::core::session::table::Drops;
 use cornelwharf::core::session::wire::Hop;
 use cornelwharf::core::session::wire::HopReply;
 use cornelwharf::core::session::wire::Input;
@@ -542,6 +543,29 @@
     }
 }
 
+/// Says whether what did not fit was dropped for the right reason, and nothing else was.
+fn counted(world: &World, kind: Kind) -> bool {
+    let drops = world.sessions.drops();
+    let none = Drops::default();
+    match kind {
+        Kind::NextToken | Kind::OtherLayers | Kind::OtherOutput | Kind::NextAttempt => {
+            drops
+                == Drops {
+                    doubtful: 1,
+                    ..none
+                }
+        }
+        Kind::CrossedToo | Kind::CrossedOnly => drops == Drops { crossed: 1, ..none },
+        // The second of a last pair comes when the request is over.
+        Kind::Double => drops.doubled + drops.closed == 1,
+        Kind::CrashAfter | Kind::Idle | Kind::Silent | Kind::Slow => {
+            let late = drops.late;
+            late > 0 && drops == Drops { late, ..none }
+        }
+        _ => true,
+    }
+}
+
 #[test]
 fn every_fault_at_every_hop_is_survived() {
     let mut cells = 0;
@@ -550,6 +574,7 @@
             for kind in SURVIVED {
                 let world = single(legs, &[(unit, kind)]);
                 assert!(world.finished(ONE), "{legs} {unit} {kind:?}");
+                assert!(counted(&world, kind), "{legs} {unit} {kind:?}");
                 cells += 1;
             }
         }
