--- a/tests/world/endpoints.rs
+++ b/tests/world/endpoints.rs
@@ -226,14 +226,7 @@
         };
         let failed = |fault| Event::Failed { id, attempt, fault };
         if endpoint.down {
-            self.push(
-                LINK,
-                super::Due::Event {
-                    node,
-                    boot,
-                    event: failed(PlainFault::Unsent),
-                },
-            );
+            self.answer(node, boot, LINK, failed(PlainFault::Unsent));
             return;
         }
         if take(&mut self.endpoints.next.refuse) {
@@ -246,7 +239,7 @@
                 attempt,
                 answer,
             };
-            self.push(WORK, super::Due::Event { node, boot, event });
+            self.answer(node, boot, WORK, event);
             return;
         }
         let silent = take(&mut self.endpoints.next.silent);
@@ -280,7 +273,7 @@
                 },
             )
         };
-        self.push(delay, super::Due::Event { node, boot, event });
+        self.answer(node, boot, delay, event);
     }
 
     pub fn hop(&mut self, node: usize, boot: u64, id: RequestId, addr: SocketAddr, hop: &Hop) {
@@ -296,39 +289,18 @@
             return;
         };
         if endpoint.down {
-            self.push(
-                CUT,
-                super::Due::Event {
-                    node,
-                    boot,
-                    event: fault(Fault::Broken),
-                },
-            );
+            self.answer(node, boot, CUT, fault(Fault::Broken));
             return;
         }
         if take(&mut self.endpoints.next.refuse) {
-            self.push(
-                CUT,
-                super::Due::Event {
-                    node,
-                    boot,
-                    event: fault(Fault::Refused),
-                },
-            );
+            self.answer(node, boot, CUT, fault(Fault::Refused));
             return;
         }
         let run = endpoint.run(hop);
         let (value, kv) = match run {
             Ok(run) => run,
             Err(why) => {
-                self.push(
-                    CUT,
-                    super::Due::Event {
-                        node,
-                        boot,
-                        event: fault(why),
-                    },
-                );
+                self.answer(node, boot, CUT, fault(why));
                 return;
             }
         };
@@ -338,14 +310,7 @@
             return;
         }
         if take(&mut self.endpoints.next.broken) {
-            self.push(
-                WORK,
-                super::Due::Event {
-                    node,
-                    boot,
-                    event: fault(Fault::Broken),
-                },
-            );
+            self.answer(node, boot, WORK, fault(Fault::Broken));
             return;
         }
         let replies = self.endpoints.replies(addr, hop, value);
@@ -363,9 +328,9 @@
             let event = Event::Session(session::Event::Reply { id, reply });
             if double {
                 let event = event.clone();
-                self.push(delay + CUT, super::Due::Event { node, boot, event });
+                self.answer(node, boot, delay + CUT, event);
             }
-            self.push(delay, super::Due::Event { node, boot, event });
+            self.answer(node, boot, delay, event);
         }
     }
 
@@ -376,7 +341,7 @@
             _ => (Millis(400), Health::Gone),
         };
         let event = Event::Session(session::Event::Probed { id, key, health });
-        self.push(delay, super::Due::Event { node, boot, event });
+        self.answer(node, boot, delay, event);
     }
 
     pub fn poll(&mut self, node: usize, boot: u64, name: EndpointName, addr: SocketAddr) {
@@ -402,6 +367,6 @@
             }
             None => Event::Unreachable(name),
         };
-        self.push(LINK, super::Due::Event { node, boot, event });
+        self.answer(node, boot, LINK, event);
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -60,7 +60,7 @@
     Event {
         node: usize,
         boot: u64,
-        event: Event,
+        event: Box<Event>,
     },
     Append {
         node: usize,
@@ -178,6 +178,12 @@
 
     pub fn event(&mut self, node: usize, after: Millis, event: Event) {
         let boot = self.nodes[node].boot;
+        self.answer(node, boot, after, event);
+    }
+
+    /// Sends an event to one boot of a VM.
+    pub fn answer(&mut self, node: usize, boot: u64, after: Millis, event: Event) {
+        let event = Box::new(event);
         self.push(after, Due::Event { node, boot, event });
     }
 
@@ -225,7 +231,7 @@
                 if let Some(name) = name(&event) {
                     self.step(name);
                 }
-                self.feed(node, boot, event);
+                self.feed(node, boot, *event);
             }
             Due::Append {
                 node,
@@ -266,7 +272,7 @@
             return;
         }
         if place.paused {
-            self.push(TICK, Due::Event { node, boot, event });
+            self.answer(node, boot, TICK, event);
             return;
         }
         let Some(core) = &mut place.core else {
@@ -382,7 +388,7 @@
         } else {
             LINK
         };
-        self.push(delay + self.log.slow, Due::Event { node, boot, event });
+        self.answer(node, boot, delay + self.log.slow, event);
     }
 
     fn read(&mut self, node: usize, boot: u64, read: ReadId, from: u64) {
@@ -394,7 +400,7 @@
             LINK
         };
         let event = Event::Read { read, found };
-        self.push(delay + self.log.slow, Due::Event { node, boot, event });
+        self.answer(node, boot, delay + self.log.slow, event);
     }
 }
 
