--- a/examples/policies.rs
+++ b/examples/policies.rs
@@ -520,7 +520,7 @@
     println!("cargo run --release --example policies -- {part} {seed}");
     let base = Setup {
         policy: Policy::TwoChoices,
-        rule: Rule::Both,
+        rule: Rule::Demand,
         gated: false,
         offered: 0.5,
         faults: part == "faults",
@@ -566,8 +566,7 @@
         for (rule, policy) in [
             (Rule::Demand, Policy::TwoChoices),
             (Rule::Adaptive, Policy::TwoChoices),
-            (Rule::Both, Policy::TwoChoices),
-            (Rule::Both, Policy::LeastWork),
+            (Rule::Demand, Policy::LeastWork),
         ] {
             let setup = Setup {
                 policy,
--- a/src/core/limit/lane.rs
+++ b/src/core/limit/lane.rs
@@ -20,7 +20,9 @@
 /// The weight of a new sample in the moving averages.
 const GAIN: f64 = 0.05;
 /// Estimated waits are taken this much longer, so that few queued requests expire.
-const MARGIN: f64 = 1.5;
+const MARGIN: f64 = 2.0;
+/// A request starts only with this multiple of the average service time left.
+const SPARE: f64 = 1.25;
 /// The soonest that a refused caller is asked to come back.
 const RETRY_LEAST: Millis = Millis(100);
 /// The latest that a refused caller is asked to come back.
@@ -47,18 +49,18 @@
 impl Lane {
     /// Offers a request.
     pub fn offer(&mut self, now: Millis, ask: Ask) -> Decision {
+        self.share.offered();
         if self.queue.is_empty() && self.has_room() {
             self.admit(now, &ask);
             return Decision::Admit;
         }
         let wait = self.wait(&ask);
-        let end = now + wait + Millis(self.hold as u64);
+        let end = now + wait + self.service();
         if self.queue.len() >= self.places() || end > ask.deadline {
             return Decision::Refuse(overloaded(wait));
         }
         self.deadlines.insert((ask.deadline, ask.id));
         self.queue.push(ask);
-        self.note();
         Decision::Queue
     }
 
@@ -92,19 +94,20 @@
             return false;
         };
         self.deadlines.remove(&(ask.deadline, id));
-        self.note();
         true
     }
 
     /// Refuses what expired and admits those whose turn it is.
     pub fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let end = now + self.service();
         while let Some(&(deadline, id)) = self.deadlines.first()
-            && deadline <= now
+            && deadline < end.max(now + Millis(1))
         {
             self.deadlines.pop_first();
             self.queue.remove(id);
             actions.push(Action::Refuse(id, expired()));
         }
+        self.share.tick(now);
         self.queue.sweep();
         self.fill(now, actions);
     }
@@ -127,6 +130,11 @@
         self.queue.teams()
     }
 
+    /// Returns the span that a request must have left when it starts: less would be wasted work.
+    fn service(&self) -> Millis {
+        Millis((self.hold * SPARE) as u64)
+    }
+
     /// Returns how many requests may wait; few while no service time is known.
     fn places(&self) -> usize {
         if self.hold > 0.0 {
@@ -141,15 +149,17 @@
     }
 
     fn fill(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        self.note();
         while self.has_room()
             && let Some(ask) = self.queue.pop()
         {
             self.deadlines.remove(&(ask.deadline, ask.id));
+            if now + self.service() > ask.deadline {
+                actions.push(Action::Refuse(ask.id, expired()));
+                continue;
+            }
             self.admit(now, &ask);
             actions.push(Action::Admit(ask.id));
         }
-        self.note();
     }
 
     fn admit(&mut self, now: Millis, ask: &Ask) {
@@ -158,12 +168,6 @@
             start: now,
         };
         self.running.insert(ask.id, running);
-        self.note();
-    }
-
-    fn note(&mut self) {
-        let demand = self.running.len() + self.queue.len();
-        self.share.set_demand(demand.try_into().unwrap_or(u32::MAX));
     }
 
     /// Returns the estimated wait of a new request, or zero before a service time is known: as
--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -153,6 +153,6 @@
 fn expired() -> Failure {
     Failure::unrun(
         Code::DeadlinePassed,
-        "The deadline passed before its turn came.",
+        "The deadline leaves no time to run it.",
     )
 }
--- a/src/core/limit/share.rs
+++ b/src/core/limit/share.rs
@@ -7,13 +7,18 @@
 
 use std::collections::BTreeMap;
 
+use crate::clock::Millis;
 use crate::names::Vm;
 
 /// Every VM may let in this many requests, whatever the peers use.
 const LEAST: f64 = 1.0;
-/// Every VM counts at least this part of an even share as its demand, so that a quiet VM can
+/// Every VM counts at least this part of the average demand as its own, so that a quiet VM can
 /// start a burst before its next heartbeat.
 const STANDING: f64 = 0.1;
+/// The span over which offers are counted.
+const WINDOW: Millis = Millis::seconds(1);
+/// The milliseconds of a second, as a float.
+const SECOND: f64 = 1000.0;
 /// The most peers whose demand is kept.
 const PEERS: usize = 32;
 /// The level is multiplied by this when endpoints are congested.
@@ -21,7 +26,7 @@
 /// The level that a VM starts from.
 const FIRST: f64 = 8.0;
 /// Service times up to this multiple of the least average are no sign of congestion.
-const TOLERANCE: f64 = 2.0;
+const TOLERANCE: f64 = 3.0;
 /// One sample moves the level by this part at most, downwards.
 const STEEPEST: f64 = 0.5;
 /// The weight of a new sample in the average service time and in the level.
@@ -33,12 +38,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Rule {
     /// The part of the slots that the own demand is of all VMs' demand.
+    #[default]
     Demand,
     /// Up while service times stay near the least, down when they grow or endpoints refuse.
     Adaptive,
-    /// The lesser of the two.
-    #[default]
-    Both,
 }
 
 /// The limit of one service on one VM.
@@ -47,7 +50,9 @@
     rule: Rule,
     slots: f64,
     peers: usize,
-    demand: u32,
+    window: Millis,
+    offers: u32,
+    demand: f64,
     demands: BTreeMap<Vm, u32>,
     level: f64,
     average: f64,
@@ -60,7 +65,9 @@
             rule: Rule::default(),
             slots: LEAST,
             peers: 0,
-            demand: 0,
+            window: Millis(0),
+            offers: 0,
+            demand: 0.0,
             demands: BTreeMap::new(),
             level: FIRST,
             average: 0.0,
@@ -91,7 +98,7 @@
         self.peers = count;
     }
 
-    /// Takes in a peer's demand: its running and waiting requests.
+    /// Takes in a peer's demand in offers a second, refused ones counted.
     pub fn hear(&mut self, vm: &Vm, demand: u32) {
         if self.demands.len() < PEERS || self.demands.contains_key(vm) {
             self.demands.insert(vm.clone(), demand);
@@ -103,15 +110,27 @@
         self.demands.remove(vm);
     }
 
-    /// Sets the own demand, which peers are told.
-    pub fn set_demand(&mut self, demand: u32) {
-        self.demand = demand;
+    /// Counts an offer. The demand is what is offered and not what waits: a VM with a larger part
+    /// could let more wait, and would so take a larger part still.
+    pub fn offered(&mut self) {
+        self.offers += 1;
+    }
+
+    /// Ends a window of counting, if it is over.
+    pub fn tick(&mut self, now: Millis) {
+        let span = now.since(self.window);
+        if span >= WINDOW {
+            let fresh = f64::from(self.offers) * SECOND / span.0 as f64;
+            self.demand = f64::midpoint(self.demand, fresh);
+            self.window = now;
+            self.offers = 0;
+        }
     }
 
-    /// Returns the own demand, for the next heartbeat.
+    /// Returns the own demand in offers a second, for the next heartbeat.
     #[must_use]
     pub fn demand(&self) -> u32 {
-        self.demand
+        self.demand.ceil() as u32
     }
 
     /// Notes that endpoints had no room for an admitted request.
@@ -141,28 +160,21 @@
         let limit = match self.rule {
             Rule::Demand => self.slots * self.part(),
             Rule::Adaptive => self.level,
-            Rule::Both => self.level.min(self.slots * self.part()),
         };
         limit.max(LEAST).ceil() as u32
     }
 
-    fn even(&self) -> f64 {
-        (self.slots / (self.peers as f64 + 1.0)).max(LEAST)
-    }
-
     /// Returns the own part of the slots. Peers that are not heard count as the average of those
     /// that are, and as even sharers if none is.
     fn part(&self) -> f64 {
-        let own = self.standing(self.demand);
-        if self.demands.is_empty() {
-            return 1.0 / (self.peers as f64 + 1.0);
+        let vms = self.peers as f64 + 1.0;
+        let heard: f64 = self.demands.values().map(|&one| f64::from(one)).sum();
+        let scale = self.peers as f64 / self.demands.len().max(1) as f64;
+        let all = self.demand + heard * scale;
+        if self.demands.is_empty() || all < 1.0 {
+            return 1.0 / vms;
         }
-        let heard: f64 = self.demands.values().map(|&one| self.standing(one)).sum();
-        let scale = self.peers as f64 / self.demands.len() as f64;
+        let own = self.demand.max(STANDING * all / vms);
         own / (own + heard * scale)
     }
-
-    fn standing(&self, demand: u32) -> f64 {
-        f64::from(demand).max(self.even() * STANDING)
-    }
 }
