Estimate the wait from the teams that usually wait

Cause: the estimate counted the teams that wait at this moment, and was bounded by what waits, but requests of others arrive meanwhile and go first. So a large team's requests were queued and then refused late.

--- a/src/core/limit/fair.rs
+++ b/src/core/limit/fair.rs
@@ -18,6 +18,9 @@
 const TAG_UNIT: u64 = 1024;
 /// A class that waits is served after it was passed over this often: normal, then batch.
 const PASSES: [u32; CLASSES] = [u32::MAX, 8, 16];
+/// The weight of the teams that wait is remembered, less this factor each tick: teams that wait
+/// now and then count in the estimates also while they do not.
+const USUAL_KEPT: f64 = 0.995;
 /// The number of priority classes.
 const CLASSES: usize = 3;
 
@@ -45,6 +48,7 @@
     lines: BTreeMap<Team, Line>,
     heads: BTreeSet<(u64, Team)>,
     weights: u64,
+    usual: f64,
 }
 
 impl Class {
@@ -57,6 +61,7 @@
             self.heads.insert((start, ask.team.clone()));
             line.weight = u64::from(ask.weight.max(1));
             self.weights += line.weight;
+            self.usual = self.usual.max(self.weights as f64);
         }
         line.cost += cost;
         self.cost += cost;
@@ -105,7 +110,7 @@
     }
 
     /// Returns the work that goes before a new request of a team: its own and the shares of the
-    /// others meanwhile, and no more than all that waits.
+    /// others meanwhile. Those may arrive later, so what waits now is no upper bound.
     fn ahead(&self, team: &Team, weight: u32) -> f64 {
         let own = self.lines.get(team).map_or(0, |line| line.cost) as f64;
         let weight = f64::from(weight.max(1));
@@ -113,12 +118,13 @@
             .lines
             .get(team)
             .is_some_and(|line| !line.asks.is_empty());
-        let others = self.weights as f64 - if waits { weight } else { 0.0 };
-        (own * (1.0 + others.max(0.0) / weight)).min(self.cost as f64)
+        let others = self.usual - if waits { weight } else { 0.0 };
+        own * (1.0 + others.max(0.0) / weight)
     }
 
     /// Forgets teams that wait for nothing and whose finish tag has passed.
     fn sweep(&mut self) {
+        self.usual = (self.usual * USUAL_KEPT).max(self.weights as f64);
         let idle = self.lines.values().all(|line| line.asks.is_empty());
         let time = self.time;
         self.lines
