--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -179,7 +179,8 @@
         assert!(gate.cancel(&service(), id));
     }
     assert!(!gate.cancel(&service(), 100));
-    assert_eq!(serve(&mut gate, busy, 3), [139, 200, 201]);
+    gate.offer(Millis(150), ask(140, "a", 1, Priority::Normal));
+    assert_eq!(serve(&mut gate, busy, 4), [139, 200, 140, 201]);
 }
 
 #[test]
