--- a/src/core/once/mod.rs
+++ b/src/core/once/mod.rs
@@ -10,8 +10,12 @@
 mod id;
 mod peer;
 mod record;
+mod reply;
+mod run;
 mod shard;
+mod snapshot;
 mod state;
+mod verdict;
 mod writer;
 
 pub use self::event::Action;
--- a/src/core/once/shard.rs
+++ b/src/core/once/shard.rs
@@ -7,8 +7,6 @@
 use serde::Serialize;
 
 use super::KEPT_BYTES;
-use super::PART_BYTES;
-use super::ROW_BYTES;
 use super::id::Attempt;
 use super::id::CallDigest;
 use super::id::Holder;
@@ -21,8 +19,6 @@
 use super::record::Ident;
 use super::record::Outcome;
 use super::record::Release;
-use super::record::Row;
-use super::record::RowState;
 use super::record::Snapshot;
 use crate::clock::Millis;
 
@@ -58,34 +54,34 @@
 /// between it is without a base and gives no verdict, because a claim that it missed may have won.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Shard {
-    next: Offset,
-    origin: Offset,
-    based: bool,
-    floor: Millis,
-    opaque: Millis,
-    keys: BTreeMap<KeyId, Key>,
-    voids: BTreeMap<(KeyId, u32), Voided>,
-    holders: Vec<Holder>,
-    index: BTreeMap<Holder, u32>,
-    kept: VecDeque<(KeyId, u32)>,
-    bytes: usize,
-    parts: Vec<Snapshot>,
+    pub(super) next: Offset,
+    pub(super) origin: Offset,
+    pub(super) based: bool,
+    pub(super) floor: Millis,
+    pub(super) opaque: Millis,
+    pub(super) keys: BTreeMap<KeyId, Key>,
+    pub(super) voids: BTreeMap<(KeyId, u32), Voided>,
+    pub(super) holders: Vec<Holder>,
+    pub(super) index: BTreeMap<Holder, u32>,
+    pub(super) kept: VecDeque<(KeyId, u32)>,
+    pub(super) bytes: usize,
+    pub(super) parts: Vec<Snapshot>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Key {
-    call: CallDigest,
-    offset: Offset,
-    attempt: Attempt,
-    time: Millis,
-    answer: Option<Box<Answer>>,
-    holder: u32,
+pub(super) struct Key {
+    pub(super) call: CallDigest,
+    pub(super) offset: Offset,
+    pub(super) attempt: Attempt,
+    pub(super) time: Millis,
+    pub(super) answer: Option<Box<Answer>>,
+    pub(super) holder: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Voided {
-    attempt: Attempt,
-    time: Millis,
+pub(super) struct Voided {
+    pub(super) attempt: Attempt,
+    pub(super) time: Millis,
 }
 
 impl Default for Shard {
@@ -253,7 +249,7 @@
         Verdict::Recorded
     }
 
-    fn void(&mut self, key: KeyId, holder: u32, attempt: Attempt, time: Millis) {
+    pub(super) fn void(&mut self, key: KeyId, holder: u32, attempt: Attempt, time: Millis) {
         let voided = self
             .voids
             .entry((key, holder))
@@ -275,7 +271,7 @@
             .is_some_and(|key| key.answer.is_some())
     }
 
-    fn intern(&mut self, holder: &Holder) -> u32 {
+    pub(super) fn intern(&mut self, holder: &Holder) -> u32 {
         if let Some(index) = self.index.get(holder) {
             return *index;
         }
@@ -286,7 +282,7 @@
     }
 
     /// Keeps an answer's body until the bodies of later answers need its room.
-    fn keep(&mut self, key: KeyId, answer: &Answer) {
+    pub(super) fn keep(&mut self, key: KeyId, answer: &Answer) {
         let Answer::Small { body, .. } = answer else {
             return;
         };
@@ -312,158 +308,3 @@
         }
     }
 }
-
-/// Snapshots.
-impl Shard {
-    /// Returns the parts of a snapshot of the state, which forget keys of before `floor`.
-    #[must_use]
-    pub fn parts(&self, holder: &Holder, floor: Millis) -> Vec<Snapshot> {
-        let Some(upto) = self.next.0.checked_sub(1).filter(|_| self.based) else {
-            return Vec::new();
-        };
-        let floor = floor.max(self.floor);
-        let rows: Vec<Row> = self.rows().filter(|row| row.time >= floor).collect();
-        let chunks = chunks(rows);
-        let parts = chunks.len() as u32;
-        let numbered = (0..parts).zip(chunks);
-        numbered
-            .map(|(part, rows)| Snapshot {
-                holder: holder.clone(),
-                upto: Offset(upto),
-                floor,
-                opaque: self.opaque,
-                part,
-                parts,
-                rows,
-            })
-            .collect()
-    }
-
-    /// Returns an empty snapshot for a stream whose past is lost.
-    ///
-    /// The keys of the lost past all lie before `floor`, so that none of them is admitted again;
-    /// for a key without a time, only a whole window shows that it is not from the past.
-    #[must_use]
-    pub fn reset(&self, holder: &Holder, floor: Millis, window: Millis) -> Snapshot {
-        Snapshot {
-            holder: holder.clone(),
-            upto: Offset(self.next.0.saturating_sub(1)),
-            floor,
-            opaque: floor + window,
-            part: 0,
-            parts: 1,
-            rows: Vec::new(),
-        }
-    }
-
-    fn rows(&self) -> impl Iterator<Item = Row> + '_ {
-        let claimed = self.keys.iter().map(|(id, key)| Row {
-            key: *id,
-            holder: self.holders[key.holder as usize].clone(),
-            attempt: key.attempt,
-            time: key.time,
-            state: RowState::Claimed {
-                call: key.call,
-                offset: key.offset,
-                answer: key.answer.as_deref().cloned(),
-            },
-        });
-        let voided = self.voids.iter().map(|((id, holder), voided)| Row {
-            key: *id,
-            holder: self.holders[*holder as usize].clone(),
-            attempt: voided.attempt,
-            time: voided.time,
-            state: RowState::Void,
-        });
-        claimed.chain(voided)
-    }
-
-    fn snapshot(&mut self, part: &Snapshot) {
-        if self.based {
-            self.opaque = self.opaque.max(part.opaque);
-            self.forget(part.floor);
-            return;
-        }
-        if part.part == 0 {
-            self.parts.clear();
-        }
-        if part.upto.next() < self.origin {
-            return;
-        }
-        let fits = self.parts.first().is_none_or(|first| {
-            first.holder == part.holder && first.upto == part.upto && first.parts == part.parts
-        });
-        if fits && self.parts.len() == part.part as usize {
-            self.parts.push(part.clone());
-        }
-        if self.parts.len() == part.parts as usize {
-            self.load();
-        }
-    }
-
-    /// Forgets the keys of before `floor`; no claim on such a key can win from here on.
-    fn forget(&mut self, floor: Millis) {
-        self.floor = self.floor.max(floor);
-        let floor = self.floor;
-        self.keys.retain(|_, key| key.time >= floor);
-        self.voids.retain(|_, voided| voided.time >= floor);
-    }
-
-    /// Takes the collected snapshot as the base; the records after it are then read again.
-    fn load(&mut self) {
-        let parts = std::mem::take(&mut self.parts);
-        let Some(first) = parts.first() else {
-            return;
-        };
-        *self = Self::start(first.upto.next());
-        self.based = true;
-        self.floor = first.floor;
-        self.opaque = first.opaque;
-        for row in parts.into_iter().flat_map(|part| part.rows) {
-            self.restore(row);
-        }
-    }
-
-    fn restore(&mut self, row: Row) {
-        let holder = self.intern(&row.holder);
-        match row.state {
-            RowState::Void => self.void(row.key, holder, row.attempt, row.time),
-            RowState::Claimed {
-                call,
-                offset,
-                answer,
-            } => {
-                let key = Key {
-                    call,
-                    offset,
-                    attempt: row.attempt,
-                    time: row.time,
-                    answer: answer.clone().map(Box::new),
-                    holder,
-                };
-                self.keys.insert(row.key, key);
-                if let Some(answer) = answer {
-                    self.keep(row.key, &answer);
-                }
-            }
-        }
-    }
-}
-
-/// Cuts rows into parts that one append carries; there is at least one part.
-fn chunks(rows: Vec<Row>) -> Vec<Vec<Row>> {
-    let mut chunks = vec![Vec::new()];
-    let mut bytes = 0;
-    for row in rows {
-        let size = ROW_BYTES + row.answer().map_or(0, Answer::len);
-        if bytes + size > PART_BYTES && bytes > 0 {
-            chunks.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += size;
-        if let Some(last) = chunks.last_mut() {
-            last.push(row);
-        }
-    }
-    chunks
-}
--- /dev/null
+++ b/src/core/once/snapshot.rs
@@ -0,0 +1,167 @@
+//! Carrying a shard's state forward within the log's retention.
+
+use super::PART_BYTES;
+use super::ROW_BYTES;
+use super::id::Holder;
+use super::id::Offset;
+use super::record::Answer;
+use super::record::Row;
+use super::record::RowState;
+use super::record::Snapshot;
+use super::shard::Key;
+use super::shard::Shard;
+use crate::clock::Millis;
+
+impl Shard {
+    /// Returns the parts of a snapshot of the state, which forget keys of before `floor`.
+    #[must_use]
+    pub fn parts(&self, holder: &Holder, floor: Millis) -> Vec<Snapshot> {
+        let Some(upto) = self.next.0.checked_sub(1).filter(|_| self.based) else {
+            return Vec::new();
+        };
+        let floor = floor.max(self.floor);
+        let rows: Vec<Row> = self.rows().filter(|row| row.time >= floor).collect();
+        let chunks = chunks(rows);
+        let parts = chunks.len() as u32;
+        let numbered = (0..parts).zip(chunks);
+        numbered
+            .map(|(part, rows)| Snapshot {
+                holder: holder.clone(),
+                upto: Offset(upto),
+                floor,
+                opaque: self.opaque,
+                part,
+                parts,
+                rows,
+            })
+            .collect()
+    }
+
+    /// Returns an empty snapshot for a stream whose past is lost.
+    ///
+    /// The keys of the lost past all lie before `floor`, so that none of them is admitted again;
+    /// for a key without a time, only a whole window shows that it is not from the past.
+    #[must_use]
+    pub fn reset(&self, holder: &Holder, floor: Millis, window: Millis) -> Snapshot {
+        Snapshot {
+            holder: holder.clone(),
+            upto: Offset(self.next.0.saturating_sub(1)),
+            floor,
+            opaque: floor + window,
+            part: 0,
+            parts: 1,
+            rows: Vec::new(),
+        }
+    }
+
+    fn rows(&self) -> impl Iterator<Item = Row> + '_ {
+        let claimed = self.keys.iter().map(|(id, key)| Row {
+            key: *id,
+            holder: self.holders[key.holder as usize].clone(),
+            attempt: key.attempt,
+            time: key.time,
+            state: RowState::Claimed {
+                call: key.call,
+                offset: key.offset,
+                answer: key.answer.as_deref().cloned(),
+            },
+        });
+        let voided = self.voids.iter().map(|((id, holder), voided)| Row {
+            key: *id,
+            holder: self.holders[*holder as usize].clone(),
+            attempt: voided.attempt,
+            time: voided.time,
+            state: RowState::Void,
+        });
+        claimed.chain(voided)
+    }
+
+    pub(super) fn snapshot(&mut self, part: &Snapshot) {
+        if self.based {
+            self.opaque = self.opaque.max(part.opaque);
+            self.forget(part.floor);
+            return;
+        }
+        if part.part == 0 {
+            self.parts.clear();
+        }
+        if part.upto.next() < self.origin {
+            return;
+        }
+        let fits = self.parts.first().is_none_or(|first| {
+            first.holder == part.holder && first.upto == part.upto && first.parts == part.parts
+        });
+        if fits && self.parts.len() == part.part as usize {
+            self.parts.push(part.clone());
+        }
+        if self.parts.len() == part.parts as usize {
+            self.load();
+        }
+    }
+
+    /// Forgets the keys of before `floor`; no claim on such a key can win from here on.
+    fn forget(&mut self, floor: Millis) {
+        self.floor = self.floor.max(floor);
+        let floor = self.floor;
+        self.keys.retain(|_, key| key.time >= floor);
+        self.voids.retain(|_, voided| voided.time >= floor);
+    }
+
+    /// Takes the collected snapshot as the base; the records after it are then read again.
+    fn load(&mut self) {
+        let parts = std::mem::take(&mut self.parts);
+        let Some(first) = parts.first() else {
+            return;
+        };
+        *self = Self::start(first.upto.next());
+        self.based = true;
+        self.floor = first.floor;
+        self.opaque = first.opaque;
+        for row in parts.into_iter().flat_map(|part| part.rows) {
+            self.restore(row);
+        }
+    }
+
+    fn restore(&mut self, row: Row) {
+        let holder = self.intern(&row.holder);
+        match row.state {
+            RowState::Void => self.void(row.key, holder, row.attempt, row.time),
+            RowState::Claimed {
+                call,
+                offset,
+                answer,
+            } => {
+                let key = Key {
+                    call,
+                    offset,
+                    attempt: row.attempt,
+                    time: row.time,
+                    answer: answer.clone().map(Box::new),
+                    holder,
+                };
+                self.keys.insert(row.key, key);
+                if let Some(answer) = answer {
+                    self.keep(row.key, &answer);
+                }
+            }
+        }
+    }
+}
+
+/// Cuts rows into parts that one append carries; there is at least one part.
+fn chunks(rows: Vec<Row>) -> Vec<Vec<Row>> {
+    let mut chunks = vec![Vec::new()];
+    let mut bytes = 0;
+    for row in rows {
+        let size = ROW_BYTES + row.answer().map_or(0, Answer::len);
+        if bytes + size > PART_BYTES && bytes > 0 {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = chunks.last_mut() {
+            last.push(row);
+        }
+    }
+    chunks
+}
