--- a/tests/once.rs
+++ b/tests/once.rs
@@ -18,12 +18,15 @@
 use cornelwharf::core::once::Event;
 use cornelwharf::core::once::Header;
 use cornelwharf::core::once::Holder;
+use cornelwharf::core::once::Ident;
 use cornelwharf::core::once::KeyId;
+use cornelwharf::core::once::Message;
 use cornelwharf::core::once::Offset;
 use cornelwharf::core::once::Once;
 use cornelwharf::core::once::Outcome;
 use cornelwharf::core::once::Release;
 use cornelwharf::core::once::Reply;
+use cornelwharf::core::once::Ruling;
 use cornelwharf::core::once::Settings;
 use cornelwharf::core::once::Shard;
 use cornelwharf::core::once::StreamId;
@@ -355,7 +358,28 @@
         actions
     }
 
-    fn outcome_on_b(&mut self, live: bool) {
+    fn hear_won(&mut self, holder: Holder, attempt: u64) -> Vec<Action> {
+        let key = KeyId::of(&Team::from("team"), DATED);
+        let attempt = Attempt(attempt);
+        let ident = Ident {
+            key,
+            holder,
+            attempt,
+            claim: true,
+        };
+        let verdict = Some(Verdict::Won { offset: Offset(0) });
+        let message = Message::Rulings(vec![Ruling {
+            ident,
+            verdict,
+            queued: true,
+        }]);
+        self.feed(Event::Peer {
+            vm: Vm::from("b"),
+            message,
+        })
+    }
+
+    fn claim_of_b(&mut self, live: bool) {
         let key = KeyId::of(&Team::from("team"), DATED);
         let other = Claim {
             key,
@@ -423,14 +447,14 @@
 #[test]
 fn claim_of_a_live_boot_is_waited_for_and_that_of_a_gone_one_is_not() {
     let mut bench = Bench::new();
-    bench.outcome_on_b(false);
+    bench.claim_of_b(false);
     let (_, actions) = bench.call(DATED, 1);
     assert_eq!(
         failure(&actions),
         Some((Code::OutcomeUnknown, Ran::Unknown))
     );
     let mut bench = Bench::new();
-    bench.outcome_on_b(true);
+    bench.claim_of_b(true);
     let (_, actions) = bench.call(DATED, 1);
     assert_eq!(actions, []);
     let actions = bench.pass(Millis::seconds(6));
@@ -462,3 +486,22 @@
     let (_, actions) = bench.call(DATED, 1);
     assert_eq!(failure(&actions), Some((Code::BadRequest, Ran::No)));
 }
+
+#[test]
+fn ruling_on_another_boot_or_attempt_lets_nothing_run() {
+    let mut bench = Bench::new();
+    let order = vec![Vm::from("b"), Vm::from("a")];
+    bench.feed(Event::Homes {
+        stream: STREAM,
+        order,
+    });
+    let (id, _) = bench.call(DATED, 1);
+    let earlier = Holder {
+        boot: Boot(0),
+        ..holder("a")
+    };
+    assert_eq!(bench.hear_won(earlier, 1), []);
+    assert_eq!(bench.hear_won(holder("a"), 2), []);
+    assert_eq!(bench.hear_won(holder("a"), 1), [Action::Run(id)]);
+    assert_eq!(bench.hear_won(holder("a"), 1), []);
+}
