--- a/src/core/once/writer.rs
+++ b/src/core/once/writer.rs
@@ -28,6 +28,7 @@
     flight: Option<Flight>,
     last: Option<Millis>,
     failures: u32,
+    carried: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -154,20 +155,32 @@
         });
     }
 
-    /// Takes the next entries; a part of a snapshot goes alone, since it is large.
+    /// Takes the next entries; a part of a snapshot goes alone, since it is large, and in turn with
+    /// whatever else waits, so that a long snapshot holds up no claim.
     fn take(&mut self) -> Vec<Queued> {
-        let large = |queued: &Queued| matches!(queued.entry, Entry::Snapshot(_));
-        let count = match self.queue.iter().position(large) {
-            Some(0) => 1,
-            Some(first) => first.min(BATCH_ENTRIES),
-            None => self.queue.len().min(BATCH_ENTRIES),
-        };
+        let waits = self.queue.iter().any(|queued| !is_part(queued));
+        let next = self.queue.front().is_some_and(is_part);
+        self.carried = next && !(self.carried && waits);
+        if self.carried {
+            return self.queue.drain(..1).collect();
+        }
         let mut bytes = 0;
-        let fitting = self.queue.iter().take(count).take_while(|queued| {
+        let mut taken = Vec::new();
+        let mut rest = VecDeque::new();
+        for queued in std::mem::take(&mut self.queue) {
             bytes += queued.entry.body();
-            bytes <= BATCH_BYTES
-        });
-        let count = fitting.count().max(1);
-        self.queue.drain(..count).collect()
+            let fits = taken.len() < BATCH_ENTRIES && (bytes <= BATCH_BYTES || taken.is_empty());
+            if fits && !is_part(&queued) {
+                taken.push(queued);
+            } else {
+                rest.push_back(queued);
+            }
+        }
+        self.queue = rest;
+        taken
     }
 }
+
+fn is_part(queued: &Queued) -> bool {
+    matches!(queued.entry, Entry::Snapshot(_))
+}
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -505,3 +505,30 @@
     assert_eq!(bench.hear_won(holder("a"), 1), [Action::Run(id)]);
     assert_eq!(bench.hear_won(holder("a"), 1), []);
 }
+
+#[test]
+fn long_snapshot_holds_up_no_claim() {
+    let mut bench = Bench::new();
+    let claims = (0..5000).map(|key| Claim {
+        key: KeyId(key),
+        ..claim("b", 1, 1)
+    });
+    bench.log.push(Batch(claims.map(Entry::Claim).collect()));
+    bench.pass(Millis(50));
+    let (id, actions) = bench.call(DATED, 1);
+    assert_eq!(actions, [Action::Run(id)]);
+    bench.pass(Millis::seconds(1));
+    let entries: Vec<&Entry> = bench
+        .log
+        .iter()
+        .skip(1)
+        .flat_map(|batch| &batch.0)
+        .collect();
+    let claimed = entries
+        .iter()
+        .position(|entry| matches!(entry, Entry::Claim(_)));
+    let carried = entries
+        .iter()
+        .rposition(|entry| matches!(entry, Entry::Snapshot(_)));
+    assert!(claimed.is_some() && claimed < carried);
+}
