--- a/tests/once.rs
+++ b/tests/once.rs
@@ -514,7 +514,7 @@
         ..claim("b", 1, 1)
     });
     bench.log.push(Batch(claims.map(Entry::Claim).collect()));
-    bench.pass(Millis(50));
+    bench.pass(Millis(100));
     let (id, actions) = bench.call(DATED, 1);
     assert_eq!(actions, [Action::Run(id)]);
     bench.pass(Millis::seconds(1));
