Add membership, record distribution and leases of the core

Daemons need to know who serves, to hold the configuration in force within 3 s, and to give an endpoint orders from one place at a time, without a second coordination service and at a cost that does not grow with the fleet.

- member: ring heartbeats with indirect probes, rumours, refutation, pauses, boots, the platform's lagging list, addresses, rendezvous ranks.
- sync: two readers per domain, push and anti-entropy between peers, freshness by age, who may serve and who may confirm.
- order: leases in the log by compare-and-set, fencing numbers, the wait and the last check for endpoints that ignore them.

--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -1,1 +1,540 @@
-//! To be described.
+//! The soft view that each daemon has of the others.
+//!
+//! Each daemon pings two successors on a ring and one random peer a second, so the cost of a
+//! daemon does not depend on the fleet, and a dead VM is missed by its two watchers within a
+//! fixed time. Reports about daemons travel with pings and answers, and urgent ones at once to a
+//! few peers (docs/operators/membership.md).
+//!
+//! Nothing here is agreed upon: a wrong view costs speed, never safety.
+
+pub mod addresses;
+pub mod message;
+mod probe;
+mod receive;
+pub mod rendezvous;
+mod table;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::addresses::Addresses;
+use self::addresses::Candidate;
+use self::addresses::Candidates;
+use self::message::Body;
+use self::message::Contact;
+use self::message::Load;
+use self::message::MIN_VERSION;
+use self::message::Member;
+use self::message::Message;
+use self::message::Progress;
+use self::message::Rumour;
+use self::message::Status;
+use self::message::VERSION;
+use self::probe::Probes;
+use self::table::Entry;
+use self::table::Listing;
+use self::table::Table;
+use crate::clock::Millis;
+use crate::names::Domain;
+use crate::names::Vm;
+
+pub use self::probe::DIRECT_SPAN;
+pub use self::probe::INDIRECT_SPAN;
+pub use self::watch::PING_SPAN;
+pub use self::watch::SUSPECT_SPAN;
+pub use self::watch::WAKE_SPAN;
+
+/// How old the evidence of a failure domain may be to count as contact. It is shorter than
+/// [`crate::consts::FRESH_SPAN`], so that whoever is cut off has lost its contacts when its
+/// state is no longer fresh.
+pub const CONTACT_SPAN: Millis = Millis::seconds(4);
+/// The most VMs that a caller is told of.
+const MOST_ADDRESSES: usize = 16;
+/// The most urgent reports in one message.
+const RUMOURS: usize = 8;
+/// How many bursts carry a change of this daemon's own status.
+const OWN_REPEATS: u8 = 3;
+/// How long to wait for a peer's view before a lone daemon trusts its own.
+const REFRESH_SPAN: Millis = Millis::seconds(2);
+/// The most loads in one message, the sender's own included.
+const LOADS: usize = 4;
+
+/// A VM on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The VM, where it is and where it listens.
+    pub vm: Vm,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Where its daemon listens for other daemons.
+    pub peer: SocketAddr,
+    /// Where its daemon listens for callers.
+    pub caller: SocketAddr,
+    /// Whether the platform is taking it away.
+    pub leaving: bool,
+}
+
+/// What the surrounding program should do, or other parts should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send {
+        /// The VM that it is for.
+        to: Vm,
+        /// The address of its daemon.
+        peer: SocketAddr,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// A daemon runs that was not believed to.
+    Joined(Member),
+    /// A daemon does not answer; no new work goes there.
+    Suspected(Member),
+    /// A daemon is held for dead.
+    Gone(Member),
+    /// A daemon takes no new callers any more; it may be this one.
+    Leaving(Member),
+    /// A peer answered with its progress, which held at `at` or later.
+    Heard {
+        /// The peer.
+        vm: Vm,
+        /// When the ping that it answered was sent.
+        at: Millis,
+        /// Its progress in the `config` stream.
+        progress: Progress,
+    },
+    /// The daemon was paused; what it believed before may be outdated.
+    Woke,
+}
+
+/// Whether this daemon is in contact with most of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It is in contact with more than half of the failure domains and of the VMs.
+    Majority,
+    /// It is not.
+    Minority,
+}
+
+/// The soft view of the fleet.
+#[derive(Debug)]
+pub struct Members {
+    me: Rumour,
+    load: u32,
+    count: u64,
+    progress: Option<Mark>,
+    table: Table,
+    probes: Probes,
+    suspects: BTreeMap<Vm, Millis>,
+    contacts: BTreeMap<Domain, Millis>,
+    answered: Option<Millis>,
+    listed: Option<BTreeSet<Vm>>,
+    refreshing: Option<Millis>,
+    reach: Reach,
+    judged: Millis,
+    repeats: u8,
+    ticked: Option<Millis>,
+    pinged: Millis,
+    flushed: Millis,
+    slot: u64,
+    rng: ChaCha8Rng,
+    candidates: Option<Candidates>,
+}
+
+impl Members {
+    /// Creates the view of the daemon `me`, which is starting and knows nobody.
+    #[must_use]
+    pub fn new(me: Member, seed: u64) -> Self {
+        Self {
+            me: Rumour {
+                member: me,
+                incarnation: 0,
+                status: Status::Starting,
+            },
+            load: 0,
+            count: 0,
+            progress: None,
+            table: Table::default(),
+            probes: Probes::default(),
+            suspects: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            answered: None,
+            listed: None,
+            refreshing: None,
+            reach: Reach::Minority,
+            judged: Millis(0),
+            repeats: 0,
+            ticked: None,
+            pinged: Millis(0),
+            flushed: Millis(0),
+            slot: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            candidates: None,
+        }
+    }
+
+    /// Returns this daemon.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me.member
+    }
+
+    /// Returns what this daemon says of itself.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        self.me.status
+    }
+
+    /// Sets the load that others are told of, in requests in progress.
+    pub fn set_load(&mut self, load: u32) {
+        self.load = load;
+    }
+
+    /// Sets what others are told of the `config` stream: this daemon holds all before `offset`,
+    /// and that was all there was at the time `fresh`.
+    pub fn set_progress(&mut self, offset: u64, fresh: Option<Millis>) {
+        self.progress = Some(Mark { offset, fresh });
+    }
+
+    /// Announces that this daemon takes new work, or that it does not yet; a leaving daemon
+    /// stays leaving.
+    pub fn set_serving(&mut self, now: Millis, serving: bool, actions: &mut Vec<Action>) {
+        let status = if serving {
+            Status::Serving
+        } else {
+            Status::Starting
+        };
+        if self.me.status != status && self.me.status != Status::Leaving {
+            self.announce(now, status, actions);
+        }
+    }
+
+    /// Announces that this daemon is leaving. It drops out of everybody's addresses at once.
+    pub fn leave(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.me.status == Status::Leaving {
+            return;
+        }
+        self.announce(now, Status::Leaving, actions);
+        actions.push(Action::Leaving(self.me.member.clone()));
+    }
+
+    fn announce(&mut self, now: Millis, status: Status, actions: &mut Vec<Action>) {
+        self.me.incarnation += 1;
+        self.me.status = status;
+        self.candidates = None;
+        self.repeats = OWN_REPEATS;
+        self.spread(now, actions);
+    }
+
+    /// Takes in the platform's list, which lags behind and may disagree with what peers say.
+    ///
+    /// It names daemons to ping and marks those that the platform takes away. It can't declare a
+    /// daemon dead, and what it says of an earlier boot does not touch a later one.
+    pub fn listed(&mut self, now: Millis, list: &[Listed], actions: &mut Vec<Action>) {
+        self.candidates = None;
+        for item in list {
+            if item.vm == self.me.member.vm {
+                self.listed_self(now, item, actions);
+            } else {
+                self.listed_peer(item, actions);
+            }
+        }
+        let names: BTreeSet<Vm> = list.iter().map(|item| item.vm.clone()).collect();
+        self.drop_absent(&names);
+        self.listed = Some(names);
+    }
+
+    fn listed_self(&mut self, now: Millis, item: &Listed, actions: &mut Vec<Action>) {
+        let earlier = self.listed.as_ref();
+        let known = earlier.is_some_and(|names| names.contains(&item.vm));
+        if item.leaving && known {
+            self.leave(now, actions);
+        }
+    }
+
+    fn listed_peer(&mut self, item: &Listed, actions: &mut Vec<Action>) {
+        if self.table.get(&item.vm).is_none() {
+            self.table.put(unheard(item));
+        }
+        let Some(entry) = self.table.get_mut(&item.vm) else {
+            return;
+        };
+        let before = entry.listing;
+        entry.listing = match (item.leaving, before) {
+            (true, Listing::Outdated) => Listing::Outdated,
+            (true, _) => Listing::Leaving,
+            (false, _) => Listing::Live,
+        };
+        if entry.listing == Listing::Leaving && before != Listing::Leaving && entry.live() {
+            actions.push(Action::Leaving(entry.rumour.member.clone()));
+        }
+    }
+
+    /// Forgets the daemons that neither answer nor stand on the list. Others stay known however
+    /// long they are silent, because [`Members::reach`] counts them.
+    fn drop_absent(&mut self, names: &BTreeSet<Vm>) {
+        let absent: Vec<Vm> = self
+            .table
+            .values()
+            .filter(|entry| !entry.live() && !self.suspects.contains_key(vm_of(entry)))
+            .map(vm_of)
+            .filter(|vm| !names.contains(*vm))
+            .cloned()
+            .collect();
+        for vm in absent {
+            self.table.remove(&vm);
+        }
+    }
+
+    /// Says whether this daemon is in contact with most of the fleet as it was last known.
+    ///
+    /// Two daemons that both reach a majority share a failure domain that both hear, through
+    /// which a record of the log gets from one to the other (docs/operators/membership.md).
+    #[must_use]
+    pub fn reach(&self, now: Millis) -> Reach {
+        if self.paused(now) {
+            return Reach::Minority;
+        }
+        self.reach
+    }
+
+    /// Says whether a pause of this daemon has not been noticed by its tick yet.
+    fn paused(&self, now: Millis) -> bool {
+        self.ticked.is_some_and(|last| now.since(last) >= WAKE_SPAN)
+    }
+
+    /// Says whether the view has been compared with a peer's since the start or the last pause.
+    fn trusted(&self, now: Millis) -> bool {
+        let waited = |since: Millis| now.since(since) >= REFRESH_SPAN;
+        !self.paused(now) && self.refreshing.is_none_or(waited)
+    }
+
+    fn find_reach(&self, now: Millis) -> Reach {
+        if self.table.is_empty() {
+            return Reach::Majority;
+        }
+        let answered = self.answered.is_some_and(|at| recent(now, at));
+        let domains = self.domains_reached(now);
+        let vms = self.vms_reached();
+        if answered && domains.most() && vms.most() {
+            Reach::Majority
+        } else {
+            Reach::Minority
+        }
+    }
+
+    fn domains_reached(&self, now: Millis) -> Share {
+        let mine = &self.me.member.domain;
+        let mut known: BTreeSet<&Domain> = BTreeSet::from([mine]);
+        known.extend(self.counted().map(|entry| &entry.rumour.member.domain));
+        let heard = |domain: &Domain| self.contacts.get(domain).is_some_and(|at| recent(now, *at));
+        let reached = known
+            .iter()
+            .filter(|domain| **domain == mine || heard(domain));
+        Share {
+            part: reached.count(),
+            total: known.len(),
+        }
+    }
+
+    fn vms_reached(&self) -> Share {
+        Share {
+            part: 1 + self.counted().filter(|entry| entry.live()).count(),
+            total: 1 + self.counted().count(),
+        }
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Entry> {
+        self.table.values().filter(|entry| entry.counted())
+    }
+
+    /// Returns the daemons that are believed to run, this one included, in the order of names.
+    #[must_use]
+    pub fn live(&self) -> Vec<Member> {
+        let mut out: Vec<Member> = self
+            .table
+            .values()
+            .filter(|entry| entry.live())
+            .map(|entry| entry.rumour.member.clone())
+            .collect();
+        out.push(self.me.member.clone());
+        out.sort_by(|a, b| a.vm.cmp(&b.vm));
+        out
+    }
+
+    /// Ranks the daemons that run and stay for the role that `key` names, this one included.
+    #[must_use]
+    pub fn rank(&self, key: &str) -> Vec<Vm> {
+        let staying = self
+            .table
+            .values()
+            .filter(|entry| entry.live() && entry.rumour.status != Status::Leaving)
+            .map(vm_of);
+        let me = (self.me.status != Status::Leaving).then_some(&self.me.member.vm);
+        rendezvous::rank(key, staying.chain(me))
+    }
+
+    /// Returns up to `count` VMs that a caller should use, from at least two failure domains
+    /// where there are two. It is empty while the daemon has not refreshed its view.
+    pub fn addresses(&mut self, now: Millis, count: usize, salt: u64) -> Addresses {
+        if !self.trusted(now) {
+            return Candidates::default().choose(0, salt);
+        }
+        let candidates = self.candidates.take().unwrap_or_else(|| self.collect());
+        let out = candidates.choose(count.min(MOST_ADDRESSES), salt);
+        self.candidates = Some(candidates);
+        out
+    }
+
+    /// Says whether [`Members::addresses`] may name the VM.
+    #[must_use]
+    pub fn offers(&self, now: Millis, vm: &Vm) -> bool {
+        let usable = if *vm == self.me.member.vm {
+            self.me.status == Status::Serving
+        } else {
+            self.table.get(vm).is_some_and(Entry::usable)
+        };
+        usable && self.trusted(now)
+    }
+
+    fn collect(&self) -> Candidates {
+        let mut out = Candidates::default();
+        if self.me.status == Status::Serving {
+            out.add(Candidate {
+                member: self.me.member.clone(),
+                load: self.load,
+            });
+        }
+        for entry in self.table.values().filter(|entry| entry.usable()) {
+            out.add(Candidate {
+                member: entry.rumour.member.clone(),
+                load: entry.load.load,
+            });
+        }
+        out
+    }
+
+    /// Builds a message with the usual bounded load of reports.
+    fn message(&mut self, now: Millis, to: &Vm, body: Body) -> Message {
+        self.count += 1;
+        Message {
+            version: VERSION,
+            minimum: MIN_VERSION,
+            from: self.me.clone(),
+            body,
+            progress: self.progress.map(|mark| mark.told(now)),
+            contacts: self.contacts_now(now),
+            rumours: self.rumours_for(to),
+            loads: self.loads_now(),
+        }
+    }
+
+    fn send(&mut self, now: Millis, to: &Vm, body: Body, actions: &mut Vec<Action>) {
+        let Some(entry) = self.table.get(to) else {
+            return;
+        };
+        let peer = entry.rumour.member.peer;
+        let message = Box::new(self.message(now, to, body));
+        let to = to.clone();
+        actions.push(Action::Send { to, peer, message });
+    }
+
+    fn contacts_now(&self, now: Millis) -> Vec<Contact> {
+        self.contacts
+            .iter()
+            .filter(|(_, at)| recent(now, **at))
+            .map(|(domain, at)| Contact {
+                domain: domain.clone(),
+                age: now.since(*at),
+            })
+            .collect()
+    }
+
+    /// Chooses the reports for a message: what the receiver must refute, what is urgent, and one
+    /// entry in turn.
+    fn rumours_for(&mut self, to: &Vm) -> Vec<Rumour> {
+        let own = self.table.get(to).map(|entry| &entry.rumour);
+        let refute = own.filter(|own| own.status >= Status::Suspect).cloned();
+        let mut out: Vec<Rumour> = refute.into_iter().collect();
+        out.extend(self.table.take(RUMOURS));
+        if let Some(entry) = self.table.refresh()
+            && entry.rumour.member.boot > 0
+        {
+            out.push(entry.rumour.clone());
+        }
+        out
+    }
+
+    fn loads_now(&mut self) -> Vec<Load> {
+        let mut out = vec![Load {
+            vm: self.me.member.vm.clone(),
+            count: self.count,
+            load: self.load,
+        }];
+        for _ in 1..LOADS {
+            if let Some(vm) = self.random_live()
+                && let Some(entry) = self.table.get(&vm)
+                && entry.load.count > 0
+            {
+                out.push(entry.load.clone());
+            }
+        }
+        out
+    }
+}
+
+/// The progress in the `config` stream, by this daemon's clock.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    offset: u64,
+    fresh: Option<Millis>,
+}
+
+impl Mark {
+    fn told(self, now: Millis) -> Progress {
+        Progress {
+            offset: self.offset,
+            age: self.fresh.map(|at| now.since(at)),
+        }
+    }
+}
+
+/// A part of a whole.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    part: usize,
+    total: usize,
+}
+
+impl Share {
+    fn most(self) -> bool {
+        self.part * 2 > self.total
+    }
+}
+
+fn recent(now: Millis, at: Millis) -> bool {
+    now.since(at) <= CONTACT_SPAN
+}
+
+fn vm_of(entry: &Entry) -> &Vm {
+    &entry.rumour.member.vm
+}
+
+fn unheard(item: &Listed) -> Rumour {
+    Rumour {
+        member: Member {
+            vm: item.vm.clone(),
+            domain: item.domain.clone(),
+            peer: item.peer,
+            caller: item.caller,
+            boot: 0,
+        },
+        incarnation: 0,
+        status: Status::Starting,
+    }
+}
--- /dev/null
+++ b/src/core/member/receive.rs
@@ -0,0 +1,204 @@
+//! What a daemon does with a message: learn, answer, refute.
+
+use super::Action;
+use super::Entry;
+use super::Members;
+use super::message::Body;
+use super::message::Load;
+use super::message::Member;
+use super::message::Message;
+use super::message::Rumour;
+use super::message::Status;
+use super::probe::Cause;
+use super::probe::DIRECT_SPAN;
+use super::probe::Probe;
+use crate::clock::Millis;
+use crate::names::Domain;
+use crate::names::Vm;
+
+/// The most reports that are taken from one message; more can't come from a fleet of the size
+/// that docs/CAPACITY.md counts.
+const MOST_RUMOURS: usize = 4096;
+
+impl Members {
+    /// Takes in a message of a peer. One of an old boot or of a release that this one can't talk
+    /// with is dropped.
+    pub fn receive(&mut self, now: Millis, message: &Message, actions: &mut Vec<Action>) {
+        let sender = &message.from.member;
+        let vm = sender.vm.clone();
+        let boot = sender.boot;
+        if !message.speaks() || vm == self.me.member.vm || self.outdated(sender) {
+            return;
+        }
+        self.accept(now, message.from.clone(), actions);
+        for rumour in message.rumours.iter().take(MOST_RUMOURS) {
+            self.accept(now, rumour.clone(), actions);
+        }
+        for load in &message.loads {
+            self.learn_load(load);
+        }
+        match &message.body {
+            Body::Ping { n } => self.send(now, &vm, Body::Ack { n: *n }, actions),
+            Body::Ack { n } => self.acked(now, *n, boot, message, actions),
+            Body::Probe { n, vm: target } => {
+                let asker = vm.clone();
+                let cause = Cause::Errand { asker, number: *n };
+                self.ping(now, target, cause, actions);
+            }
+            Body::Vouch { n } => {
+                self.probes.finish(*n);
+            }
+            Body::Hello => self.send_view(now, &vm, actions),
+            Body::View { members } => self.learn_view(now, members, actions),
+            Body::Gossip | Body::Unknown => {}
+        }
+    }
+
+    fn outdated(&self, sender: &Member) -> bool {
+        let known = self.table.get(&sender.vm);
+        known.is_some_and(|entry| entry.rumour.member.boot > sender.boot)
+    }
+
+    fn acked(&mut self, now: Millis, n: u64, boot: u64, message: &Message, out: &mut Vec<Action>) {
+        let Some(probe) = self.answered_probe(n, &message.from.member.vm) else {
+            return;
+        };
+        if probe.boot != boot && probe.boot != 0 {
+            return;
+        }
+        let at = probe.sent;
+        self.learn_contacts(at, message);
+        if let Cause::Errand { asker, number } = probe.cause {
+            self.send(now, &asker, Body::Vouch { n: number }, out);
+        }
+        if let Some(progress) = message.progress {
+            let vm = message.from.member.vm.clone();
+            out.push(Action::Heard { vm, at, progress });
+        }
+    }
+
+    fn answered_probe(&mut self, n: u64, vm: &Vm) -> Option<Probe> {
+        self.probes.get(n).filter(|probe| probe.target == *vm)?;
+        self.probes.finish(n)
+    }
+
+    /// Notes whom the peer heard; ages count from our ping, so a late answer looks no fresher.
+    fn learn_contacts(&mut self, at: Millis, message: &Message) {
+        self.answered = self.answered.max(Some(at));
+        if let Some(entry) = self.table.get_mut(&message.from.member.vm) {
+            entry.heard = Some(at);
+        }
+        self.note_contact(message.from.member.domain.clone(), at);
+        for contact in &message.contacts {
+            self.note_contact(contact.domain.clone(), at - contact.age);
+        }
+    }
+
+    fn note_contact(&mut self, domain: Domain, at: Millis) {
+        let last = self.contacts.entry(domain).or_insert(at);
+        *last = at.max(*last);
+    }
+
+    fn learn_load(&mut self, load: &Load) {
+        let Some(entry) = self.table.get_mut(&load.vm) else {
+            return;
+        };
+        if load.count <= entry.load.count {
+            return;
+        }
+        entry.load = load.clone();
+        self.candidates = None;
+    }
+
+    fn send_view(&mut self, now: Millis, to: &Vm, actions: &mut Vec<Action>) {
+        let members = self
+            .table
+            .values()
+            .filter(|entry| entry.rumour.member.boot > 0)
+            .map(|entry| entry.rumour.clone())
+            .collect();
+        self.send(now, to, Body::View { members }, actions);
+    }
+
+    fn learn_view(&mut self, now: Millis, members: &[Rumour], actions: &mut Vec<Action>) {
+        for rumour in members.iter().take(MOST_RUMOURS) {
+            self.accept(now, rumour.clone(), actions);
+        }
+        self.refreshing = None;
+    }
+
+    /// Puts a report in force if it is newer than what is known.
+    pub(super) fn accept(&mut self, now: Millis, rumour: Rumour, actions: &mut Vec<Action>) {
+        if rumour.member.vm == self.me.member.vm {
+            self.refute(now, &rumour, actions);
+            return;
+        }
+        let known = self.table.get(&rumour.member.vm);
+        if known.is_some_and(|entry| !rumour.newer(&entry.rumour) || refuted(now, entry, &rumour)) {
+            return;
+        }
+        let booted = known.is_none_or(|entry| entry.rumour.member.boot != rumour.member.boot);
+        if booted && let Some(other) = self.table.replaced(&rumour.member) {
+            self.apply(now, gone(other), actions);
+        }
+        self.apply(now, rumour, actions);
+    }
+
+    /// Answers a report about this daemon that is wrong, with a higher incarnation.
+    fn refute(&mut self, now: Millis, rumour: &Rumour, actions: &mut Vec<Action>) {
+        if rumour.member.boot > self.me.member.boot {
+            self.leave(now, actions);
+        }
+        if rumour.member.boot != self.me.member.boot || !rumour.newer(&self.me) {
+            return;
+        }
+        self.repeats = super::OWN_REPEATS;
+        self.me.incarnation = rumour.incarnation + 1;
+        self.spread(now, actions);
+    }
+
+    fn apply(&mut self, now: Millis, rumour: Rumour, actions: &mut Vec<Action>) {
+        let before = self.table.put(rumour.clone());
+        let vm = rumour.member.vm.clone();
+        self.candidates = None;
+        if rumour.status == Status::Suspect {
+            self.suspects.insert(vm, now);
+        } else {
+            self.suspects.remove(&vm);
+        }
+        let same =
+            |old: &Rumour| old.status == rumour.status && old.member.boot == rumour.member.boot;
+        if !before.as_ref().is_some_and(same) {
+            report(before.as_ref(), rumour, actions);
+        }
+    }
+}
+
+fn report(before: Option<&Rumour>, rumour: Rumour, actions: &mut Vec<Action>) {
+    let running =
+        |old: &Rumour| old.status < Status::Suspect && old.member.boot == rumour.member.boot;
+    match rumour.status {
+        Status::Starting | Status::Serving => {
+            if !before.is_some_and(running) {
+                actions.push(Action::Joined(rumour.member));
+            }
+        }
+        Status::Leaving => actions.push(Action::Leaving(rumour.member)),
+        Status::Suspect => actions.push(Action::Suspected(rumour.member)),
+        Status::Gone => actions.push(Action::Gone(rumour.member)),
+    }
+}
+
+/// Says whether a report of silence is refuted by an answer that we got ourselves just now.
+fn refuted(now: Millis, entry: &Entry, rumour: &Rumour) -> bool {
+    let same = entry.rumour.member.boot == rumour.member.boot;
+    let heard = entry.heard.is_some_and(|at| now.since(at) <= DIRECT_SPAN);
+    same && heard && rumour.status >= Status::Suspect
+}
+
+fn gone(rumour: Rumour) -> Rumour {
+    Rumour {
+        status: Status::Gone,
+        ..rumour
+    }
+}
--- /dev/null
+++ b/src/core/member/table.rs
@@ -0,0 +1,233 @@
+//! The table of known daemons: which report about each is in force.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use super::message::Load;
+use super::message::Member;
+use super::message::Rumour;
+use super::message::Status;
+use super::rendezvous::hash;
+use crate::clock::Millis;
+use crate::names::Vm;
+
+/// How often a report is passed on. A report that reaches `n` random peers per daemon misses
+/// about one daemon in e^n; the refresh of [`Table::refresh`] finds these.
+const REPEATS: u8 = 14;
+
+/// What the platform's list last said of the daemon's current boot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Listing {
+    /// Nothing yet.
+    Unknown,
+    /// The list may still speak of the boot before this one.
+    Outdated,
+    /// The VM is live.
+    Live,
+    /// The VM is leaving.
+    Leaving,
+}
+
+/// What is known of one daemon.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    /// The report in force.
+    pub(super) rumour: Rumour,
+    /// Whether this boot said that it leaves.
+    pub(super) farewell: bool,
+    /// When the ping was sent that the daemon last answered us itself.
+    pub(super) heard: Option<Millis>,
+    /// What the platform's list says.
+    pub(super) listing: Listing,
+    /// Its load, and the count that orders loads.
+    pub(super) load: Load,
+    passed: u8,
+}
+
+impl Entry {
+    /// Says whether new callers may be sent there.
+    pub(super) fn usable(&self) -> bool {
+        self.rumour.status == Status::Serving && self.listing != Listing::Leaving
+    }
+
+    /// Says whether the daemon counts towards the fleet, whether it answers or not.
+    pub(super) fn counted(&self) -> bool {
+        !self.farewell && self.listing != Listing::Leaving
+    }
+
+    /// Says whether the daemon is believed to run.
+    pub(super) fn live(&self) -> bool {
+        self.rumour.status < Status::Suspect && self.rumour.member.boot > 0
+    }
+}
+
+/// The known daemons besides this one.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    entries: BTreeMap<Vm, Entry>,
+    ring: Vec<(u64, Vm)>,
+    /// The daemons whose reports are passed on, the least often passed first.
+    hot: BTreeSet<(u8, Vm)>,
+    cursor: Option<Vm>,
+}
+
+impl Table {
+    pub(super) fn get(&self, vm: &Vm) -> Option<&Entry> {
+        self.entries.get(vm)
+    }
+
+    pub(super) fn get_mut(&mut self, vm: &Vm) -> Option<&mut Entry> {
+        self.entries.get_mut(vm)
+    }
+
+    pub(super) fn values(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Puts a report in force and returns the one before it.
+    pub(super) fn put(&mut self, rumour: Rumour) -> Option<Rumour> {
+        let vm = rumour.member.vm.clone();
+        let old = self.entries.remove(&vm);
+        let before = old.clone();
+        self.entries.insert(vm.clone(), renewed(rumour, old));
+        if let Some(old) = &before {
+            self.hot.remove(&(old.passed, vm.clone()));
+        }
+        self.hot.insert((0, vm.clone()));
+        self.update_ring(&vm);
+        before.map(|entry| entry.rumour)
+    }
+
+    /// Forgets a daemon.
+    pub(super) fn remove(&mut self, vm: &Vm) {
+        if let Some(entry) = self.entries.remove(vm) {
+            self.hot.remove(&(entry.passed, vm.clone()));
+        }
+        self.update_ring(vm);
+    }
+
+    fn update_ring(&mut self, vm: &Vm) {
+        let key = (place(vm), vm.clone());
+        let live = self.entries.get(vm).is_some_and(Entry::live);
+        match (self.ring.binary_search(&key), live) {
+            (Err(spot), true) => self.ring.insert(spot, key),
+            (Ok(spot), false) => {
+                self.ring.remove(spot);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the live daemons, in the order of the ring.
+    pub(super) fn ring(&self) -> &[(u64, Vm)] {
+        &self.ring
+    }
+
+    /// Returns the live daemon `steps` after `me` on the ring, which `me` watches.
+    pub(super) fn successor(&self, me: &Vm, steps: usize) -> Option<Vm> {
+        if self.ring.len() <= steps {
+            return None;
+        }
+        let key = (place(me), me.clone());
+        let start = self.ring.partition_point(|other| *other < key);
+        let (_, vm) = &self.ring[(start + steps) % self.ring.len()];
+        Some(vm.clone())
+    }
+
+    /// Says whether there are reports to pass on at once.
+    pub(super) fn urgent(&self) -> bool {
+        !self.hot.is_empty()
+    }
+
+    /// Takes up to `count` reports to pass on, each for one of its repeats.
+    pub(super) fn take(&mut self, count: usize) -> Vec<Rumour> {
+        let mut out = Vec::new();
+        let chosen: Vec<(u8, Vm)> = self.hot.iter().take(count).cloned().collect();
+        for key in chosen {
+            self.hot.remove(&key);
+            let (passed, vm) = key;
+            let Some(entry) = self.entries.get_mut(&vm) else {
+                continue;
+            };
+            entry.passed = passed + 1;
+            out.push(entry.rumour.clone());
+            if entry.passed < REPEATS {
+                self.hot.insert((entry.passed, vm));
+            }
+        }
+        out
+    }
+
+    /// Returns the next entry in turn, so that a report that a daemon missed reaches it in time.
+    pub(super) fn refresh(&mut self) -> Option<&Entry> {
+        let next = match &self.cursor {
+            Some(vm) => self.after(vm),
+            None => None,
+        };
+        let next = next.or_else(|| self.entries.keys().next().cloned());
+        self.cursor.clone_from(&next);
+        self.entries.get(&next?)
+    }
+
+    fn after(&self, vm: &Vm) -> Option<Vm> {
+        let range = (Bound::Excluded(vm), Bound::Unbounded);
+        self.entries
+            .range::<Vm, _>(range)
+            .next()
+            .map(|(vm, _)| vm.clone())
+    }
+
+    /// Returns the VM of an older boot that had the address of `member` under another name.
+    pub(super) fn replaced(&self, member: &Member) -> Option<Rumour> {
+        self.entries
+            .values()
+            .map(|entry| &entry.rumour)
+            .find(|other| {
+                other.member.peer == member.peer
+                    && other.member.vm != member.vm
+                    && other.member.boot < member.boot
+                    && other.status != Status::Gone
+            })
+            .cloned()
+    }
+}
+
+fn place(vm: &Vm) -> u64 {
+    hash(&[b"ring", vm.as_str().as_bytes()])
+}
+
+fn renewed(rumour: Rumour, old: Option<Entry>) -> Entry {
+    let fresh = Entry {
+        farewell: rumour.status == Status::Leaving,
+        heard: None,
+        listing: Listing::Unknown,
+        load: Load {
+            vm: rumour.member.vm.clone(),
+            count: 0,
+            load: 0,
+        },
+        passed: 0,
+        rumour,
+    };
+    let Some(old) = old else {
+        return fresh;
+    };
+    let boots = (old.rumour.member.boot, fresh.rumour.member.boot);
+    let same = boots.0 == boots.1;
+    let listing = match old.listing {
+        Listing::Leaving if !same && boots.0 > 0 => Listing::Outdated,
+        listing => listing,
+    };
+    Entry {
+        farewell: fresh.farewell || (same && old.farewell),
+        heard: old.heard.filter(|_| same),
+        listing,
+        load: if same { old.load } else { fresh.load },
+        ..fresh
+    }
+}
--- /dev/null
+++ b/src/core/member/watch.rs
@@ -0,0 +1,223 @@
+//! What a daemon does by the clock: watch others, ask again, suspect, declare dead.
+
+use rand::RngExt;
+
+use super::Action;
+use super::Members;
+use super::message::Body;
+use super::message::Rumour;
+use super::message::Status;
+use super::probe::Cause;
+use super::probe::Probe;
+use crate::clock::Millis;
+use crate::names::Vm;
+
+/// The interval between two pings of one daemon.
+pub const PING_SPAN: Millis = Millis(333);
+/// How long a suspected daemon has to refute before it is held for dead.
+pub const SUSPECT_SPAN: Millis = Millis::seconds(4);
+/// A gap between two ticks that is taken for a pause of this daemon.
+pub const WAKE_SPAN: Millis = Millis(1500);
+/// The least interval between two bursts of urgent reports.
+const FLUSH_SPAN: Millis = Millis(100);
+/// The interval between two counts of the daemons in contact.
+const JUDGE_SPAN: Millis = Millis(200);
+/// How many peers a burst of urgent reports goes to, and how many try an indirect probe.
+const FANOUT: usize = 3;
+/// How many of the ring's successors are watched.
+const WATCHED: u64 = 2;
+/// One random ping in so many goes to a daemon that is held for dead, so that parts of the fleet
+/// that lost each other meet again.
+const DEAD_TURN: u64 = 4;
+
+impl Members {
+    /// Does what is due. Called every [`crate::consts::TICK_SPAN`].
+    pub fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.ticked.is_none() {
+            self.refreshing = Some(now);
+        }
+        if self.paused(now) {
+            self.wake(now, actions);
+        }
+        self.ticked = Some(now);
+        self.end_probes(now, actions);
+        self.end_suspicions(now, actions);
+        if now.since(self.pinged) >= PING_SPAN {
+            self.pinged = now;
+            self.watch(now, actions);
+        }
+        if self.repeats > 0 || self.table.urgent() {
+            self.spread(now, actions);
+        }
+        if now.since(self.judged) >= JUDGE_SPAN {
+            self.judged = now;
+            self.reach = self.find_reach(now);
+        }
+    }
+
+    /// Starts over after a pause: the silence of others was our own.
+    fn wake(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.probes.clear();
+        self.refreshing = Some(now);
+        self.me.incarnation += 1;
+        self.repeats = super::OWN_REPEATS;
+        for since in self.suspects.values_mut() {
+            *since = now;
+        }
+        actions.push(Action::Woke);
+        self.spread(now, actions);
+    }
+
+    fn end_probes(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for probe in self.probes.expire(now) {
+            match probe.cause {
+                Cause::Watch => self.ask_peers(now, probe, actions),
+                Cause::Indirect => self.suspect(now, &probe, actions),
+                Cause::Errand { .. } => {}
+            }
+        }
+    }
+
+    fn ask_peers(&mut self, now: Millis, probe: Probe, actions: &mut Vec<Action>) {
+        let vm = probe.target.clone();
+        let live = self.table.get(&vm).is_some_and(super::Entry::live);
+        if !live {
+            return;
+        }
+        let n = self.probes.start(Probe {
+            cause: Cause::Indirect,
+            sent: now,
+            ..probe
+        });
+        for helper in self.random_peers(FANOUT, &vm) {
+            let vm = vm.clone();
+            self.send(now, &helper, Body::Probe { n, vm }, actions);
+        }
+        self.send(now, &vm, Body::Ping { n }, actions);
+    }
+
+    fn suspect(&mut self, now: Millis, probe: &Probe, actions: &mut Vec<Action>) {
+        let Some(entry) = self.table.get(&probe.target) else {
+            return;
+        };
+        if entry.rumour.member.boot != probe.boot || !entry.live() {
+            return;
+        }
+        let rumour = Rumour {
+            status: Status::Suspect,
+            ..entry.rumour.clone()
+        };
+        self.accept(now, rumour, actions);
+    }
+
+    fn end_suspicions(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let over: Vec<Vm> = self
+            .suspects
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= SUSPECT_SPAN)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in over {
+            let Some(entry) = self.table.get(&vm) else {
+                continue;
+            };
+            let rumour = Rumour {
+                status: Status::Gone,
+                ..entry.rumour.clone()
+            };
+            self.accept(now, rumour, actions);
+        }
+    }
+
+    /// Pings the next of the watched daemons, or a random one in its turn.
+    fn watch(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.slot += 1;
+        let turn = self.slot % (WATCHED + 1);
+        let target = if turn < WATCHED {
+            self.table.successor(&self.me.member.vm, turn as usize)
+        } else {
+            None
+        };
+        let target = target.or_else(|| self.random_target());
+        if let Some(vm) = target {
+            self.ping(now, &vm, Cause::Watch, actions);
+        }
+    }
+
+    /// Pings a daemon; the first time, it is asked for its whole view too.
+    pub(super) fn ping(&mut self, now: Millis, vm: &Vm, cause: Cause, actions: &mut Vec<Action>) {
+        let Some(entry) = self.table.get(vm) else {
+            return;
+        };
+        let boot = entry.rumour.member.boot;
+        let n = self.probes.start(Probe {
+            target: vm.clone(),
+            boot,
+            cause,
+            sent: now,
+        });
+        self.send(now, vm, Body::Ping { n }, actions);
+        if self.refreshing.is_some() {
+            self.send(now, vm, Body::Hello, actions);
+        }
+    }
+
+    /// Sends urgent reports, this daemon's own among them, to a few peers.
+    pub(super) fn spread(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if now.since(self.flushed) < FLUSH_SPAN {
+            return;
+        }
+        self.flushed = now;
+        self.repeats = self.repeats.saturating_sub(1);
+        let nobody = self.me.member.vm.clone();
+        for vm in self.random_peers(FANOUT, &nobody) {
+            self.send(now, &vm, Body::Gossip, actions);
+        }
+    }
+
+    fn random_peers(&mut self, count: usize, except: &Vm) -> Vec<Vm> {
+        let mut out: Vec<Vm> = Vec::new();
+        for _ in 0..count * 2 {
+            if let Some(vm) = self.random_live()
+                && vm != *except
+                && !out.contains(&vm)
+                && out.len() < count
+            {
+                out.push(vm);
+            }
+        }
+        out
+    }
+
+    pub(super) fn random_live(&mut self) -> Option<Vm> {
+        let ring = self.table.ring();
+        if ring.is_empty() {
+            return None;
+        }
+        let spot = self.rng.random_range(0..ring.len());
+        Some(ring[spot].1.clone())
+    }
+
+    fn random_target(&mut self) -> Option<Vm> {
+        let dead_turn = (self.slot / (WATCHED + 1)).is_multiple_of(DEAD_TURN);
+        if dead_turn || self.table.ring().is_empty() {
+            let dead = self.random_dead();
+            return dead.or_else(|| self.random_live());
+        }
+        self.random_live()
+    }
+
+    fn random_dead(&mut self) -> Option<Vm> {
+        let dead: Vec<&Vm> = self
+            .table
+            .values()
+            .filter(|entry| !entry.live())
+            .map(super::vm_of)
+            .collect();
+        if dead.is_empty() {
+            return None;
+        }
+        let spot = self.rng.random_range(0..dead.len());
+        Some(dead[spot].clone())
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,4 +6,6 @@
 pub mod config;
 pub mod member;
 pub mod once;
+pub mod order;
 pub mod route;
+pub mod sync;
--- /dev/null
+++ b/src/core/sync/read.rs
@@ -0,0 +1,170 @@
+//! When this daemon reads the log itself.
+
+use super::Action;
+use super::Sync;
+use super::Tail;
+use crate::clock::Millis;
+use crate::names::Vm;
+
+/// The interval between two reads of the tail by an elected reader.
+pub const POLL_SPAN: Millis = Millis(400);
+/// How long to wait for the answer to a read.
+const ANSWER_SPAN: Millis = Millis::seconds(2);
+/// How long an elected reader waits after a failed read.
+const RETRY_SPAN: Millis = Millis(500);
+/// How long other daemons wait after a failed read, so that an outage is not made worse by the
+/// whole fleet.
+const BACKOFF_SPAN: Millis = Millis::seconds(5);
+/// How old the state may get before a daemon that is no reader reads the log itself.
+const STALE_SPAN: Millis = Millis(2500);
+/// How long newer records may be missing before a daemon that is no reader reads the log itself.
+const LAG_SPAN: Millis = Millis(1000);
+/// The interval between two requests for a snapshot.
+const SNAPSHOT_SPAN: Millis = Millis::seconds(2);
+
+/// A read without an answer yet.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    number: u64,
+    sent: Millis,
+}
+
+/// The state of this daemon's own reads.
+#[derive(Debug)]
+pub(super) struct Reader {
+    /// Whether it is one of the readers of its failure domain.
+    pub(super) elected: bool,
+    /// When a snapshot was last asked for; no read can help before it comes.
+    pub(super) snapshot: Option<Millis>,
+    last: u64,
+    open: Option<Open>,
+    due: Millis,
+    failures: u32,
+}
+
+impl Reader {
+    pub(super) fn new() -> Self {
+        Self {
+            elected: false,
+            snapshot: None,
+            last: 0,
+            open: None,
+            due: Millis(0),
+            failures: 0,
+        }
+    }
+
+    /// Says whether the last read failed.
+    pub(super) fn failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Makes the next read due at once.
+    pub(super) fn hurry(&mut self) {
+        self.due = Millis(0);
+    }
+
+    /// Gives up the open read; its answer, should it come, is dropped.
+    pub(super) fn abandon(&mut self) {
+        self.open = None;
+        self.due = Millis(0);
+    }
+
+    fn start(&mut self, now: Millis) -> u64 {
+        self.last += 1;
+        self.open = Some(Open {
+            number: self.last,
+            sent: now,
+        });
+        self.last
+    }
+
+    /// Ends the open read, if `number` names it.
+    fn finish(&mut self, number: u64) -> Option<Open> {
+        self.open.take_if(|open| open.number == number)
+    }
+
+    fn fail(&mut self, now: Millis) {
+        self.failures += 1;
+        let wait = if self.elected {
+            RETRY_SPAN
+        } else {
+            BACKOFF_SPAN
+        };
+        self.due = now + wait;
+    }
+}
+
+impl Sync {
+    pub(super) fn read_if_due(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let late = |open: &mut Open| now.since(open.sent) >= ANSWER_SPAN;
+        if self.reader.open.take_if(late).is_some() {
+            self.reader.fail(now);
+        }
+        let blocked = self.reader.open.is_some() || self.reader.due > now;
+        if blocked || !self.wants_read(now) {
+            return;
+        }
+        let number = self.reader.start(now);
+        let from = self.next;
+        actions.push(Action::Read { number, from });
+    }
+
+    fn wants_read(&self, now: Millis) -> bool {
+        let asked = self.reader.snapshot;
+        if asked.is_some_and(|at| now.since(at) < SNAPSHOT_SPAN) {
+            return false;
+        }
+        let stale = self.fresh.is_none_or(|at| now.since(at) >= STALE_SPAN);
+        self.reader.elected || stale || self.behind_for(now) >= LAG_SPAN
+    }
+
+    /// Takes in the log's answer to a read. One that was given up is dropped.
+    pub fn tail(&mut self, now: Millis, tail: Tail, actions: &mut Vec<Action>) {
+        let Some(open) = self.reader.finish(tail.number) else {
+            return;
+        };
+        if !tail.batch.valid() || tail.batch.from > self.next {
+            self.reader.fail(now);
+            return;
+        }
+        self.reader.failures = 0;
+        self.reader.snapshot = None;
+        self.take_batch(tail.batch, None, actions);
+        if tail.end {
+            self.refresh(Some(open.sent));
+        }
+        let wait = if tail.end { POLL_SPAN } else { Millis(0) };
+        self.reader.due = now + wait;
+    }
+
+    /// Takes in that a read failed.
+    pub fn read_failed(&mut self, now: Millis, number: u64) {
+        if self.reader.finish(number).is_some() {
+            self.reader.fail(now);
+        }
+    }
+
+    /// Takes in that the records wanted have expired; the log begins at `first`.
+    pub fn expired(&mut self, now: Millis, number: u64, first: u64, actions: &mut Vec<Action>) {
+        if self.reader.finish(number).is_some() && first > self.next {
+            self.reader.failures = 0;
+            self.need_snapshot(now, first, None, actions);
+        }
+    }
+
+    pub(super) fn need_snapshot(
+        &mut self,
+        now: Millis,
+        first: u64,
+        peer: Option<Vm>,
+        actions: &mut Vec<Action>,
+    ) {
+        let asked = self.reader.snapshot;
+        if asked.is_some_and(|at| now.since(at) < SNAPSHOT_SPAN) {
+            return;
+        }
+        self.reader.snapshot = Some(now);
+        actions.push(Action::NeedSnapshot { first, peer });
+    }
+}
