--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -53,8 +53,10 @@
 /// [`crate::consts::FRESH_SPAN`], so that whoever is cut off has lost its contacts when its
 /// state is no longer fresh.
 pub const CONTACT_SPAN: Millis = Millis::seconds(4);
+/// The most VMs that a caller is told of.
+const MOST_ADDRESSES: usize = 16;
 /// The most urgent reports in one message.
-const RUMOURS: usize = 6;
+const RUMOURS: usize = 8;
 /// How many bursts carry a change of this daemon's own status.
 const OWN_REPEATS: u8 = 3;
 /// How long to wait for a peer's view before a lone daemon trusts its own.
@@ -134,6 +136,7 @@
     listed: Option<BTreeSet<Vm>>,
     refreshing: Option<Millis>,
     reach: Reach,
+    judged: Millis,
     repeats: u8,
     ticked: Option<Millis>,
     pinged: Millis,
@@ -164,6 +167,7 @@
             listed: None,
             refreshing: None,
             reach: Reach::Minority,
+            judged: Millis(0),
             repeats: 0,
             ticked: None,
             pinged: Millis(0),
@@ -382,11 +386,22 @@
             return Candidates::default().choose(0, salt);
         }
         let candidates = self.candidates.take().unwrap_or_else(|| self.collect());
-        let out = candidates.choose(count, salt);
+        let out = candidates.choose(count.min(MOST_ADDRESSES), salt);
         self.candidates = Some(candidates);
         out
     }
 
+    /// Says whether [`Members::addresses`] may name the VM.
+    #[must_use]
+    pub fn offers(&self, now: Millis, vm: &Vm) -> bool {
+        let usable = if *vm == self.me.member.vm {
+            self.me.status == Status::Serving
+        } else {
+            self.table.get(vm).is_some_and(Entry::usable)
+        };
+        usable && self.trusted(now)
+    }
+
     fn collect(&self) -> Candidates {
         let mut out = Candidates::default();
         if self.me.status == Status::Serving {
--- a/src/core/member/table.rs
+++ b/src/core/member/table.rs
@@ -1,7 +1,7 @@
 //! The table of known daemons: which report about each is in force.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 use std::ops::Bound;
 
 use super::message::Load;
@@ -14,7 +14,7 @@
 
 /// How often a report is passed on. A report that reaches `n` random peers per daemon misses
 /// about one daemon in e^n; the refresh of [`Table::refresh`] finds these.
-const REPEATS: u8 = 8;
+const REPEATS: u8 = 14;
 
 /// What the platform's list last said of the daemon's current boot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +42,7 @@
     pub(super) listing: Listing,
     /// Its load, and the count that orders loads.
     pub(super) load: Load,
-    repeats: u8,
+    passed: u8,
 }
 
 impl Entry {
@@ -67,7 +67,8 @@
 pub(super) struct Table {
     entries: BTreeMap<Vm, Entry>,
     ring: Vec<(u64, Vm)>,
-    hot: VecDeque<Vm>,
+    /// The daemons whose reports are passed on, the least often passed first.
+    hot: BTreeSet<(u8, Vm)>,
     cursor: Option<Vm>,
 }
 
@@ -92,19 +93,21 @@
     pub(super) fn put(&mut self, rumour: Rumour) -> Option<Rumour> {
         let vm = rumour.member.vm.clone();
         let old = self.entries.remove(&vm);
-        let before = old.as_ref().map(|entry| entry.rumour.clone());
+        let before = old.clone();
         self.entries.insert(vm.clone(), renewed(rumour, old));
-        if !self.hot.contains(&vm) {
-            self.hot.push_back(vm.clone());
+        if let Some(old) = &before {
+            self.hot.remove(&(old.passed, vm.clone()));
         }
+        self.hot.insert((0, vm.clone()));
         self.update_ring(&vm);
-        before
+        before.map(|entry| entry.rumour)
     }
 
     /// Forgets a daemon.
     pub(super) fn remove(&mut self, vm: &Vm) {
-        self.entries.remove(vm);
-        self.hot.retain(|other| other != vm);
+        if let Some(entry) = self.entries.remove(vm) {
+            self.hot.remove(&(entry.passed, vm.clone()));
+        }
         self.update_ring(vm);
     }
 
@@ -144,17 +147,17 @@
     /// Takes up to `count` reports to pass on, each for one of its repeats.
     pub(super) fn take(&mut self, count: usize) -> Vec<Rumour> {
         let mut out = Vec::new();
-        for _ in 0..count.min(self.hot.len()) {
-            let Some(vm) = self.hot.pop_front() else {
-                break;
-            };
+        let chosen: Vec<(u8, Vm)> = self.hot.iter().take(count).cloned().collect();
+        for key in chosen {
+            self.hot.remove(&key);
+            let (passed, vm) = key;
             let Some(entry) = self.entries.get_mut(&vm) else {
                 continue;
             };
-            entry.repeats = entry.repeats.saturating_sub(1);
+            entry.passed = passed + 1;
             out.push(entry.rumour.clone());
-            if entry.repeats > 0 {
-                self.hot.push_back(vm);
+            if entry.passed < REPEATS {
+                self.hot.insert((entry.passed, vm));
             }
         }
         out
@@ -208,7 +211,7 @@
             count: 0,
             load: 0,
         },
-        repeats: REPEATS,
+        passed: 0,
         rumour,
     };
     let Some(old) = old else {
--- a/src/core/member/watch.rs
+++ b/src/core/member/watch.rs
@@ -20,6 +20,8 @@
 pub const WAKE_SPAN: Millis = Millis(1500);
 /// The least interval between two bursts of urgent reports.
 const FLUSH_SPAN: Millis = Millis(100);
+/// The interval between two counts of the daemons in contact.
+const JUDGE_SPAN: Millis = Millis(200);
 /// How many peers a burst of urgent reports goes to, and how many try an indirect probe.
 const FANOUT: usize = 3;
 /// How many of the ring's successors are watched.
@@ -47,7 +49,10 @@
         if self.repeats > 0 || self.table.urgent() {
             self.spread(now, actions);
         }
-        self.reach = self.find_reach(now);
+        if now.since(self.judged) >= JUDGE_SPAN {
+            self.judged = now;
+            self.reach = self.find_reach(now);
+        }
     }
 
     /// Starts over after a pause: the silence of others was our own.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod limit;
 pub mod member;
 pub mod once;
+pub mod order;
 pub mod poison;
 pub mod route;
 pub mod session;
