Bar requests that crash endpoints; check an endpoint that broke off before going on

Poison requests were decided on in the core but not in force. A stream whose endpoint broke off waits for a check (400 ms at most) so that it is a suspect before it runs elsewhere.

--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -11,6 +11,7 @@
 use crate::core::limit;
 use crate::core::limit::Decision;
 use crate::core::limit::Finish;
+use crate::core::poison::RequestDigest;
 use crate::core::session::event::RequestId;
 use crate::error::Code;
 use crate::error::Failure;
@@ -26,6 +27,8 @@
 use super::open::Model;
 use super::open::Open;
 use super::open::Plain;
+use super::suspect::Permit;
+use super::suspect::Purpose;
 
 /// When to come back to a VM that is not ready.
 const READY_SPAN: Millis = Millis::seconds(1);
@@ -78,6 +81,7 @@
                 resume,
             } => {
                 let layers = self.model_service(&team, &service)?;
+                let digest = RequestDigest::of(&service, &prompt);
                 let job = Model {
                     prompt,
                     limit,
@@ -88,6 +92,8 @@
                     since: now,
                     sent: now,
                     faults: BTreeMap::new(),
+                    digest,
+                    permit: Permit::None,
                 };
                 (service, Job::Model(Box::new(job)))
             }
@@ -172,7 +178,7 @@
         match self.open.get(&id).map(|open| &open.job) {
             Some(Job::Plain(plain)) if plain.key.is_some() => self.claim(now, id, out),
             Some(Job::Plain(_)) => self.send_plain(now, id, out),
-            Some(Job::Model(_)) => self.start_model(now, id, out),
+            Some(Job::Model(_)) => self.proceed(now, id, Purpose::Start, out),
             None => {}
         }
     }
--- a/src/core/daemon/fold.rs
+++ b/src/core/daemon/fold.rs
@@ -119,6 +119,7 @@
                 ServiceKind::Plain { .. } => 0,
             };
             self.router.set_endpoints(&service.name, layers, &list);
+            self.suspects.seat(&service.name, &list);
             self.gate.set_slots(&service.name, slots(&list, layers));
         }
     }
--- a/src/core/daemon/hints.rs
+++ b/src/core/daemon/hints.rs
@@ -25,6 +25,7 @@
 use super::action::Action;
 use super::action::Note;
 use super::event::Report;
+use super::peer::Body;
 
 /// The interval at which an endpoint is asked for its load, and hints are sent.
 const SHARE_SPAN: Millis = Millis::seconds(1);
@@ -33,7 +34,7 @@
 /// How many peers get the hints each time.
 const FANOUT: usize = 2;
 /// How many peers learn at once that an endpoint is leaving.
-const URGENT: usize = 4;
+pub(super) const URGENT: usize = 4;
 /// The most reports in one message.
 const REPORTS: usize = 16;
 
@@ -202,7 +203,11 @@
         out
     }
 
-    fn tell_some(&mut self, count: usize, hints: &Hints, out: &mut Vec<Action>) {
+    /// Tells some peers, other ones each time.
+    pub(super) fn tell_some<B>(&mut self, count: usize, body: &B, out: &mut Vec<Action>)
+    where
+        B: Clone + Into<Body>,
+    {
         let vms: Vec<Vm> = self.peers.keys().cloned().collect();
         if vms.is_empty() {
             return;
@@ -210,7 +215,7 @@
         let start = self.rng.random_range(0..vms.len());
         for step in 0..count.min(vms.len()) {
             let vm = &vms[(start + step) % vms.len()];
-            self.tell(vm, hints.clone(), out);
+            self.tell(vm, body.clone(), out);
         }
     }
 
@@ -260,10 +265,14 @@
         if self.state.endpoint(endpoint).is_none() {
             return;
         }
-        let known = self.sharing.reports.get(endpoint);
+        let known = self.sharing.reports.get(endpoint).copied();
         if known.is_some_and(|known| (known.boot, known.at) >= (report.boot, report.at)) {
+            self.checked(now, endpoint, out);
             return;
         }
+        if let Some(known) = known.filter(|known| known.boot < report.boot) {
+            self.suspects.ledger.crashed(now, endpoint, known.boot);
+        }
         self.sharing.reports.insert(endpoint.clone(), report);
         let load = view::Report {
             at: report.at,
@@ -275,6 +284,7 @@
         self.router
             .apply(now, endpoint, route::Event::Reported(load));
         self.note_leaving(now, endpoint, report, out);
+        self.checked(now, endpoint, out);
     }
 
     /// Spreads at once that an endpoint is leaving, or has come back.
@@ -315,8 +325,21 @@
         self.tell_some(URGENT, &hints, out);
     }
 
-    /// An endpoint did not tell its load: what it said before is forgotten.
-    pub(super) fn unreachable(&mut self, endpoint: &EndpointName) {
-        self.sharing.reports.remove(endpoint);
+    /// An endpoint did not tell its load. If work on it broke off just before, it crashed.
+    pub(super) fn unreachable(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        out: &mut Vec<Action>,
+    ) {
+        if self.is_checked(endpoint) {
+            let boot = self
+                .sharing
+                .reports
+                .get(endpoint)
+                .map_or(0, |report| report.boot);
+            self.suspects.ledger.crashed(now, endpoint, boot);
+        }
+        self.checked(now, endpoint, out);
     }
 }
--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 mod status;
 mod stop;
+mod suspect;
 mod tick;
 
 use std::collections::BTreeMap;
@@ -48,6 +49,7 @@
 pub use self::peer::Message;
 use self::snapshot::Snapshots;
 pub use self::status::Status;
+use self::suspect::Suspects;
 use crate::clock::Millis;
 use crate::core::config::object::OperatorEntry;
 use crate::core::config::publish::Publisher;
@@ -98,6 +100,7 @@
     budget: RetryBudget,
     sessions: Sessions,
     parked: Vec<model::Parked>,
+    suspects: Suspects,
     open: BTreeMap<RequestId, Open>,
     waiting: BTreeMap<Ticket, operate::Waiting>,
     tickets: u64,
@@ -139,6 +142,7 @@
             budget: RetryBudget::default(),
             sessions: Sessions::new(me.boot),
             parked: Vec::new(),
+            suspects: Suspects::new(me.vm.clone()),
             open: BTreeMap::new(),
             waiting: BTreeMap::new(),
             tickets: 0,
@@ -170,7 +174,7 @@
             }
             Event::Session(event) => self.session(now, event, out),
             Event::Reported { endpoint, report } => self.reported(now, &endpoint, report, out),
-            Event::Unreachable(endpoint) => self.unreachable(&endpoint),
+            Event::Unreachable(endpoint) => self.unreachable(now, &endpoint, out),
             Event::Operate(operate) => self.operate(now, operate, out),
             Event::Appended { append, offset } => self.appended(now, append, offset, out),
             Event::AppendLost(append) => self.append_lost(now, append, out),
--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -5,6 +5,8 @@
 
 use crate::clock::Millis;
 use crate::core::limit::Finish;
+use crate::core::poison::Left;
+use crate::core::poison::Run;
 use crate::core::route;
 use crate::core::route::Need;
 use crate::core::route::view::Outcome;
@@ -18,9 +20,13 @@
 use crate::error::Code;
 use crate::error::Failure;
 use crate::names::EndpointName;
+use crate::names::ServiceName;
 
 use super::Core;
 use super::action::Action;
+use super::open::Blame;
+use super::suspect::Permit;
+use super::suspect::Purpose;
 
 /// How long a decode step may be unanswered where the endpoint's times are not known.
 const STEP_SPAN: Millis = Millis::seconds(1);
@@ -31,13 +37,19 @@
 const PARK_SPAN: Millis = Millis::seconds(5);
 /// The interval at which it asks for one.
 const PARK_STEP: Millis = Millis(100);
+/// How long the check may take whether an endpoint crashed.
+const CHECK_SPAN: Millis = Millis(400);
 
-/// A session that lost its chain and found no other yet.
-#[derive(Clone, Copy, Debug)]
+/// A session that lost its chain and has no other yet.
+#[derive(Clone, Debug)]
 pub(super) struct Parked {
     id: RequestId,
     /// The number of its question for a chain.
     ask: u32,
+    /// The endpoints that failed it.
+    avoid: Vec<EndpointName>,
+    /// The endpoint that broke off and is being checked for a crash.
+    check: Option<EndpointName>,
     since: Millis,
     due: Millis,
 }
@@ -47,6 +59,7 @@
         match self.chain(now, id, &[]) {
             Ok(chain) => self.start_session(now, id, chain, out),
             Err(failure) => {
+                self.give_back(now, id, out);
                 self.close(now, id, Finish::Congested, out);
                 out.push(Action::Fail { id, failure });
             }
@@ -86,10 +99,10 @@
         id: RequestId,
         avoid: &[EndpointName],
     ) -> Result<Arc<[Leg]>, Failure> {
-        let candidates = self.candidates(id);
         let Some(service) = self.open.get(&id).map(|open| open.service.clone()) else {
             return Err(Failure::unrun(Code::NotFound, "The request is over."));
         };
+        let candidates = self.listed_candidates(id, &service);
         let (layers, cost) = self
             .model_mut(id)
             .map_or((0, 0), |model| (model.layers, model.limit));
@@ -103,6 +116,7 @@
             .map_err(|none| Failure::unrun(Code::NoCapacity, none.to_string()).after(none.retry))?;
         let legs: Arc<[Leg]> = chosen.into_iter().map(|leg| self.leg(leg)).collect();
         for leg in legs.iter() {
+            self.begin(now, id, &leg.endpoint);
             self.router
                 .apply(now, &leg.endpoint, route::Event::Started { cost });
         }
@@ -114,6 +128,47 @@
         Ok(legs)
     }
 
+    /// Returns the endpoints that the request's team and its content may use; for a suspect under
+    /// a permit, those where this VM has no other work, if there are any.
+    fn listed_candidates(&mut self, id: RequestId, service: &ServiceName) -> Vec<EndpointName> {
+        let mut candidates = self.candidates(id);
+        let Some(model) = self.model_mut(id) else {
+            return Vec::new();
+        };
+        let alone = matches!(model.permit, Permit::Held { .. });
+        let digest = model.digest;
+        let listed = self.suspects.listed(service, &digest);
+        candidates.retain(|name| listed.contains(name));
+        if alone {
+            let mut idle = candidates.clone();
+            idle.retain(|name| self.router.view(name).is_some_and(|view| view.own() == 0));
+            if !idle.is_empty() {
+                return idle;
+            }
+        }
+        candidates
+    }
+
+    /// Notes that the request begins on an endpoint, in case that crashes.
+    fn begin(&mut self, now: Millis, id: RequestId, endpoint: &EndpointName) {
+        let idle = self
+            .router
+            .view(endpoint)
+            .is_some_and(|view| view.own() == 0);
+        let Some(model) = self.model_mut(id) else {
+            return;
+        };
+        let alone = idle && matches!(model.permit, Permit::Held { .. });
+        let digest = model.digest;
+        let run = Run {
+            id,
+            digest,
+            endpoint: endpoint.clone(),
+            alone,
+        };
+        self.suspects.ledger.begin(now, run);
+    }
+
     fn leg(&self, leg: route::chain::Leg) -> Leg {
         let patience = self.router.patience(&leg.endpoint).unwrap_or(STEP_SPAN);
         Leg {
@@ -159,11 +214,21 @@
         let Some(endpoint) = leg.map(|leg| leg.endpoint.clone()) else {
             return;
         };
-        let outcome = match fault {
-            Fault::Refused | Fault::Lost => Outcome::Unrun,
-            Fault::Broken | Fault::Silent | Fault::Bad => Outcome::Failed,
+        let blame = match fault {
+            Fault::Refused | Fault::Lost => Blame {
+                outcome: Outcome::Unrun,
+                left: Left::Ended,
+            },
+            Fault::Unreachable | Fault::Bad => Blame {
+                outcome: Outcome::Failed,
+                left: Left::Ended,
+            },
+            Fault::Broken | Fault::Silent => Blame {
+                outcome: Outcome::Failed,
+                left: Left::Broken,
+            },
         };
-        model.faults.insert(endpoint, outcome);
+        model.faults.insert(endpoint, blame);
     }
 
     pub(super) fn sessions_out(
@@ -186,13 +251,15 @@
                 out.push(Action::Token { id, value, event });
             }
             session::Action::Finish { id, reason } => {
-                self.end_legs(now, id, Outcome::Ok);
+                self.end_legs(now, id, Blame::COMPLETED);
+                self.give_back(now, id, out);
                 self.budget.succeeded();
                 self.close(now, id, Finish::Served, out);
                 out.push(Action::Finish { id, reason });
             }
             session::Action::Fail { id, failure } => {
-                self.end_legs(now, id, Outcome::Unrun);
+                self.end_legs(now, id, Blame::ENDED);
+                self.give_back(now, id, out);
                 self.close(now, id, Finish::Dropped, out);
                 out.push(Action::Fail { id, failure });
             }
@@ -205,8 +272,7 @@
                 }
             }
             session::Action::NeedChain { id, ask, avoid } => {
-                self.end_legs(now, id, Outcome::Unrun);
-                self.replace_chain(now, id, ask, &avoid, out);
+                self.lost_chain(now, id, ask, avoid, out);
             }
             session::Action::Probe { id, endpoint, key } => {
                 if let Some(entry) = self.state.endpoint(&endpoint) {
@@ -220,57 +286,115 @@
         }
     }
 
-    /// Finds another chain: one without the endpoints that failed, else one with them, else later.
-    fn replace_chain(
+    /// A session lost its chain. An endpoint that broke off is checked first: if it crashed, the
+    /// request is a suspect before it runs anywhere else.
+    fn lost_chain(
         &mut self,
         now: Millis,
         id: RequestId,
         ask: u32,
-        avoid: &[EndpointName],
+        avoid: Vec<EndpointName>,
         out: &mut Vec<Action>,
     ) {
-        let chain = self
-            .chain(now, id, avoid)
-            .or_else(|_| self.chain(now, id, &[]));
-        match chain {
-            Ok(legs) => self.session(
-                now,
-                session::Event::Chain {
-                    id,
-                    ask,
-                    legs: Ok(legs),
-                },
-                out,
-            ),
-            Err(_) => self.parked.push(Parked {
-                id,
-                ask,
-                since: now,
-                due: now + PARK_STEP,
-            }),
+        let check = self.broken_leg(id);
+        self.end_legs(now, id, Blame::ENDED);
+        let due = now
+            + if check.is_some() {
+                CHECK_SPAN
+            } else {
+                Millis(0)
+            };
+        let endpoint = check.clone();
+        self.parked.push(Parked {
+            id,
+            ask,
+            avoid,
+            check,
+            since: now,
+            due,
+        });
+        match endpoint.as_ref().and_then(|name| self.state.endpoint(name)) {
+            Some(entry) => {
+                let endpoint = entry.name.clone();
+                out.push(Action::Poll {
+                    endpoint,
+                    addr: entry.addr,
+                });
+            }
+            None => self.proceed(now, id, Purpose::GoOn { ask }, out),
         }
     }
 
-    /// Tries again for the sessions that found no chain.
-    pub(super) fn unpark(&mut self, now: Millis, out: &mut Vec<Action>) {
-        if self.parked.iter().all(|parked| now < parked.due) {
+    fn broken_leg(&mut self, id: RequestId) -> Option<EndpointName> {
+        let faults = &self.model_mut(id)?.faults;
+        let broken = faults.iter().find(|(_, blame)| blame.left == Left::Broken);
+        broken.map(|(endpoint, _)| endpoint.clone())
+    }
+
+    /// Says whether sessions wait to hear whether an endpoint crashed.
+    pub(super) fn is_checked(&self, endpoint: &EndpointName) -> bool {
+        self.parked
+            .iter()
+            .any(|parked| parked.check.as_ref() == Some(endpoint))
+    }
+
+    /// The check of an endpoint is over: the sessions that waited for it go on.
+    pub(super) fn checked(&mut self, now: Millis, endpoint: &EndpointName, out: &mut Vec<Action>) {
+        let mut ready = Vec::new();
+        for parked in &mut self.parked {
+            if parked.check.as_ref() == Some(endpoint) {
+                parked.check = None;
+                ready.push((parked.id, parked.ask));
+            }
+        }
+        for (id, ask) in ready {
+            self.proceed(now, id, Purpose::GoOn { ask }, out);
+        }
+    }
+
+    /// Finds another chain: one without the endpoints that failed, or later also with them.
+    pub(super) fn replace_chain(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        ask: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(at) = self.parked.iter().position(|parked| parked.id == id) else {
             return;
+        };
+        let mut parked = self.parked.swap_remove(at);
+        let deadline = self.open.get(&id).map_or(now, |open| open.deadline);
+        let legs = self.chain(now, id, &parked.avoid);
+        if legs.is_err() && now < (parked.since + PARK_SPAN).min(deadline) {
+            parked.due = now + PARK_STEP;
+            parked.avoid.clear();
+            self.parked.push(parked);
+        } else {
+            self.session(now, session::Event::Chain { id, ask, legs }, out);
         }
-        for mut parked in std::mem::take(&mut self.parked) {
-            if now < parked.due {
-                self.parked.push(parked);
-                continue;
-            }
-            let Parked { id, ask, since, .. } = parked;
-            let Some(deadline) = self.open.get(&id).map(|open| open.deadline) else {
-                continue;
-            };
-            let legs = self.chain(now, id, &[]);
-            if legs.is_err() && now < (since + PARK_SPAN).min(deadline) {
+    }
+
+    /// Tries again for the sessions that have no chain.
+    pub(super) fn unpark(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let open = &self.open;
+        self.parked.retain(|parked| open.contains_key(&parked.id));
+        let due: Vec<(RequestId, u32)> = self
+            .parked
+            .iter_mut()
+            .filter(|parked| now >= parked.due)
+            .map(|parked| {
+                parked.check = None;
                 parked.due = now + PARK_STEP;
-                self.parked.push(parked);
-            } else {
-                self.session(now, session::Event::Chain { id, ask, legs }, out);
+                (parked.id, parked.ask)
+            })
+            .collect();
+        for (id, ask) in due {
+            let waits = self
+                .model_mut(id)
+                .is_some_and(|model| model.permit.is_asked());
+            if !waits {
+                self.proceed(now, id, Purpose::GoOn { ask }, out);
             }
         }
     }
@@ -302,9 +426,9 @@
         });
     }
 
-    /// Tells the router how the work on the present legs ended; `blameless` stands for those that
+    /// Notes how the work on the present legs ended; `blameless` stands for those that
     /// did not fail.
-    fn end_legs(&mut self, now: Millis, id: RequestId, blameless: Outcome) {
+    fn end_legs(&mut self, now: Millis, id: RequestId, blameless: Blame) {
         let Some(model) = self.model_mut(id) else {
             return;
         };
@@ -312,7 +436,8 @@
         let faults = std::mem::take(&mut model.faults);
         let took = now.since(model.since);
         for leg in legs.iter() {
-            let outcome = faults.get(&leg.endpoint).copied().unwrap_or(blameless);
+            let Blame { outcome, left } = faults.get(&leg.endpoint).copied().unwrap_or(blameless);
+            self.suspects.ledger.leave(now, id, &leg.endpoint, left);
             self.router
                 .apply(now, &leg.endpoint, route::Event::Ended { took, outcome });
         }
@@ -320,7 +445,8 @@
 
     pub(super) fn cancel_model(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
         self.session(now, session::Event::Cancel { id }, out);
-        self.end_legs(now, id, Outcome::Unrun);
+        self.end_legs(now, id, Blame::ENDED);
+        self.give_back(now, id, out);
         self.close(now, id, Finish::Dropped, out);
         out.push(Action::Drop(id));
     }
--- a/src/core/daemon/open.rs
+++ b/src/core/daemon/open.rs
@@ -6,6 +6,8 @@
 use crate::clock::Millis;
 use crate::core::limit::Finish;
 use crate::core::once;
+use crate::core::poison::Left;
+use crate::core::poison::RequestDigest;
 use crate::core::route::Event;
 use crate::core::route::view::Outcome;
 use crate::core::session::event::Leg;
@@ -17,6 +19,7 @@
 
 use super::Core;
 use super::action::Action;
+use super::suspect::Permit;
 
 /// A request in progress.
 #[derive(Clone, Debug)]
@@ -73,7 +76,30 @@
     /// When the hop on its way was sent.
     pub(super) sent: Millis,
     /// How endpoints failed the present legs.
-    pub(super) faults: BTreeMap<EndpointName, Outcome>,
+    pub(super) faults: BTreeMap<EndpointName, Blame>,
+    /// What the request is known by, should it crash endpoints.
+    pub(super) digest: RequestDigest,
+    pub(super) permit: Permit,
+}
+
+/// How the work on a leg ended: for the router, and for the search for what crashes endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Blame {
+    pub(super) outcome: Outcome,
+    pub(super) left: Left,
+}
+
+impl Blame {
+    /// The whole answer came.
+    pub(super) const COMPLETED: Self = Self {
+        outcome: Outcome::Ok,
+        left: Left::Completed,
+    };
+    /// The work was given up, by no fault of the endpoint.
+    pub(super) const ENDED: Self = Self {
+        outcome: Outcome::Unrun,
+        left: Left::Ended,
+    };
 }
 
 impl Core {
--- a/src/core/daemon/peer.rs
+++ b/src/core/daemon/peer.rs
@@ -12,6 +12,7 @@
 use crate::core::member::Listed;
 use crate::core::member::message::Member;
 use crate::core::once;
+use crate::core::poison;
 use crate::core::sync;
 use crate::core::sync::Peer;
 use crate::names::Vm;
@@ -20,6 +21,7 @@
 use super::action::Action;
 use super::action::Note;
 use super::hints::Hints;
+use super::suspect::Granted;
 
 /// A message and its sender.
 #[derive(Clone, Debug)]
@@ -44,6 +46,14 @@
     Hints(Hints),
     /// A part of a snapshot of the configuration.
     Part(Part),
+    /// Suspects: contents that ran where an endpoint crashed.
+    Suspects(poison::Note),
+    /// The question whether a suspect may run.
+    MayRun(poison::Ask),
+    /// The answer to it.
+    Granted(Granted),
+    /// The end of a suspect's run.
+    Done(poison::Done),
     /// A request for a snapshot of the configuration.
     #[from(skip)]
     WantState,
@@ -95,6 +105,10 @@
             }
             Body::Hints(hints) => self.hear(now, &from, hints, out),
             Body::Part(part) => self.offer_part(now, &part, out),
+            Body::Suspects(note) => self.suspects.ledger.merge(now, note),
+            Body::MayRun(ask) => self.may_run(now, ask, out),
+            Body::Granted(granted) => self.granted(now, granted, out),
+            Body::Done(done) => self.suspects.ledger.returned(now, done),
             Body::WantState => self.give_state(&from, out),
         }
     }
@@ -160,6 +174,7 @@
             vm: member.vm.clone(),
             domain: member.domain.clone(),
         };
+        self.suspects.vms = live.iter().map(|member| member.vm.clone()).collect();
         let staying: Vec<Peer> = live.iter().map(peer).collect();
         self.sync.set_peers(&staying);
         self.router.set_peers(self.peers.len());
--- a/src/core/daemon/tick.rs
+++ b/src/core/daemon/tick.rs
@@ -28,6 +28,7 @@
         self.sessions.tick(now, &mut actions);
         self.sessions_out(now, actions, out);
         self.unpark(now, out);
+        self.tell_suspects(now, out);
         self.share(now, out);
         self.snapshot_if_due(now, out);
         self.exit_if_due(now, out);
--- a/src/core/session/event.rs
+++ b/src/core/session/event.rs
@@ -85,6 +85,8 @@
 pub enum Fault {
     /// The endpoint refused the hop unrun.
     Refused,
+    /// No connection to the endpoint could be opened, so the hop was not run.
+    Unreachable,
     /// The endpoint no longer has the KV cache of the attempt.
     Lost,
     /// The connection broke, or the stream of lines ended too early.
--- a/src/core/session/reroute.rs
+++ b/src/core/session/reroute.rs
@@ -26,6 +26,11 @@
         self.avoid.extend(culprit);
     }
 
+    /// Takes back one try, before one is noted in which nothing ran.
+    pub fn uncount(&mut self) {
+        self.tries = self.tries.saturating_sub(1);
+    }
+
     /// Returns whether too many attempts failed in a row.
     pub fn is_spent(&self) -> bool {
         self.tries >= TRY_LIMIT
--- a/src/core/session/state.rs
+++ b/src/core/session/state.rs
@@ -131,6 +131,7 @@
             Fault::Lost => self.give_up(now, false, out),
             Fault::Broken | Fault::Bad => self.give_up(now, true, out),
             Fault::Refused => self.retry(now, true, out),
+            Fault::Unreachable => self.pass_over(now, out),
         }
         Fit::Fits
     }
@@ -385,6 +386,12 @@
         }
     }
 
+    /// Goes on without an endpoint that cannot be reached; nothing ran, so no try is counted.
+    fn pass_over(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.reroute.uncount();
+        self.retry(now, true, out);
+    }
+
     /// Returns the endpoint that has the outstanding hop.
     fn endpoint(&self) -> Option<&EndpointName> {
         match self.stage {
--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -63,7 +63,11 @@
     ) -> Result<(Self, Response), Fault> {
         let uri = Uri::from_static("/v1/hops");
         let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Bad)?;
-        let mut conn = shell.pool().get(addr).await.map_err(|_| Fault::Broken)?;
+        let mut conn = shell
+            .pool()
+            .get(addr)
+            .await
+            .map_err(|_| Fault::Unreachable)?;
         conn.writer
             .request(&request)
             .await
--- a/tests/world/endpoints.rs
+++ b/tests/world/endpoints.rs
@@ -289,7 +289,7 @@
             return;
         };
         if endpoint.down {
-            self.answer(node, boot, CUT, fault(Fault::Broken));
+            self.answer(node, boot, CUT, fault(Fault::Unreachable));
             return;
         }
         if take(&mut self.endpoints.next.refuse) {
