Measure the shortlist of a content against the choice among all

The bound of three endpoints for each content was suspected to cost throughput. Ranks weighted by rate measured no better and are taken out again.

--- a/examples/policies.rs
+++ b/examples/policies.rs
@@ -20,6 +20,9 @@
 use cornelwharf::core::limit::Finish;
 use cornelwharf::core::limit::Gate;
 use cornelwharf::core::limit::share::Rule;
+use cornelwharf::core::poison::RequestDigest;
+use cornelwharf::core::poison::Seat;
+use cornelwharf::core::poison::shortlist;
 use cornelwharf::core::route::Event;
 use cornelwharf::core::route::Need;
 use cornelwharf::core::route::Router;
@@ -74,9 +77,19 @@
     gated: bool,
     offered: f64,
     faults: bool,
+    lists: Lists,
     seed: u64,
 }
 
+/// Which endpoints a session may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lists {
+    /// All.
+    All,
+    /// The shortlist of its content.
+    Short,
+}
+
 #[derive(Debug)]
 struct Session {
     vm: usize,
@@ -109,6 +122,9 @@
     slowest: u64,
 }
 
+/// The ranks of the endpoints, by the layers that they hold.
+type Ranges = BTreeMap<Layers, Vec<(EndpointName, Seat)>>;
+
 struct Trial {
     setup: Setup,
     now: u64,
@@ -118,6 +134,7 @@
     service: ServiceName,
     endpoints: Vec<Endpoint>,
     names: Vec<EndpointName>,
+    seats: Option<Ranges>,
     index: BTreeMap<EndpointName, usize>,
     hosts: Vec<Host>,
     routers: Vec<Router>,
@@ -127,6 +144,25 @@
     figures: Figures,
 }
 
+fn ranges(lists: Lists, endpoints: &[Endpoint]) -> Option<Ranges> {
+    if lists == Lists::All {
+        return None;
+    }
+    let mut ranges = Ranges::new();
+    for one in endpoints {
+        let seat = Seat::of(&one.name);
+        let layers = one.layers.unwrap_or(Layers {
+            from: 0,
+            to: LAYERS,
+        });
+        ranges
+            .entry(layers)
+            .or_default()
+            .push((one.name.clone(), seat));
+    }
+    Some(ranges)
+}
+
 fn endpoints(rng: &mut ChaCha8Rng) -> Vec<Endpoint> {
     let ranges = [(0, 8), (8, 16), (16, 24), (0, 12), (12, 24), (4, 20)];
     let make = |at: usize| {
@@ -173,6 +209,7 @@
         }
         let names: Vec<EndpointName> = endpoints.iter().map(|one| one.name.clone()).collect();
         let mut trial = Self {
+            seats: ranges(setup.lists, &endpoints),
             now: 0,
             queue: BinaryHeap::new(),
             count: 0,
@@ -321,7 +358,8 @@
             prefix: &[],
             avoid: &one.refused,
         };
-        let found = self.routers[one.vm].chain(now, &self.service, LAYERS, &self.names, &need);
+        let names = self.candidates(id);
+        let found = self.routers[one.vm].chain(now, &self.service, LAYERS, &names, &need);
         let Ok(legs) = found else {
             return self.finish(id, Finish::Congested);
         };
@@ -337,6 +375,18 @@
         self.send(id, 0);
     }
 
+    /// Returns the endpoints that may run a session: all, or the shortlist of its content.
+    fn candidates(&self, id: usize) -> Vec<EndpointName> {
+        let Some(seats) = &self.seats else {
+            return self.names.clone();
+        };
+        let digest = RequestDigest::of(&self.service, &[id as u32]);
+        let lists = seats
+            .values()
+            .flat_map(|range| shortlist(&digest, range.iter().map(|(name, seat)| (name, *seat))));
+        lists.cloned().collect()
+    }
+
     fn part(&self, leg: &Leg) -> f64 {
         let held = self.endpoints[self.index[&leg.endpoint]]
             .layers
@@ -532,15 +582,38 @@
         gated: false,
         offered: 0.5,
         faults: part == "faults",
+        lists: Lists::All,
         seed,
     };
     if part == "overload" {
         overload(base);
+    } else if part == "shortlist" {
+        lists(base);
     } else {
         compare(base);
     }
 }
 
+/// Compares routing over all endpoints with routing over the shortlist of each content.
+fn lists(base: Setup) {
+    println!("| endpoints | offered | tokens/s of bound | first token p50 ms | p95 ms |");
+    println!("| --- | --- | --- | --- | --- |");
+    for offered in [0.8, 0.95, 1.0, 1.2] {
+        for lists in [Lists::All, Lists::Short] {
+            let setup = Setup {
+                offered,
+                lists,
+                ..base
+            };
+            let mut done = Trial::new(setup).run();
+            let share = done.share(done.figures.tokens);
+            let first = &mut done.figures.first;
+            let (half, most) = (quantile(first, 0.5), quantile(first, 0.95));
+            println!("| {lists:?} | {offered} | {share:.1}% | {half} | {most} |");
+        }
+    }
+}
+
 fn compare(base: Setup) {
     println!("| policy | offered | tokens/s of bound | first token p50 ms | p95 ms |");
     println!("| --- | --- | --- | --- | --- |");
--- a/src/core/daemon/suspect.rs
+++ b/src/core/daemon/suspect.rs
@@ -107,14 +107,9 @@
             let Some(layers) = endpoint.layers else {
                 continue;
             };
-            let weight = if endpoint.rate > 0 {
-                endpoint.rate
-            } else {
-                endpoint.slots
-            };
             let place = Place {
                 name: endpoint.name.clone(),
-                seat: Seat::weighted(&endpoint.name, weight),
+                seat: Seat::of(&endpoint.name),
             };
             ranges.entry(layers).or_default().push(place);
         }
--- a/src/core/poison/rank.rs
+++ b/src/core/poison/rank.rs
@@ -1,8 +1,6 @@
 //! Ranks by rendezvous hashing: which VM is a suspect's home, and which endpoints may run a
 //! request.
 
-use std::cmp::Ordering;
-
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -15,59 +13,19 @@
 
 /// The place of a name in the ranks, worked out once for each name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Seat {
-    key: u64,
-    weight: u32,
-}
+pub struct Seat(u64);
 
 impl Seat {
-    /// Returns the seat of a name, with the same weight as all others.
+    /// Returns the seat of a name.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        Self::weighted(name, 1)
-    }
-
-    /// Returns the seat of a name that shall rank first in proportion to its weight.
-    #[must_use]
-    pub fn weighted(name: &str, weight: u32) -> Self {
         let bytes = Sha256::digest(name.as_bytes());
         let first = bytes.iter().take(size_of::<u64>());
-        let key = first.fold(0, |sum, byte| sum << 8 | u64::from(*byte));
-        Self { key, weight }
+        Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 
-    fn score(self, digest: &RequestDigest) -> Score {
-        let word = mix(self.key ^ digest.key());
-        let unit = ((word >> 11) as f64 + 0.5) / UNITS;
-        Score(f64::from(self.weight.max(1)) / -unit.ln())
-    }
-}
-
-/// The numbers that the upper 53 bits of a word can be, which a float holds exactly.
-const UNITS: f64 = (1u64 << 53) as f64;
-
-/// The rank of a seat for one content; by the logarithm, a seat of twice the weight comes first
-/// twice as often.
-#[derive(Clone, Copy, Debug)]
-struct Score(f64);
-
-impl PartialEq for Score {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Score {}
-
-impl PartialOrd for Score {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Score {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.0.total_cmp(&other.0)
+    fn score(self, digest: &RequestDigest) -> u64 {
+        mix(self.0 ^ digest.key())
     }
 }
 
@@ -94,7 +52,7 @@
 where
     R: IntoIterator<Item = (&'a EndpointName, Seat)>,
 {
-    let mut best: Vec<(Score, &EndpointName)> = Vec::with_capacity(SHORTLIST + 1);
+    let mut best: Vec<(u64, &EndpointName)> = Vec::with_capacity(SHORTLIST + 1);
     for (name, seat) in range {
         let entry = (seat.score(digest), name);
         let at = best.partition_point(|held| *held > entry);
