Tell a team that no owner approved that it is forbidden

A granted team without any owner's approval was told no_capacity with a time to come back, though only an owner can change that. The service's check now asks for an approval that covers an endpoint, drained ones included.

--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -210,6 +210,20 @@
         self.content.grants.contains_key(&grant)
     }
 
+    /// Says whether a service has endpoints of which no owner approved the team.
+    ///
+    /// Drained endpoints count, for to wait brings those back but no approval.
+    pub fn is_unapproved(&self, team: &Team, service: &ServiceName) -> bool {
+        let Some(serving) = self.index.serving.get(service) else {
+            return false;
+        };
+        let mut approvals = self.content.approvals_of(team, service);
+        !approvals.any(|(key, approval)| {
+            let names = serving.get(&key.owner);
+            names.is_some_and(|names| names.iter().any(|name| approval.covers(name)))
+        })
+    }
+
     /// Says whether an endpoint was told to leave.
     pub fn is_drained(&self, endpoint: &EndpointName) -> bool {
         let drain = self.content.drains.get(endpoint);
--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -243,6 +243,10 @@
             let message = format!("Team {team} has no grant to service {name}.");
             return Err(Failure::unrun(Code::Forbidden, message));
         }
+        if self.state.is_unapproved(team, name) {
+            let message = format!("No owner of endpoints of {name} has approved team {team}.");
+            return Err(Failure::unrun(Code::Forbidden, message));
+        }
         Ok(service)
     }
 
