--- /dev/null
+++ b/examples/bench.rs
@@ -0,0 +1,18 @@
+//! The load tool: `cargo run --release --example bench -- SCENARIO`.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use cornelwharf::bench;
+use cornelwharf::cli::Bench;
+use cornelwharf::io::runtime;
+
+fn main() -> eyre::Result<ExitCode> {
+    let args = Bench::parse();
+    let report = runtime::run(bench::run(&args))??;
+    if report.is_right() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    eprintln!("bench: wrong answers or untrue outcomes");
+    Ok(ExitCode::FAILURE)
+}
--- /dev/null
+++ b/examples/bench/setup.sh
@@ -0,0 +1,127 @@
+#!/usr/bin/env bash
+# Starts the stand-ins and daemons of a trial and puts its configuration in force.
+# Usage: setup.sh DIR BIN [DAEMONS [ENGINES [SERVICES [STAGES]]]]
+# Writes site, settings and intent files into DIR, the process ids into DIR/pids (the daemons' into
+# DIR/daemons), and returns when every daemon serves. stop.sh DIR ends what it started.
+set -euo pipefail
+dir=$1 bin=$2 daemons=${3:-1} engines=${4:-6} services=${5:-1} stages=${6:-3}
+slots=${SLOTS:-16} step=${STEP:-5} layers=12
+domains=(north middle south)
+mkdir -p "$dir"
+digest() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+caller() { echo "127.0.0.1:$((7000 + $1))"; }
+
+vms() {
+    echo "vms:"
+    for ((i = 1; i <= daemons; i++)); do
+        echo "  - {vm: vm-$i, domain: ${domains[i % 3]}, caller: '$(caller "$i")', peer: '127.0.0.1:$((7100 + i))', leaving: false}"
+    done
+}
+
+# An engine's range is that of its stage; the stages take the engines in turn.
+range() {
+    local stage=$(($1 % stages)) width=$((layers / stages))
+    echo "{from: $((stage * width)), to: $(((stage + 1) * width))}"
+}
+
+site() {
+    echo "platform: 127.0.0.1:7900"
+    vms
+}
+
+engine_site() {
+    echo "engines:"
+    for ((i = $1; i < engines; i += $2)); do
+        echo "  - {addr: '127.0.0.1:$((8000 + i))', layers: $(range "$i"), total: $layers, slots: $slots, step: $step}"
+    done
+}
+
+service_site() {
+    echo "services: ['127.0.0.1:$((8500 + $1))']"
+}
+
+intent() {
+    cat <<YAML
+services:
+  - {name: chat, kind: {model: {layers: $layers, version: v1}}}
+  - {name: ledger, kind: {plain: {}}}
+owners: [{name: owner, token: $(digest owner)}]
+teams:
+  - {name: counter, token: $(digest counter), priority: urgent, weight: 2}
+  - {name: web, token: $(digest web)}
+  - {name: batch, token: $(digest batch), priority: batch}
+grants:
+  - {team: counter, service: chat}
+  - {team: counter, service: ledger}
+  - {team: web, service: chat}
+  - {team: web, service: ledger}
+  - {team: batch, service: chat}
+endpoints:
+YAML
+    for ((i = 0; i < engines; i++)); do
+        echo "  - {name: engine-$i, addr: '127.0.0.1:$((8000 + i))', domain: ${domains[i % 3]}, owner: owner, service: chat, layers: $(range "$i"), slots: $slots, rate: $((slots * 1000 / step))}"
+    done
+    for ((i = 0; i < services; i++)); do
+        echo "  - {name: ledger-$i, addr: '127.0.0.1:$((8500 + i))', domain: ${domains[i % 3]}, owner: owner, service: ledger, slots: ${LEDGER_SLOTS:-1024}}"
+    done
+}
+
+settings() {
+    cat <<YAML
+vm: vm-$1
+domain: ${domains[$1 % 3]}
+caller: $(caller "$1")
+peer: 127.0.0.1:$((7100 + $1))
+platform: 127.0.0.1:7900
+secret: a-secret-of-this-trial
+operators: [{name: ada, token: $(digest ada)}]
+level: warn
+YAML
+}
+
+start() {
+    local list=$1 log=$2
+    shift 2
+    "$@" >"$dir/$log.log" 2>&1 &
+    echo $! >>"$dir/$list"
+}
+
+ask() {
+    curl -sS --fail-with-body --max-time 20 -H "authorization: Bearer $1" "${@:3}" "http://$(caller 1)/v1/operate/$2"
+    echo
+}
+
+ready() {
+    for ((try = 0; try < 300; try++)); do
+        curl -sf --max-time 1 "http://$(caller "$1")/readyz" >/dev/null && return
+        sleep 0.1
+    done
+    echo "vm-$1 is not ready" >&2
+    exit 1
+}
+
+site >"$dir/platform.yaml"
+intent >"$dir/intent.yaml"
+start pids platform "$bin/standin" all "$dir/platform.yaml"
+for ((i = 0; i < ${ENGINE_PROCESSES:-2}; i++)); do
+    engine_site "$i" "${ENGINE_PROCESSES:-2}" >"$dir/engines-$i.yaml"
+    start pids "engines-$i" "$bin/standin" all "$dir/engines-$i.yaml"
+done
+for ((i = 0; i < services; i++)); do
+    service_site "$i" >"$dir/service-$i.yaml"
+    start pids "service-$i" "$bin/standin" all "$dir/service-$i.yaml"
+done
+for ((i = 1; i <= daemons; i++)); do
+    settings "$i" >"$dir/vm-$i.yaml"
+    start daemons "vm-$i" "$bin/cornelwharfd" "$dir/vm-$i.yaml"
+done
+for ((i = 1; i <= daemons; i++)); do ready "$i"; done
+ask ada plans --data-binary "@$dir/intent.yaml" >"$dir/plan.json"
+plan=$(sed -n 's/.*"id":"\([0-9a-f]*\)".*/\1/p' "$dir/plan.json" | head -1)
+ask ada "plans/$plan/confirm" -X POST >"$dir/confirm.json"
+for team in counter web batch; do
+    for service in chat ledger; do
+        ask owner approvals -d "{\"team\":\"$team\",\"service\":\"$service\",\"on\":true}" >>"$dir/approvals.json" || true
+    done
+done
+sleep 3
--- /dev/null
+++ b/examples/bench/stop.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Ends the processes that setup.sh started, by their ids. Usage: stop.sh DIR
+set -uo pipefail
+for list in daemons pids; do
+    [ -f "$1/$list" ] || continue
+    while read -r pid; do kill -9 "$pid" 2>/dev/null; done <"$1/$list"
+    rm -f "$1/$list"
+done
--- /dev/null
+++ b/src/bench/completion.rs
@@ -0,0 +1,226 @@
+//! Completions: whole or streamed, resumed by the last event's id, and checked.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use monoio::time::timeout;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::entries::Entries;
+use super::outcome::Fail;
+use super::outcome::Miss;
+use super::plain;
+use super::scenario::Class;
+use super::scenario::Completion;
+use crate::clock::Millis;
+use crate::io::http::Conn;
+use crate::io::http::Request;
+use crate::io::lines::Lines;
+use crate::names::ServiceName;
+use crate::standin::engine::draw;
+
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const PATH: &str = "/v1/completions";
+const DONE: &[u8] = b"[DONE]";
+
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    model: &'a ServiceName,
+    prompt: &'a [u32],
+    max_tokens: usize,
+    seed: u64,
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Part {
+    choices: [Choice; 1],
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    text: String,
+}
+
+/// One answer, as far as it has come.
+#[derive(Debug)]
+pub(super) struct Stream {
+    due: Instant,
+    prompt: Vec<u32>,
+    seed: u64,
+    text: String,
+    event: Option<HeaderValue>,
+    last: Instant,
+    /// From the time that it was due to the first token.
+    pub(super) first: Option<Duration>,
+    /// The spans between tokens.
+    pub(super) gaps: Vec<Duration>,
+}
+
+/// What a line of a stream comes to.
+enum Step {
+    More,
+    Done,
+}
+
+impl Stream {
+    pub(super) fn new(due: Instant, completion: &Completion, seed: u64) -> Self {
+        /// A prompt is lower-case letters, the letter at each place drawn from the seed.
+        const LETTERS: u64 = 26;
+        let letter = |at: usize| u32::from(b'a') + ((seed >> (at % 48)) % LETTERS) as u32;
+        Self {
+            due,
+            prompt: (0..completion.prompt).map(letter).collect(),
+            seed,
+            text: String::new(),
+            event: None,
+            last: due,
+            first: None,
+            gaps: Vec::new(),
+        }
+    }
+
+    /// Returns the number of tokens that came.
+    pub(super) fn tokens(&self) -> usize {
+        self.text.len()
+    }
+
+    /// Makes one attempt at `addr`, from where the last one broke; `note` learns of each token.
+    pub(super) async fn attempt<N>(
+        &mut self,
+        entries: &Entries,
+        addr: SocketAddr,
+        class: &Class,
+        completion: &Completion,
+        span: Millis,
+        note: N,
+    ) -> Result<(), Fail>
+    where
+        N: Fn(),
+    {
+        let request = self.request(class, completion)?;
+        if completion.stream {
+            let work = self.stream(entries, addr, &request, note);
+            let broken = Err(Fail::unknown(Miss::Broken));
+            timeout(span.duration(), work).await.unwrap_or(broken)?;
+        } else {
+            let response = plain::attempt(entries, addr, &request, span).await?;
+            let part: Part = response
+                .parse()
+                .map_err(|_| Fail::unknown(Miss::Malformed))?;
+            let [choice] = part.choices;
+            self.text = choice.text;
+            (0..self.tokens()).for_each(|_| note());
+        }
+        self.check(completion)
+    }
+
+    fn request(&self, class: &Class, completion: &Completion) -> Result<Request, Fail> {
+        let body = Body {
+            model: &completion.model,
+            prompt: &self.prompt,
+            max_tokens: completion.tokens,
+            seed: self.seed,
+            stream: completion.stream,
+        };
+        let bad = || Fail::unknown(Miss::Malformed);
+        let mut request = plain::request(Method::POST, PATH, &class.token).ok_or_else(bad)?;
+        request.body = serde_json::to_vec(&body).map_err(|_| bad())?.into();
+        if let Some(event) = &self.event {
+            request.headers.insert(LAST_EVENT, event.clone());
+        }
+        Ok(request)
+    }
+
+    async fn stream<N>(
+        &mut self,
+        entries: &Entries,
+        addr: SocketAddr,
+        request: &Request,
+        note: N,
+    ) -> Result<(), Fail>
+    where
+        N: Fn(),
+    {
+        let broken = |_| Fail::unknown(Miss::Broken);
+        let mut conn = Conn::dial(addr).await.map_err(|_| Fail::unsent())?;
+        conn.writer.request(request).await.map_err(broken)?;
+        let head = conn.reader.response_head(false).await.map_err(broken)?;
+        let mut lines = Lines::default();
+        let mut whole = Vec::new();
+        while let Some(part) = conn.reader.chunk().await.map_err(broken)? {
+            if head.status != StatusCode::OK {
+                whole.extend_from_slice(&part);
+                continue;
+            }
+            lines.add(&part);
+            for line in lines.by_ref() {
+                if let Step::Done = self.line(&line, &note)? {
+                    entries.pool.keep(addr, conn);
+                    return Ok(());
+                }
+            }
+        }
+        if head.status == StatusCode::OK {
+            return Err(Fail::unknown(Miss::Broken));
+        }
+        Err(Fail::parse(&whole))
+    }
+
+    fn line<N>(&mut self, line: &[u8], note: &N) -> Result<Step, Fail>
+    where
+        N: Fn(),
+    {
+        if let Some(id) = line.strip_prefix(b"id: ") {
+            self.event = HeaderValue::from_bytes(id).ok();
+            return Ok(Step::More);
+        }
+        let Some(data) = line.strip_prefix(b"data: ") else {
+            return Ok(Step::More);
+        };
+        if data == DONE {
+            return Ok(Step::Done);
+        }
+        let Ok(part) = serde_json::from_slice::<Part>(data) else {
+            return Err(Fail::parse(data));
+        };
+        let [choice] = part.choices;
+        if !choice.text.is_empty() {
+            self.token(&choice.text);
+            note();
+        }
+        Ok(Step::More)
+    }
+
+    fn token(&mut self, text: &str) {
+        let now = Instant::now();
+        if self.first.is_none() {
+            self.first = Some(now - self.due);
+        } else {
+            self.gaps.push(now - self.last);
+        }
+        self.last = now;
+        self.text.push_str(text);
+    }
+
+    fn check(&self, completion: &Completion) -> Result<(), Fail> {
+        let right = draw(
+            self.seed,
+            &self.prompt,
+            completion.layers,
+            completion.tokens,
+        );
+        let same = self.text.bytes().map(u32::from).eq(right);
+        if same {
+            Ok(())
+        } else {
+            Err(Fail::unknown(Miss::Wrong))
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/entries.rs
@@ -0,0 +1,113 @@
+//! The entry VMs that a good caller uses.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use http::Method;
+use http::Uri;
+use serde::Deserialize;
+
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::io::http::Conn;
+use crate::io::http::Request;
+use crate::io::pool::Pool;
+
+/// How long the question for addresses may take.
+const ASK_SPAN: Millis = Millis::seconds(1);
+/// How long a VM that failed is left out.
+const REST_SPAN: Millis = Millis::seconds(2);
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    addresses: Vec<Address>,
+    keep_ms: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct Address {
+    addr: SocketAddr,
+}
+
+/// The addresses in use, spread over in turn.
+#[derive(Debug)]
+pub(super) struct Entries {
+    clock: Clock,
+    known: Vec<SocketAddr>,
+    discover: bool,
+    used: RefCell<Vec<SocketAddr>>,
+    until: Cell<Millis>,
+    rests: RefCell<Vec<(SocketAddr, Millis)>>,
+    turn: Cell<usize>,
+    /// Kept connections.
+    pub(super) pool: Pool,
+}
+
+impl Entries {
+    pub(super) fn new(clock: Clock, known: Vec<SocketAddr>, discover: bool) -> Self {
+        Self {
+            clock,
+            used: RefCell::new(known.clone()),
+            known,
+            discover,
+            until: Cell::new(Millis(0)),
+            rests: RefCell::default(),
+            turn: Cell::new(0),
+            pool: Pool::new(clock),
+        }
+    }
+
+    /// Returns the next address, and not `but` if there is another.
+    pub(super) async fn next(&self, but: Option<SocketAddr>) -> Option<SocketAddr> {
+        if self.discover && self.clock.now() >= self.until.get() {
+            self.refresh().await;
+        }
+        let now = self.clock.now();
+        self.rests.borrow_mut().retain(|(_, until)| *until > now);
+        let rests = self.rests.borrow();
+        let awake = |addr: &SocketAddr| !rests.iter().any(|(other, _)| other == addr);
+        let used = self.used.borrow();
+        let good: Vec<SocketAddr> = used
+            .iter()
+            .copied()
+            .filter(|addr| awake(addr) && Some(*addr) != but)
+            .collect();
+        let list = if good.is_empty() { &used } else { &good };
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        list.get(turn % list.len().max(1)).copied()
+    }
+
+    /// Leaves an address out for a while, after it failed.
+    pub(super) fn rest(&self, addr: SocketAddr) {
+        self.pool.clear(addr);
+        let until = self.clock.now() + REST_SPAN;
+        self.rests.borrow_mut().push((addr, until));
+        self.until.set(Millis(0));
+    }
+
+    /// Asks one VM after another for addresses, and goes on with the last answer if none replies.
+    async fn refresh(&self) {
+        self.until.set(self.clock.now() + ASK_SPAN);
+        let turn = self.turn.get();
+        for step in 0..self.known.len() {
+            let addr = self.known[(turn + step) % self.known.len()];
+            if let Some(answer) = ask(addr).await
+                && !answer.addresses.is_empty()
+            {
+                let list = answer.addresses.into_iter().map(|one| one.addr).collect();
+                *self.used.borrow_mut() = list;
+                self.until.set(self.clock.now() + answer.keep_ms);
+                return;
+            }
+        }
+    }
+}
+
+async fn ask(addr: SocketAddr) -> Option<Answer> {
+    let mut conn = Conn::dial(addr).await.ok()?;
+    let request = Request::new(Method::GET, Uri::from_static("/v1/addresses"));
+    let response = conn.call(&request, ASK_SPAN).await.ok()?;
+    response.parse().ok()
+}
--- /dev/null
+++ b/src/bench/fault.rs
@@ -0,0 +1,28 @@
+//! Faults that a scenario switches on at stand-ins.
+
+use http::Method;
+use http::Uri;
+
+use super::scenario::Switch;
+use crate::clock::Millis;
+use crate::io::http::Conn;
+use crate::io::http::Request;
+
+/// How long a stand-in may take to answer.
+const SPAN: Millis = Millis::seconds(2);
+
+/// Waits until the fault is due and switches it on; a stand-in that does not answer is logged.
+pub(super) async fn switch(fault: Switch) {
+    monoio::time::sleep(fault.at.duration()).await;
+    let mut request = Request::new(Method::PUT, Uri::from_static("/faults"));
+    request.body = fault.body.into();
+    let result = match Conn::dial(fault.addr).await {
+        Ok(mut conn) => conn.call(&request, SPAN).await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(response) if response.status.is_success() => {}
+        Ok(response) => eprintln!("fault at {} refused: {}", fault.addr, response.status),
+        Err(error) => eprintln!("fault at {} not switched: {error}", fault.addr),
+    }
+}
--- /dev/null
+++ b/src/bench/load.rs
@@ -0,0 +1,254 @@
+//! Making the requests of a scenario and counting what they come to.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderName;
+use http::Method;
+use monoio::time::sleep;
+
+use super::arrival::Arrivals;
+use super::completion::Stream;
+use super::effects::Keyed;
+use super::entries::Entries;
+use super::fault;
+use super::outcome::Done;
+use super::outcome::Fail;
+use super::outcome::Miss;
+use super::plain;
+use super::scenario::Class;
+use super::scenario::Completion;
+use super::scenario::Scenario;
+use super::scenario::Work;
+use super::tally::Tally;
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::error::Ran;
+
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How often the end of the run looks for requests that are still open.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A run in progress; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    scenario: Scenario,
+    /// Tells the keys of this run from those of others on the same stand-ins.
+    run: Millis,
+    start: Instant,
+    entries: Entries,
+    tally: RefCell<Tally>,
+    keys: RefCell<Vec<Keyed>>,
+    next: Cell<u64>,
+    open: Cell<u64>,
+}
+
+impl Load {
+    pub(super) fn new(scenario: Scenario) -> Self {
+        let clock = Clock::start();
+        let entries = Entries::new(clock, scenario.entries.clone(), scenario.discover);
+        let inner = Inner {
+            run: clock.now(),
+            start: Instant::now(),
+            entries,
+            tally: RefCell::new(Tally::new(scenario.classes.len())),
+            keys: RefCell::default(),
+            next: Cell::new(0),
+            open: Cell::new(0),
+            scenario,
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Returns what callers were told of each keyed call.
+    pub(super) fn keys(&self) -> Vec<Keyed> {
+        self.inner.keys.borrow().clone()
+    }
+
+    /// Makes all requests, waits for their ends and returns the counts.
+    pub(super) async fn run(&self) -> Tally {
+        let scenario = &self.inner.scenario;
+        for fault in scenario.faults.clone() {
+            monoio::spawn(fault::switch(fault));
+        }
+        for class in 0..scenario.classes.len() {
+            if scenario.loops == 0 {
+                monoio::spawn(self.clone().arrive(class));
+            }
+            for _ in 0..scenario.loops {
+                monoio::spawn(self.clone().repeat(class));
+            }
+        }
+        sleep(scenario.span.duration()).await;
+        let last = Instant::now() + scenario.patience.duration();
+        while self.inner.open.get() > 0 && Instant::now() < last {
+            sleep(LOOK).await;
+        }
+        let mut tally = self.inner.tally.borrow().clone();
+        tally.span = scenario.span.since(scenario.warmup).duration();
+        tally
+    }
+
+    /// Starts requests as they are due, however long the ones before take.
+    async fn arrive(self, class: usize) {
+        let scenario = &self.inner.scenario;
+        let rate = scenario.classes[class].rate;
+        let span = scenario.span.duration();
+        let arrivals = Arrivals::new(scenario.seed, class as u64, rate);
+        for at in arrivals.take_while(|at| *at < span) {
+            let due = self.inner.start + at;
+            sleep(due.saturating_duration_since(Instant::now())).await;
+            monoio::spawn(self.clone().request(class, due));
+        }
+    }
+
+    /// Makes one request after another.
+    async fn repeat(self, class: usize) {
+        let span = self.inner.scenario.span.duration();
+        while self.inner.start.elapsed() < span {
+            self.clone().request(class, Instant::now()).await;
+        }
+    }
+
+    async fn request(self, class: usize, due: Instant) {
+        let inner = &self.inner;
+        inner.open.set(inner.open.get() + 1);
+        let number = inner.next.get() + 1;
+        inner.next.set(number);
+        let kind = &inner.scenario.classes[class];
+        let mut done = Done {
+            span: Duration::ZERO,
+            first: None,
+            gaps: Vec::new(),
+            tokens: 0,
+            again: 0,
+            fail: None,
+        };
+        match &kind.work {
+            Work::Plain { path } => self.plain(kind, due, path, &mut done).await,
+            Work::Keyed { path } => self.keyed(kind, due, path, number, &mut done).await,
+            Work::Completion(work) => self.complete(kind, due, work, number, &mut done).await,
+        }
+        done.span = due.elapsed();
+        self.count(class, due, &done);
+        inner.open.set(inner.open.get() - 1);
+    }
+
+    /// Counts a request, by its due time for the warm-up and, in a closed loop, for the end.
+    fn count(&self, class: usize, due: Instant, done: &Done) {
+        let inner = &self.inner;
+        let scenario = &inner.scenario;
+        let late = scenario.loops > 0 && inner.start.elapsed() > scenario.span.duration();
+        if due - inner.start >= scenario.warmup.duration() && !late {
+            let at = inner.start.elapsed();
+            inner.tally.borrow_mut().add(class, at, done);
+        }
+    }
+
+    async fn plain(&self, class: &Class, due: Instant, path: &str, done: &mut Done) {
+        let Some(request) = plain::request(Method::GET, path, &class.token) else {
+            done.fail = Some(Fail::unknown(Miss::Malformed));
+            return;
+        };
+        let entries = &self.inner.entries;
+        let attempt = async |addr, left| {
+            let result = plain::attempt(entries, addr, &request, left).await;
+            result.map(drop)
+        };
+        self.persist(class, due, done, attempt).await;
+    }
+
+    async fn keyed(&self, class: &Class, due: Instant, path: &str, number: u64, done: &mut Done) {
+        let key = format!("bench-{}-{}-{number}", self.inner.run, class.team);
+        let request = plain::request(Method::POST, path, &class.token);
+        let (Some(mut request), Ok(value)) = (request, key.parse()) else {
+            done.fail = Some(Fail::unknown(Miss::Malformed));
+            return;
+        };
+        request.headers.insert(KEY, value);
+        request.body = key.clone().into();
+        let entries = &self.inner.entries;
+        let attempt = async |addr, left| {
+            let result = plain::attempt(entries, addr, &request, left).await;
+            result.map(drop)
+        };
+        let doubt = self.persist(class, due, done, attempt).await;
+        let ran = match done.fail {
+            None => Ran::Yes,
+            Some(fail) if !doubt => fail.ran,
+            Some(_) => Ran::Unknown,
+        };
+        self.inner.keys.borrow_mut().push(Keyed { key, ran });
+    }
+
+    async fn complete(
+        &self,
+        class: &Class,
+        due: Instant,
+        work: &Completion,
+        number: u64,
+        done: &mut Done,
+    ) {
+        let inner = &self.inner;
+        let seed = inner.scenario.seed.wrapping_mul(1_000_003) ^ number;
+        let mut stream = Stream::new(due, work, seed);
+        let note = || {
+            let at = inner.start.elapsed();
+            inner.tally.borrow_mut().tokens(at, 1);
+        };
+        let attempt = async |addr, left| {
+            let entries = &inner.entries;
+            stream.attempt(entries, addr, class, work, left, note).await
+        };
+        self.persist(class, due, done, attempt).await;
+        done.first = stream.first;
+        done.tokens = stream.tokens();
+        done.gaps = stream.gaps;
+    }
+
+    /// Makes attempts until one succeeds, none is left, or the caller's patience ends; says whether
+    /// one of those that failed may have run.
+    async fn persist<A>(&self, class: &Class, due: Instant, done: &mut Done, mut attempt: A) -> bool
+    where
+        A: AsyncFnMut(SocketAddr, Millis) -> Result<(), Fail>,
+    {
+        let entries = &self.inner.entries;
+        let patience = self.inner.scenario.patience.duration();
+        let mut last = None;
+        let mut doubt = false;
+        loop {
+            let left = Millis(patience.saturating_sub(due.elapsed()).as_millis() as u64);
+            let Some(addr) = entries.next(last).await else {
+                done.fail = Some(Fail::unsent());
+                return doubt;
+            };
+            let Err(fail) = attempt(addr, left).await else {
+                done.fail = None;
+                return doubt;
+            };
+            done.fail = Some(fail);
+            doubt |= fail.ran != Ran::No;
+            if matches!(fail.miss, Miss::Unsent | Miss::Broken) {
+                entries.rest(addr);
+            }
+            let pause = fail.retry.unwrap_or_default();
+            if !fail.is_passing() || done.again >= class.retries || pause >= left {
+                return doubt;
+            }
+            done.again += 1;
+            last = Some(addr);
+            sleep(pause.duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,61 @@
+//! The load and experiment tool: drives running daemons and measures what callers see.
+//!
+//! Arrivals are open-loop and seeded, or a closed loop for peak figures. Every answer is checked
+//! against the stand-ins' stated arithmetic and every keyed call against the effects that they
+//! counted, so a wrong answer can't pass for a fast one (docs/MEASURES.md).
+
+pub mod arrival;
+mod bound;
+mod completion;
+mod effects;
+mod entries;
+mod error;
+mod fault;
+mod load;
+mod outcome;
+mod plain;
+mod plot;
+pub mod report;
+pub mod scenario;
+pub mod tally;
+
+use std::path::Path;
+
+pub use self::error::BenchError;
+use self::load::Load;
+use self::report::Report;
+use self::scenario::Scenario;
+use crate::cli::Bench;
+
+/// Runs the scenario that the arguments name, prints the report and returns it.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read or written, or if no daemon answers. Wrong answers and doubled
+/// effects are no error here; the report tells them.
+pub async fn run(args: &Bench) -> Result<Report, BenchError> {
+    let mut scenario = Scenario::parse(&std::fs::read_to_string(&args.scenario)?)?;
+    if let Some(seed) = args.seed {
+        scenario.seed = seed;
+    }
+    let bounds = match &args.intent {
+        Some(path) => bound::read(&std::fs::read_to_string(path)?)?,
+        None => Vec::new(),
+    };
+    let load = Load::new(scenario.clone());
+    let tally = load.run().await;
+    let effects = effects::check(&scenario.effects, &load.keys()).await;
+    let report = Report::new(&scenario, &tally, bounds, effects);
+    println!("{}", report.table());
+    if let Some(dir) = &args.report {
+        write(&report, dir)?;
+    }
+    Ok(report)
+}
+
+fn write(report: &Report, dir: &Path) -> Result<(), BenchError> {
+    std::fs::create_dir_all(dir)?;
+    std::fs::write(dir.join("report.json"), serde_json::to_vec_pretty(report)?)?;
+    std::fs::write(dir.join("report.txt"), report.table())?;
+    plot::write(report, dir)
+}
--- /dev/null
+++ b/src/bench/plain.rs
@@ -0,0 +1,72 @@
+//! Calls on plain services, as a good caller makes them.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use http::Uri;
+
+use super::entries::Entries;
+use super::outcome::Fail;
+use super::outcome::Miss;
+use crate::clock::Millis;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// Makes one attempt at `addr`; a kept connection that turns out closed costs nothing if the call
+/// may be repeated.
+pub(super) async fn attempt(
+    entries: &Entries,
+    addr: SocketAddr,
+    request: &Request,
+    span: Millis,
+) -> Result<Response, Fail> {
+    let kept = entries.pool.reuse(addr);
+    let was_kept = kept.is_some();
+    let conn = match kept {
+        Some(conn) => conn,
+        None => Conn::dial(addr).await.map_err(|_| Fail::unsent())?,
+    };
+    match exchange(entries, addr, conn, request, span).await {
+        Err(HttpError::TimedOut) => Err(Fail::unknown(Miss::Broken)),
+        Err(_) if was_kept => {
+            let conn = Conn::dial(addr).await.map_err(|_| Fail::unsent())?;
+            let again = exchange(entries, addr, conn, request, span).await;
+            again.map_err(|_| Fail::unknown(Miss::Broken))
+        }
+        Err(_) => Err(Fail::unknown(Miss::Broken)),
+        Ok(response) => Ok(response),
+    }
+    .and_then(checked)
+}
+
+async fn exchange(
+    entries: &Entries,
+    addr: SocketAddr,
+    mut conn: Conn,
+    request: &Request,
+    span: Millis,
+) -> Result<Response, HttpError> {
+    let response = conn.call(request, span).await?;
+    entries.pool.keep(addr, conn);
+    Ok(response)
+}
+
+fn checked(response: Response) -> Result<Response, Fail> {
+    if response.status.is_success() {
+        Ok(response)
+    } else {
+        Err(Fail::of(&response))
+    }
+}
+
+/// Returns a request with the team's token.
+pub(super) fn request(method: Method, path: &str, token: &str) -> Option<Request> {
+    let mut request = Request::new(method, path.parse::<Uri>().ok()?);
+    if !token.is_empty() {
+        let value = format!("Bearer {token}").parse().ok()?;
+        request.headers.insert(http::header::AUTHORIZATION, value);
+    }
+    Some(request)
+}
--- /dev/null
+++ b/src/bench/report.rs
@@ -0,0 +1,285 @@
+//! What a run is reported as.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+use tabled::Table;
+use tabled::Tabled;
+use tabled::settings::Style;
+
+pub use super::bound::Bound;
+pub use super::effects::Effects;
+use super::scenario::Scenario;
+use super::scenario::Work;
+use super::tally::Counts;
+use super::tally::Slot;
+use super::tally::Spans;
+use super::tally::Tally;
+use crate::names::Team;
+
+/// The figures of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The scenario's name.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+    /// How long was counted, in seconds.
+    pub seconds: f64,
+    /// The classes, in the scenario's order.
+    pub classes: Vec<Line>,
+    /// Tokens a second, of all models.
+    pub tokens: f64,
+    /// The bounds of the models.
+    pub bounds: Vec<Bound>,
+    /// How keyed calls and effects fit.
+    pub effects: Effects,
+    /// What ended in each tenth of a second since the start.
+    pub slots: Vec<Point>,
+}
+
+/// The figures of one class; times in milliseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    /// The team.
+    pub team: Team,
+    /// What it asks for.
+    pub work: String,
+    /// Good answers a second.
+    pub goodput: f64,
+    /// Good answers.
+    pub good: u64,
+    /// Wrong answers.
+    pub wrong: u64,
+    /// Requests made again.
+    pub again: u64,
+    /// Failures.
+    pub failures: Vec<Failures>,
+    /// Times of good answers.
+    pub latency: Percentiles,
+    /// Times to the first token.
+    pub first: Percentiles,
+    /// Times between tokens.
+    pub between: Percentiles,
+    /// Times of refusals that say that nothing was run.
+    pub refused: Percentiles,
+}
+
+/// The failures of one kind.
+#[derive(Clone, Debug, Serialize)]
+pub struct Failures {
+    /// The code, or what the caller saw of the connection.
+    pub kind: String,
+    /// Whether the work took place, as far as the caller knows.
+    pub ran: String,
+    /// How many.
+    pub count: u64,
+}
+
+/// Percentiles in milliseconds; `None` if nothing was counted.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Percentiles {
+    /// The median.
+    pub p50: Option<f64>,
+    /// 95 in 100.
+    pub p95: Option<f64>,
+    /// 99 in 100.
+    pub p99: Option<f64>,
+    /// The highest.
+    pub most: Option<f64>,
+}
+
+/// One slot of the time line.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Point {
+    /// Good answers.
+    pub good: u64,
+    /// Failures.
+    pub failed: u64,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+#[derive(Tabled)]
+struct Row {
+    team: Team,
+    work: String,
+    #[tabled(rename = "good/s")]
+    goodput: String,
+    good: u64,
+    failed: u64,
+    wrong: u64,
+    again: u64,
+    #[tabled(rename = "ms p50/p95/p99")]
+    latency: String,
+    #[tabled(rename = "first token")]
+    first: String,
+    #[tabled(rename = "between tokens")]
+    between: String,
+    #[tabled(rename = "refused in")]
+    refused: String,
+}
+
+impl Report {
+    /// Sums up a run.
+    pub fn new(scenario: &Scenario, tally: &Tally, bounds: Vec<Bound>, effects: Effects) -> Self {
+        let seconds = tally.span.as_secs_f64().max(f64::EPSILON);
+        let given: u64 = tally.classes.iter().map(|counts| counts.tokens).sum();
+        let classes = scenario
+            .classes
+            .iter()
+            .zip(&tally.classes)
+            .map(|(class, counts)| Line::new(class.team.clone(), &class.work, counts, seconds))
+            .collect();
+        Self {
+            name: scenario.name.clone(),
+            seed: scenario.seed,
+            seconds,
+            classes,
+            tokens: given as f64 / seconds,
+            bounds,
+            effects,
+            slots: tally.slots.iter().copied().map(Point::from).collect(),
+        }
+    }
+
+    /// Says whether no answer was wrong and no keyed call's answer untrue.
+    #[must_use]
+    pub fn is_right(&self) -> bool {
+        self.effects.are_right() && self.classes.iter().all(|line| line.wrong == 0)
+    }
+
+    /// Returns the figures as text.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{}, seed {}, {} s counted\n",
+            self.name, self.seed, self.seconds
+        );
+        let rows = self.classes.iter().map(Row::from);
+        let _ = writeln!(text, "{}", Table::new(rows).with(Style::psql()));
+        self.failures(&mut text);
+        if self.tokens > 0.0 {
+            let _ = writeln!(text, "tokens/s: {:.0}", self.tokens);
+        }
+        for bound in &self.bounds {
+            let _ = writeln!(
+                text,
+                "bound of {}: {:.0} tokens/s, by layers {} of {}",
+                bound.service,
+                bound.rate,
+                bound.layers,
+                names(bound)
+            );
+        }
+        let Effects {
+            calls,
+            doubled,
+            lost,
+            untrue,
+            silent,
+        } = self.effects;
+        let _ = writeln!(
+            text,
+            "keyed calls: {calls}, doubled {doubled}, lost {lost}, untrue {untrue}, \
+             services silent {silent}"
+        );
+        text
+    }
+
+    fn failures(&self, text: &mut String) {
+        for line in &self.classes {
+            for Failures { kind, ran, count } in &line.failures {
+                let team = &line.team;
+                let _ = writeln!(
+                    text,
+                    "{team} {}: {count} failed: {kind}, ran: {ran}",
+                    line.work
+                );
+            }
+        }
+    }
+}
+
+fn names(bound: &Bound) -> String {
+    let names: Vec<&str> = bound.cut.iter().map(AsRef::as_ref).collect();
+    names.join(" ")
+}
+
+impl Line {
+    fn new(team: Team, work: &Work, counts: &Counts, seconds: f64) -> Self {
+        let failure = |(key, count): (&(String, String), &u64)| Failures {
+            kind: key.0.clone(),
+            ran: key.1.clone(),
+            count: *count,
+        };
+        Self {
+            team,
+            work: describe(work),
+            goodput: counts.good as f64 / seconds,
+            good: counts.good,
+            wrong: counts.wrong,
+            again: counts.again,
+            failures: counts.failures.iter().map(failure).collect(),
+            latency: Percentiles::of(&counts.span),
+            first: Percentiles::of(&counts.first),
+            between: Percentiles::of(&counts.between),
+            refused: Percentiles::of(&counts.refused),
+        }
+    }
+}
+
+fn describe(work: &Work) -> String {
+    match work {
+        Work::Plain { .. } => "plain".to_owned(),
+        Work::Keyed { .. } => "keyed".to_owned(),
+        Work::Completion(work) if work.stream => format!("{} streamed", work.model),
+        Work::Completion(work) => format!("{} whole", work.model),
+    }
+}
+
+impl Percentiles {
+    fn of(spans: &Spans) -> Self {
+        Self {
+            p50: spans.at(0.5),
+            p95: spans.at(0.95),
+            p99: spans.at(0.99),
+            most: spans.at(1.0),
+        }
+    }
+
+    fn text(&self) -> String {
+        match (self.p50, self.p95, self.p99) {
+            (Some(p50), Some(p95), Some(p99)) => format!("{p50:.1}/{p95:.1}/{p99:.1}"),
+            _ => "-".to_owned(),
+        }
+    }
+}
+
+impl From<Slot> for Point {
+    fn from(slot: Slot) -> Self {
+        Self {
+            good: slot.good,
+            failed: slot.failed,
+            tokens: slot.tokens,
+        }
+    }
+}
+
+impl From<&Line> for Row {
+    fn from(line: &Line) -> Self {
+        Self {
+            team: line.team.clone(),
+            work: line.work.clone(),
+            goodput: format!("{:.1}", line.goodput),
+            good: line.good,
+            failed: line.failures.iter().map(|one| one.count).sum(),
+            wrong: line.wrong,
+            again: line.again,
+            latency: line.latency.text(),
+            first: line.first.text(),
+            between: line.between.text(),
+            refused: line.refused.text(),
+        }
+    }
+}
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -4,7 +4,7 @@
 pub mod daemon;
 mod hop;
 pub mod http;
-mod lines;
+pub(crate) mod lines;
 pub mod listen;
 pub mod log;
 pub mod mailbox;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 pub mod api;
+pub mod bench;
 pub mod cli;
 pub mod clock;
 pub mod consts;
