--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -90,6 +90,7 @@
                     layers,
                     legs: Arc::from([]),
                     since: now,
+                    lost: None,
                     sent: now,
                     faults: BTreeMap::new(),
                     digest,
--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -37,6 +37,8 @@
 
 /// How long a session that lost its chain waits for another one.
 const PARK_SPAN: Millis = Millis::seconds(5);
+/// What the caller is told if none was found in that time.
+const STILL: &str = "No endpoints were found in time to go on with the stream.";
 /// The interval at which it asks for one.
 const PARK_STEP: Millis = Millis(100);
 /// How long the check may take whether an endpoint crashed.
@@ -52,7 +54,6 @@
     avoid: Vec<EndpointName>,
     /// The endpoint that broke off and is being checked for a crash.
     check: Option<EndpointName>,
-    since: Millis,
     due: Millis,
 }
 
@@ -250,6 +251,9 @@
                 self.send_hop(now, id, &endpoint, hop, out);
             }
             session::Action::Emit { id, value, event } => {
+                if let Some(model) = self.model_mut(id) {
+                    model.lost = None;
+                }
                 out.push(Action::Token { id, value, event });
             }
             session::Action::Finish { id, reason } => {
@@ -300,6 +304,9 @@
     ) {
         self.parked.retain(|parked| parked.id != id);
         let check = self.broken_leg(id);
+        if let Some(model) = self.model_mut(id) {
+            model.lost.get_or_insert(now);
+        }
         self.end_legs(now, id, Blame::ENDED);
         let due = now
             + if check.is_some() {
@@ -313,7 +320,6 @@
             ask,
             avoid,
             check,
-            since: now,
             due,
         });
         match endpoint.as_ref().and_then(|name| self.state.endpoint(name)) {
@@ -385,11 +391,14 @@
         };
         let mut parked = self.parked.swap_remove(at);
         let deadline = self.open.get(&id).map_or(now, |open| open.deadline);
+        let lost = self.model_mut(id).and_then(|model| model.lost);
+        let end = (lost.unwrap_or(now) + PARK_SPAN).min(deadline);
         let legs = match self.ready(now) {
+            _ if now >= end => Err(Failure::unrun(Code::NoCapacity, STILL)),
             Ok(()) => self.chain(now, id, &parked.avoid),
             Err(why) => Err(Failure::unrun(Code::NotReady, why.to_string())),
         };
-        if legs.is_err() && now < (parked.since + PARK_SPAN).min(deadline) {
+        if legs.is_err() && now < end {
             parked.due = now + PARK_STEP;
             parked.avoid.clear();
             self.parked.push(parked);
--- a/src/core/daemon/open.rs
+++ b/src/core/daemon/open.rs
@@ -73,6 +73,8 @@
     pub(super) legs: Arc<[Leg]>,
     /// When the legs were chosen.
     pub(super) since: Millis,
+    /// When the chain was lost that the last token came over.
+    pub(super) lost: Option<Millis>,
     /// When the hop on its way was sent.
     pub(super) sent: Millis,
     /// How endpoints failed the present legs.
