--- /dev/null
+++ b/src/client/mod.rs
@@ -0,0 +1,152 @@
+//! A small client for the routes of operators and owners (docs/PROTOCOLS.md).
+
+mod error;
+mod order;
+
+use std::net::SocketAddr;
+
+use http::HeaderValue;
+use http::Method;
+use http::Uri;
+use http::header::AUTHORIZATION;
+use http::header::HOST;
+use serde::Serialize;
+
+pub use self::error::ClientError;
+pub use self::order::Approval;
+pub use self::order::Drain;
+pub use self::order::Rollout;
+use crate::api::ErrorBody;
+use crate::clock::Millis;
+use crate::core::config::plan::PlanId;
+use crate::core::daemon::Reply;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// How long to wait for an answer: longer than a daemon waits for the log.
+const ANSWER_SPAN: Millis = Millis::seconds(15);
+/// What the paths of operators and owners begin with.
+const PREFIX: &str = "/v1/operate/";
+
+/// A client that asks the daemons at several addresses, the next one where one refuses.
+#[derive(Clone, Debug)]
+pub struct Client {
+    addrs: Vec<SocketAddr>,
+    token: String,
+}
+
+impl Client {
+    /// Returns a client that proves who it is by a bearer token.
+    pub fn new(addrs: Vec<SocketAddr>, token: String) -> Self {
+        Self { addrs, token }
+    }
+
+    /// Asks what an intent, in YAML, would change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no daemon answers, or if the daemon refuses the intent.
+    pub async fn plan(&self, intent: String) -> Result<Reply, ClientError> {
+        let mut request = Request::new(Method::POST, target("plans")?);
+        request.body = intent.into();
+        self.ask(request).await
+    }
+
+    /// Confirms a plan; to repeat it is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the plan is refused, or if it is not known yet whether it was accepted.
+    pub async fn confirm(&self, plan: &PlanId) -> Result<Reply, ClientError> {
+        let uri = target(&format!("plans/{plan}/confirm"))?;
+        self.ask(Request::new(Method::POST, uri)).await
+    }
+
+    /// Asks for what a `GET` of a route gives, such as `status`, `audit` or `objects`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no daemon answers, or if the token may not see it.
+    pub async fn get(&self, route: &str) -> Result<Reply, ClientError> {
+        self.ask(Request::new(Method::GET, target(route)?)).await
+    }
+
+    /// Gives or takes back an owner's approval.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the order is refused, or if it is not known yet whether it was accepted.
+    pub async fn approve(&self, approval: &Approval) -> Result<Reply, ClientError> {
+        self.order("approvals", approval).await
+    }
+
+    /// Tells an endpoint to leave, or lets it come back.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::approve`].
+    pub async fn drain(&self, drain: &Drain) -> Result<Reply, ClientError> {
+        self.order("drains", drain).await
+    }
+
+    /// Moves a rollout.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::approve`].
+    pub async fn rollout(&self, rollout: &Rollout) -> Result<Reply, ClientError> {
+        self.order("rollouts", rollout).await
+    }
+
+    async fn order<T>(&self, route: &str, order: &T) -> Result<Reply, ClientError>
+    where
+        T: Serialize,
+    {
+        let request = Request::json(Method::POST, target(route)?, order);
+        self.ask(request.map_err(ClientError::Malformed)?).await
+    }
+
+    async fn ask(&self, mut request: Request) -> Result<Reply, ClientError> {
+        request.headers.insert(AUTHORIZATION, self.bearer()?);
+        let (mut conn, addr) = self.dial().await?;
+        request.headers.insert(HOST, host(addr)?);
+        let response = conn.call(&request, ANSWER_SPAN).await;
+        read(&response.map_err(ClientError::Lost)?)
+    }
+
+    fn bearer(&self) -> Result<HeaderValue, ClientError> {
+        let value = HeaderValue::try_from(format!("Bearer {}", self.token));
+        value.map_err(|_| ClientError::Token)
+    }
+
+    /// Connects to the first address that accepts.
+    async fn dial(&self) -> Result<(Conn, SocketAddr), ClientError> {
+        let mut last = HttpError::Closed;
+        for addr in &self.addrs {
+            match Conn::dial(*addr).await {
+                Ok(conn) => return Ok((conn, *addr)),
+                Err(error) => last = error,
+            }
+        }
+        Err(ClientError::Unreachable(last))
+    }
+}
+
+fn read(response: &Response) -> Result<Reply, ClientError> {
+    if response.status.is_success() {
+        return response.parse().map_err(ClientError::Malformed);
+    }
+    let body: ErrorBody = response.parse().map_err(ClientError::Malformed)?;
+    Err(ClientError::Failed(body.error))
+}
+
+fn target(route: &str) -> Result<Uri, ClientError> {
+    let uri = Uri::try_from(format!("{PREFIX}{route}"));
+    uri.map_err(|_| ClientError::Target)
+}
+
+fn host(addr: SocketAddr) -> Result<HeaderValue, ClientError> {
+    HeaderValue::try_from(addr.to_string()).map_err(|_| ClientError::Target)
+}
--- a/src/core/daemon/action.rs
+++ b/src/core/daemon/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::clock::Millis;
@@ -217,7 +218,7 @@
 }
 
 /// An answer to an operator or an owner.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// A plan, which changes nothing until it is confirmed.
--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -47,6 +47,7 @@
 pub use self::peer::Body;
 pub use self::peer::Message;
 use self::snapshot::Snapshots;
+pub use self::status::EndpointStatus;
 pub use self::status::Status;
 use crate::clock::Millis;
 use crate::core::config::object::OperatorEntry;
--- a/src/core/daemon/status.rs
+++ b/src/core/daemon/status.rs
@@ -1,5 +1,6 @@
 //! What a VM says of itself to operators.
 
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::clock::Millis;
@@ -13,7 +14,7 @@
 use super::Core;
 
 /// The state of a VM.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     /// The VM.
     pub vm: Vm,
@@ -22,14 +23,14 @@
     /// The number of this start of its daemon.
     pub boot: u64,
     /// Why it takes no new work, if so.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub refusing: Option<String>,
     /// Whether it is stopping.
     pub stopping: bool,
     /// The offset that its configuration reaches to.
     pub offset: u64,
     /// How old the proof is that this is all there is.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub age: Option<Millis>,
     /// The VMs that are believed to run.
     pub vms: Vec<Vm>,
@@ -42,7 +43,7 @@
 }
 
 /// The state of an endpoint, as a VM sees it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EndpointStatus {
     /// The endpoint.
     pub name: EndpointName,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,11 +9,14 @@
 
 pub mod api;
 pub mod cli;
+pub mod client;
 pub mod clock;
 pub mod consts;
 pub mod core;
 pub mod error;
 pub mod io;
 pub mod names;
+pub mod output;
 pub mod settings;
 pub mod standin;
+pub mod trial;
--- /dev/null
+++ b/src/trial/crash.rs
@@ -0,0 +1,69 @@
+//! A stage's engine that crashes in the middle of a stream.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use http::Method;
+
+use super::caller;
+use super::caller::Tokens;
+use super::error::TrialError;
+use super::fleet::Fleet;
+use super::fleet::Stage;
+use super::report::Report;
+use super::stream;
+use crate::io::http::Request;
+use crate::standin::engine::Faults;
+use crate::standin::engine::Ledger;
+
+/// The tokens that are given before the crash.
+const BEFORE: usize = 40;
+/// The stage whose engine crashes.
+const STAGE: &str = "body";
+
+/// Shows a stream that goes on whole though an engine crashes.
+pub(super) async fn show<W>(fleet: &Fleet, report: &mut Report<'_, W>) -> Result<(), TrialError>
+where
+    W: Write,
+{
+    report.section("An engine of the second stage crashes in mid-stream")?;
+    let engines = fleet.stages().iter().filter(|each| each.part == STAGE);
+    let engines: Vec<&Stage> = engines.collect();
+    let before = hops(&engines).await?;
+    let prompt = stream::prompt(stream::LONG);
+    let mut tokens = Tokens::open(fleet.caller(1), &prompt).await?;
+    report.part("   ")?;
+    let mut text = stream::some(&mut tokens, BEFORE, report).await?;
+    let after = hops(&engines).await?;
+    let grown = before.iter().zip(&after).position(|(old, new)| new > old);
+    let victim = engines[grown.unwrap_or_default()];
+    crash(victim.addr).await?;
+    report.part(&format!(" [{} crashes] ", victim.name))?;
+    text.push_str(&stream::rest(&mut tokens, report).await?);
+    let whole = text == stream::expected(&prompt);
+    report.check("The stream went on: no token lost, none given twice", whole)?;
+    Ok(())
+}
+
+async fn hops(engines: &[&Stage]) -> Result<Vec<u64>, TrialError> {
+    let mut counts = Vec::new();
+    for engine in engines {
+        counts.push(ledger(engine.addr).await?.hops);
+    }
+    Ok(counts)
+}
+
+/// Returns the counts of an engine.
+pub(super) async fn ledger(addr: SocketAddr) -> Result<Ledger, TrialError> {
+    caller::get_json(addr, "/ledger").await
+}
+
+async fn crash(addr: SocketAddr) -> Result<(), TrialError> {
+    let faults = Faults {
+        crash: true,
+        ..Faults::default()
+    };
+    let request = Request::json(Method::PUT, "/faults".parse()?, &faults)?;
+    caller::call(addr, &request).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/trial/fleet.rs
@@ -0,0 +1,260 @@
+//! The daemons of the trial and what surrounds them.
+
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+
+use super::caller;
+use super::error::TrialError;
+use super::port;
+use super::report::Report;
+use crate::client::Client;
+use crate::client::ClientError;
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::core::config::object::Digest;
+use crate::core::config::object::Layers;
+use crate::core::config::object::OperatorEntry;
+use crate::core::daemon::Reply;
+use crate::core::daemon::Status;
+use crate::io::daemon;
+use crate::io::platform::wire::VmEntry;
+use crate::io::shell::Shell;
+use crate::names::Domain;
+use crate::names::Vm;
+use crate::settings::Settings;
+use crate::standin::engine::Engine;
+use crate::standin::site::Site;
+
+/// The number of daemons.
+pub(super) const DAEMONS: usize = 3;
+/// The layers of the model.
+pub(super) const LAYERS: u32 = 12;
+/// The layers of one stage.
+const STAGE_LAYERS: u32 = 4;
+/// The engines of each stage, by the stage's name.
+const STAGES: [(&str, usize); 3] = [("head", 2), ("body", 3), ("tail", 2)];
+/// The number of ledgers.
+const LEDGERS: usize = 2;
+/// How long an engine's batch takes.
+const STEP: Millis = Millis(4);
+/// The failure domains.
+const DOMAINS: [&str; DAEMONS] = ["north", "centre", "south"];
+/// The secret that the daemons prove to each other.
+const SECRET: &str = "only-for-this-trial";
+/// How long to wait for what should take a second or two.
+const SETTLE_SPAN: Millis = Millis::seconds(20);
+/// How long to wait before looking again.
+const LOOK_SPAN: Millis = Millis(50);
+
+/// A model engine of the trial.
+#[derive(Clone, Debug)]
+pub(super) struct Stage {
+    /// The endpoint's name.
+    pub(super) name: String,
+    /// The name of its part of the model.
+    pub(super) part: &'static str,
+    /// Where it listens.
+    pub(super) addr: SocketAddr,
+    /// The layers that it holds.
+    pub(super) layers: Layers,
+}
+
+/// The daemons of the trial and what surrounds them.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    clock: Clock,
+    vms: Vec<VmEntry>,
+    shells: Vec<Shell>,
+    stages: Vec<Stage>,
+    ledgers: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and the daemons on the running loop.
+    pub(super) fn start() -> Result<Self, TrialError> {
+        let engines: usize = STAGES.iter().map(|(_, count)| count).sum();
+        let ports = port::free(1 + 2 * DAEMONS + engines + LEDGERS)?;
+        let (platform, ports) = (ports[0], &ports[1..]);
+        let (own, ports) = ports.split_at(2 * DAEMONS);
+        let (engines, ledgers) = ports.split_at(engines);
+        let vms: Vec<VmEntry> = own.chunks(2).zip(DOMAINS).enumerate().map(vm).collect();
+        let stages = stages(engines);
+        site(platform, &vms, &stages, ledgers).start()?;
+        let clock = Clock::start();
+        let start = |vm| daemon::start(&settings(vm, platform), clock);
+        let shells = vms.iter().map(start).collect::<Result<_, _>>()?;
+        Ok(Self {
+            clock,
+            vms,
+            shells,
+            stages,
+            ledgers: ledgers.to_vec(),
+        })
+    }
+
+    /// Tells what runs.
+    pub(super) fn introduce<W>(&self, report: &mut Report<'_, W>) -> io::Result<()>
+    where
+        W: Write,
+    {
+        report.section("Three daemons, a model in three stages, a ledger, a platform")?;
+        for VmEntry {
+            vm, domain, caller, ..
+        } in &self.vms
+        {
+            report.line(&format!(
+                "{vm} in domain {domain} serves callers at {caller}"
+            ))?;
+        }
+        for (stage, count) in STAGES {
+            let layers = self.stages.iter().find(|each| each.part == stage);
+            let layers = layers.map_or_else(String::new, |each| each.layers.to_string());
+            report.line(&format!(
+                "stage {stage}: {count} engines hold layers {layers}"
+            ))?;
+        }
+        report.line(&format!(
+            "ledger: {LEDGERS} endpoints that count their effects"
+        ))
+    }
+
+    /// Waits until every daemon has the configuration and knows the others.
+    pub(super) async fn settle(&self) -> Result<(), TrialError> {
+        self.until("the start of the daemons", || async {
+            for vm in 0..DAEMONS {
+                let ready = caller::get(self.caller(vm), "/readyz").await?;
+                if !ready.status.is_success() {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await
+    }
+
+    /// Returns where a VM serves callers.
+    pub(super) fn caller(&self, vm: usize) -> SocketAddr {
+        self.vms[vm].caller
+    }
+
+    /// Returns the name of a VM.
+    pub(super) fn name(&self, vm: usize) -> &Vm {
+        &self.vms[vm].vm
+    }
+
+    /// Returns the shell of a VM's daemon.
+    pub(super) fn shell(&self, vm: usize) -> &Shell {
+        &self.shells[vm]
+    }
+
+    /// Returns the engines of all stages.
+    pub(super) fn stages(&self) -> &[Stage] {
+        &self.stages
+    }
+
+    /// Returns where the ledgers listen.
+    pub(super) fn ledgers(&self) -> &[SocketAddr] {
+        &self.ledgers
+    }
+
+    /// Returns a client that asks one VM in somebody's name.
+    pub(super) fn client(&self, vm: usize, token: &str) -> Client {
+        Client::new(vec![self.caller(vm)], token.to_owned())
+    }
+
+    /// Returns the state of a VM.
+    pub(super) async fn status(&self, vm: usize) -> Result<Status, TrialError> {
+        match self.client(vm, ADA).get("status").await {
+            Ok(Reply::Status(status)) => Ok(*status),
+            Ok(_) => Err(TrialError::Kind),
+            Err(error) => Err(ClientError::into(error)),
+        }
+    }
+
+    /// Waits until something is so, and fails if it takes too long.
+    pub(super) async fn until<C, F>(&self, what: &'static str, is_so: C) -> Result<(), TrialError>
+    where
+        C: Fn() -> F,
+        F: Future<Output = Result<bool, TrialError>>,
+    {
+        let end = self.clock.now() + SETTLE_SPAN;
+        while !is_so().await? {
+            if self.clock.now() >= end {
+                return Err(TrialError::Late { what });
+            }
+            monoio::time::sleep(LOOK_SPAN.duration()).await;
+        }
+        Ok(())
+    }
+}
+
+/// The token of the operator who comes first.
+pub(super) const ADA: &str = "token-of-ada";
+/// The token of the operator who comes second.
+pub(super) const BEN: &str = "token-of-ben";
+
+fn vm((index, (addrs, domain)): (usize, (&[SocketAddr], &str))) -> VmEntry {
+    VmEntry {
+        vm: Vm::from(format!("vm-{}", index + 1)),
+        domain: Domain::from(domain),
+        peer: addrs[0],
+        caller: addrs[1],
+        leaving: false,
+    }
+}
+
+fn stages(addrs: &[SocketAddr]) -> Vec<Stage> {
+    let mut addrs = addrs.iter();
+    let mut stages = Vec::new();
+    for (index, (stage, count)) in STAGES.into_iter().enumerate() {
+        let from = index as u32 * STAGE_LAYERS;
+        let to = from + STAGE_LAYERS;
+        for (number, addr) in (1..=count).zip(&mut addrs) {
+            stages.push(Stage {
+                name: format!("{stage}-{number}"),
+                part: stage,
+                addr: *addr,
+                layers: Layers { from, to },
+            });
+        }
+    }
+    stages
+}
+
+fn site(platform: SocketAddr, vms: &[VmEntry], stages: &[Stage], ledgers: &[SocketAddr]) -> Site {
+    let engine = |stage: &Stage| Engine {
+        addr: stage.addr,
+        layers: stage.layers,
+        total: LAYERS,
+        slots: 16,
+        step: STEP,
+        prefill: 0,
+        positions: 65_536,
+    };
+    Site {
+        platform: Some(platform),
+        vms: vms.to_vec(),
+        engines: stages.iter().map(engine).collect(),
+        services: ledgers.to_vec(),
+    }
+}
+
+fn settings(vm: &VmEntry, platform: SocketAddr) -> Settings {
+    Settings {
+        vm: vm.vm.clone(),
+        domain: vm.domain.clone(),
+        caller: vm.caller,
+        peer: vm.peer,
+        platform,
+        secret: SECRET.to_owned(),
+        operators: vec![OperatorEntry {
+            name: "ada".into(),
+            token: Digest::of(ADA),
+        }],
+        level: LevelFilter::Off,
+        shards: 4,
+    }
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,47 @@
+//! Each file of `tests/data/cli` is a run of `cornelwharf`: its arguments, what it reads from
+//! standard input, its exit code and what it prints. None of them opens a socket.
+
+use std::path::Path;
+
+use clap::Parser;
+use cornelwharf::cli::Control;
+use serde::Deserialize;
+
+/// A run of the program.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    args: Vec<String>,
+    #[serde(default)]
+    input: String,
+    exit: u8,
+    /// The first lines that are printed, on either output.
+    prints: Vec<String>,
+}
+
+fn outcome(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = serde_saphyr::from_str(&std::fs::read_to_string(path)?)?;
+    let (exit, text) = run(&case);
+    let lines: Vec<&str> = text.lines().take(case.prints.len()).collect();
+    if exit == case.exit && lines == case.prints {
+        return Ok(());
+    }
+    Err(format!("expected {case:?}, got {exit} and {text:?}").into())
+}
+
+fn run(case: &Case) -> (u8, String) {
+    let args = std::iter::once("cornelwharf").chain(case.args.iter().map(String::as_str));
+    let control = match Control::try_parse_from(args) {
+        Ok(control) => control,
+        Err(error) => return (error.exit_code() as u8, error.to_string()),
+    };
+    let mut out = Vec::new();
+    match control.run(case.input.as_bytes(), &mut out) {
+        Ok(exit) => (exit as u8, String::from_utf8_lossy(&out).into_owned()),
+        Err(error) => (error.exit() as u8, error.to_string()),
+    }
+}
+
+datatest_stable::harness! {
+    { test = outcome, root = "tests/data/cli", pattern = r"\.yaml$" },
+}
