--- a/src/cli/control.rs
+++ b/src/cli/control.rs
@@ -8,6 +8,7 @@
 use clap::Subcommand;
 use clap_complete::Shell;
 
+use super::bench::Bench;
 use crate::output::Format;
 
 /// The command line of operators and owners.
@@ -93,6 +94,8 @@
     Token,
     /// Run three daemons with all that surrounds them in this process, and show what they do.
     Try,
+    /// Load running daemons by a scenario and measure what callers see.
+    Bench(Bench),
     /// Print the completions of a shell.
     Completions {
         /// The shell.
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -7,6 +7,7 @@
 use derive_more::Error;
 use derive_more::From;
 
+use crate::bench::BenchError;
 use crate::client::ClientError;
 use crate::core::config::intent::IntentError;
 use crate::error::Code;
@@ -86,6 +87,8 @@
     Format(FormatError),
     /// Standard input, standard output or the event loop fails.
     Io(std::io::Error),
+    /// The load tool cannot go on.
+    Bench(BenchError),
     /// The trial cannot go on.
     #[display("the trial cannot go on: {_0}")]
     Trial(TrialError),
@@ -96,7 +99,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Client(error) => of_client(error),
-            Self::Format(_) | Self::Io(_) | Self::Trial(_) => Exit::Failed,
+            Self::Format(_) | Self::Io(_) | Self::Bench(_) | Self::Trial(_) => Exit::Failed,
             Self::Settings { .. }
             | Self::Intent { .. }
             | Self::Read { .. }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,11 +1,13 @@
 //! The arguments of the programs, and the commands of `cornelwharf`.
 
+mod bench;
 mod control;
 mod daemon;
 mod exit;
 mod run;
 mod standin;
 
+pub use bench::Bench;
 pub use control::Command;
 pub use control::Consent;
 pub use control::Control;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -7,6 +7,7 @@
 use clap::CommandFactory;
 use clap_complete::Shell;
 
+use super::bench::Bench;
 use super::control::Command;
 use super::control::Consent;
 use super::control::Control;
@@ -14,6 +15,7 @@
 use super::control::RolloutStep;
 use super::exit::CommandError;
 use super::exit::Exit;
+use crate::bench;
 use crate::client::Approval;
 use crate::client::Client;
 use crate::client::ClientError;
@@ -51,6 +53,7 @@
             Command::Token => token(&mut input, out),
             Command::Completions { shell } => complete(shell, out),
             Command::Try => try_out(out),
+            Command::Bench(args) => measure(&args),
             command => remote(&self.global, command, out),
         }
     }
@@ -118,6 +121,15 @@
     }
 }
 
+fn measure(args: &Bench) -> Result<Exit, CommandError> {
+    let report = runtime::run(bench::run(args))??;
+    if report.is_right() {
+        Ok(Exit::Done)
+    } else {
+        Ok(Exit::Failed)
+    }
+}
+
 fn remote<W>(global: &Global, command: Command, out: &mut W) -> Result<Exit, CommandError>
 where
     W: Write,
--- a/src/core/daemon/fold.rs
+++ b/src/core/daemon/fold.rs
@@ -90,6 +90,11 @@
         if matches!(record.body, Body::Confirm(_)) && outcome.is_accepted() {
             self.refresh();
         }
+        if let Body::Drain(drain) = &record.body
+            && self.state.is_drained(&drain.endpoint)
+        {
+            self.move_off(now, &drain.endpoint, out);
+        }
         let digest = record.digest();
         self.publisher(
             now,
@@ -119,6 +124,7 @@
                 ServiceKind::Plain { .. } => 0,
             };
             self.router.set_endpoints(&service.name, layers, &list);
+            self.suspects.seat(&service.name, &list);
             self.gate.set_slots(&service.name, slots(&list, layers));
         }
     }
--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -9,6 +9,7 @@
 use monoio::time::timeout;
 
 use crate::clock::Millis;
+use crate::consts::PROBE_SPAN;
 use crate::core::daemon::Event;
 use crate::core::daemon::Report;
 use crate::core::session;
@@ -63,7 +64,11 @@
     ) -> Result<(Self, Response), Fault> {
         let uri = Uri::from_static("/v1/hops");
         let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Bad)?;
-        let mut conn = shell.pool().get(addr).await.map_err(|_| Fault::Broken)?;
+        let mut conn = shell
+            .pool()
+            .get(addr)
+            .await
+            .map_err(|_| Fault::Unreachable)?;
         conn.writer
             .request(&request)
             .await
@@ -144,7 +149,8 @@
 pub async fn probe(shell: Shell, id: RequestId, addr: SocketAddr, key: HopKey) {
     shell.pool().clear(addr);
     let target = format!("/v1/hops/{}/{}", key.session, key.attempt);
-    let health = match get(addr, &target).await {
+    let response = timeout(PROBE_SPAN.duration(), get(addr, &target)).await;
+    let health = match response.ok().flatten() {
         Some(response) if response.status == StatusCode::OK => Health::Working,
         Some(_) => Health::Idle,
         None => Health::Gone,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 pub mod api;
+pub mod bench;
 pub mod cli;
 pub mod client;
 pub mod clock;
