--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -48,6 +48,7 @@
 pub use self::peer::Body;
 pub use self::peer::Message;
 use self::snapshot::Snapshots;
+pub use self::status::EndpointStatus;
 pub use self::status::Status;
 use self::suspect::Suspects;
 use crate::clock::Millis;
