Spare timers, copies and digests on the path of a call

A read or write that is done at once needs no timer, but the runtime's timeout makes one each time; a plain call also cloned its headers, hashed its body without a key to bind it to, and formatted each byte of its token's digest.

--- a/src/core/daemon/event.rs
+++ b/src/core/daemon/event.rs
@@ -111,7 +111,7 @@
         method: Arc<str>,
         /// The idempotency key.
         key: Option<Arc<str>>,
-        /// The digest of method, path and body.
+        /// The digest of method, path and body; only a call with a key needs it.
         digest: once::CallDigest,
     },
     /// A model.
--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -10,7 +10,6 @@
 use monoio::io::AsyncReadRent;
 use monoio::io::OwnedReadHalf;
 use monoio::net::TcpStream;
-use monoio::time::timeout;
 use monoio_codec::Decoded;
 use monoio_codec::Decoder;
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
@@ -25,6 +24,7 @@
 use crate::consts::HEAD_BYTES;
 use crate::consts::IDLE_SPAN;
 use crate::consts::READ_SPAN;
+use crate::io::patience::within;
 
 /// The bytes that one read asks for.
 const READ_BYTES: usize = 2048;
@@ -163,7 +163,7 @@
         if !self.buf.is_empty() {
             std::future::pending::<()>().await;
         }
-        if let Ok(true) = self.wait(Millis(u64::from(u32::MAX))).await {
+        if matches!(self.fill().await, Ok(size) if size > 0) {
             std::future::pending::<()>().await;
         }
     }
@@ -190,6 +190,7 @@
 
     async fn body(&mut self, frame: Frame) -> Result<Bytes, HttpError> {
         match frame {
+            Frame::Length(0) => Ok(Bytes::new()),
             Frame::Length(size) if size > BODY_BYTES => Err(HttpError::TooLarge),
             Frame::Length(size) => self.exact(size).await,
             Frame::Chunked => self.gather().await,
@@ -265,9 +266,7 @@
 where
     F: Future<Output = Result<T, HttpError>>,
 {
-    timeout(span.duration(), work)
-        .await
-        .unwrap_or(Err(HttpError::TimedOut))
+    within(span, work).await.unwrap_or(Err(HttpError::TimedOut))
 }
 
 /// Reads the framing headers, refusing every doubt about where the message ends.
--- a/src/io/http/writer.rs
+++ b/src/io/http/writer.rs
@@ -8,12 +8,12 @@
 use monoio::io::AsyncWriteRentExt;
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
-use monoio::time::timeout;
 
 use super::error::HttpError;
 use super::message::Request;
 use super::message::Response;
 use crate::consts::WRITE_SPAN;
+use crate::io::patience::within;
 
 /// A buffer that has grown over this size is given back after the write, in bytes.
 const KEEP_BYTES: usize = 8 * 1024;
@@ -148,8 +148,7 @@
 
     async fn flush(&mut self) -> Result<(), HttpError> {
         let buf = std::mem::take(&mut self.buf);
-        let Ok((result, mut buf)) = timeout(WRITE_SPAN.duration(), self.io.write_all(buf)).await
-        else {
+        let Ok((result, mut buf)) = within(WRITE_SPAN, self.io.write_all(buf)).await else {
             return Err(HttpError::TimedOut);
         };
         result?;
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -9,6 +9,7 @@
 pub mod log;
 pub mod mailbox;
 pub mod metrics;
+pub mod patience;
 pub mod peer;
 pub mod platform;
 pub mod pool;
--- a/src/io/serve/digest.rs
+++ b/src/io/serve/digest.rs
@@ -1,7 +1,5 @@
 //! Digests of tokens and calls.
 
-use std::fmt::Write;
-
 use http::header::AUTHORIZATION;
 use sha2::Digest as _;
 use sha2::Sha256;
@@ -10,6 +8,8 @@
 use crate::core::once::CallDigest;
 use crate::io::http::Request;
 
+/// The digits of a digest's text.
+const HEX: &[u8; 16] = b"0123456789abcdef";
 /// The bytes of a SHA-256 digest that a call is known by.
 const CALL_BYTES: usize = 16;
 
@@ -22,10 +22,11 @@
 
 /// Returns the digest that a bearer token is kept as.
 fn of_token(token: &str) -> Digest {
-    let mut text = String::with_capacity(64);
-    for byte in Sha256::digest(token.as_bytes()) {
-        let _ = write!(text, "{byte:02x}");
-    }
+    let digit = |half: u8| char::from(HEX[usize::from(half)]);
+    let text: String = Sha256::digest(token.as_bytes())
+        .iter()
+        .flat_map(|byte| [digit(byte >> 4), digit(byte & 0xf)])
+        .collect();
     Digest(text.into())
 }
 
--- a/src/io/serve/plain.rs
+++ b/src/io/serve/plain.rs
@@ -11,7 +11,11 @@
 use http::header::AUTHORIZATION;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
+use http::header::EXPECT;
 use http::header::HOST;
+use http::header::TE;
+use http::header::TRAILER;
+use http::header::UPGRADE;
 
 use super::answer;
 use super::digest;
@@ -24,6 +28,7 @@
 use crate::core::daemon::PlainFault;
 use crate::core::daemon::Work;
 use crate::core::once;
+use crate::core::once::CallDigest;
 use crate::error::Code;
 use crate::error::Failure;
 use crate::io::command::Command;
@@ -46,6 +51,16 @@
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// The header that marks an answer that was recorded for the key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+/// The headers that concern one connection only, whether `connection` names them or not.
+const HOP_HEADERS: [HeaderName; 7] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    UPGRADE,
+    EXPECT,
+];
 /// The longest idempotency key, in bytes.
 const KEY_BYTES: usize = 128;
 
@@ -64,7 +79,7 @@
             return send(conn, shell, &answer::of_failure(failure), bodiless).await;
         }
     };
-    let Some(response) = follow(conn, shell, &caller, &onward).await else {
+    let Some(response) = follow(conn, shell, &caller, onward).await else {
         return Err(HttpError::Closed);
     };
     shell.metrics().call(shell.now().since(start));
@@ -83,6 +98,10 @@
     let service = ServiceName::from(&rest[..end]);
     let target = target(&rest[end..]);
     let key = key(&request)?;
+    let digest = match &key {
+        Some(_) => digest::call(&request, &target),
+        None => CallDigest(0),
+    };
     let now = shell.now();
     let deadline = now + timeout(&request)?;
     let call = Call {
@@ -93,7 +112,7 @@
             service,
             method: request.method.as_str().into(),
             key,
-            digest: digest::call(&request, &target),
+            digest,
         },
     };
     request.uri = target
@@ -154,21 +173,12 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    let always = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "upgrade",
-    ];
     for name in named {
         headers.remove(name);
     }
-    for name in always {
+    for name in HOP_HEADERS {
         headers.remove(name);
     }
-    headers.remove(http::header::EXPECT);
 }
 
 /// Carries out the core's commands until the call is answered; `None` if the caller is gone.
@@ -176,7 +186,7 @@
     conn: &mut Conn,
     shell: &Shell,
     caller: &Caller,
-    onward: &Request,
+    mut onward: Request,
 ) -> Option<Response> {
     let mut gone = false;
     let mut held = None;
@@ -184,9 +194,10 @@
         let command = watched(conn, shell, caller, &mut gone, caller.command()).await;
         match command {
             Command::Send(sending) => {
-                let exchange = exchange(shell, onward, sending);
+                address(&mut onward, sending);
+                let exchange = exchange(shell, &onward, sending);
                 let outcome = watched(conn, shell, caller, &mut gone, exchange).await;
-                held = report(shell, caller, onward, sending, outcome);
+                held = report(shell, caller, &onward, sending, outcome);
             }
             Command::Relay(_) if gone => return None,
             Command::Relay(_) => return held,
@@ -233,7 +244,7 @@
     if !sending.fresh
         && let Some(mut conn) = shell.pool().reuse(addr)
     {
-        match conn.call(&onward(request, sending), sending.span).await {
+        match conn.call(request, sending.span).await {
             Ok(response) => {
                 shell.pool().keep(addr, conn);
                 return Ok(response);
@@ -246,7 +257,7 @@
         }
     }
     let mut conn = Conn::dial(addr).await.map_err(|_| PlainFault::Unsent)?;
-    match conn.call(&onward(request, sending), sending.span).await {
+    match conn.call(request, sending.span).await {
         Ok(response) => {
             shell.pool().keep(addr, conn);
             Ok(response)
@@ -256,15 +267,14 @@
     }
 }
 
-fn onward(request: &Request, sending: Sending) -> Request {
-    let mut onward = request.clone();
+/// Addresses a call to an endpoint and tells it how long the caller waits.
+fn address(request: &mut Request, sending: Sending) {
     if let Ok(host) = HeaderValue::try_from(sending.addr.to_string()) {
-        onward.headers.insert(HOST, host);
+        request.headers.insert(HOST, host);
     }
-    onward
+    request
         .headers
         .insert(TIMEOUT, HeaderValue::from(sending.span.0));
-    onward
 }
 
 /// Tells the core what became of an attempt, and keeps the answer until it says what to do.
