--- a/examples/bench/peak.sh
+++ b/examples/bench/peak.sh
@@ -2,7 +2,7 @@
 # The calls a second of one daemon on one core against a direct connection to the same stand-in,
 # in turns within one run. Usage: peak.sh DIR BIN [ROUNDS [LOADERS [LOOPS]]]
 set -euo pipefail
-here=$(dirname "$0") dir=$1 bin=$2 rounds=${3:-3} loaders=${4:-2} loops=${5:-48}
+here=$(dirname "$0") dir=$1 bin=$2 rounds=${3:-3} loaders=${4:-2} loops=${5:-48} base=${PORT:-21000}
 trap '"$here/stop.sh" "$dir"' EXIT
 "$here/setup.sh" "$dir" "$bin" 1 3 1
 
@@ -32,8 +32,8 @@
     sed -n 's/.*"goodput": \([0-9.]*\).*/\1/p' "$dir/$1"-?/report.json | awk '{s += $1} END {print s}'
 }
 
-scenario direct 127.0.0.1:8500 /v1/services/ledger/x >"$dir/direct.yaml"
-scenario daemon 127.0.0.1:7001 /v1/services/ledger/x >"$dir/daemon.yaml"
+scenario direct "127.0.0.1:$((base + 500))" /v1/services/ledger/x >"$dir/direct.yaml"
+scenario daemon "127.0.0.1:$((base + 1))" /v1/services/ledger/x >"$dir/daemon.yaml"
 read -r daemon <"$dir/daemons"
 for ((round = 1; round <= rounds; round++)); do
     direct=$(measure direct)
@@ -41,5 +41,5 @@
     through=$(measure daemon)
     after=$(used "$daemon")
     echo "$direct $through $before $after" | awk -v round="$round" \
-        '{printf "round %d: direct %.0f/s, daemon %.0f/s, ratio %.3f, daemon processor %.2f s in 5 s\n", round, $1, $2, $2 / $1, $4 - $3}'
+        '{used = $4 - $3; printf "round %d: direct %.0f/s, daemon %.0f/s, ratio %.3f, daemon used %.2f of a core: %.0f calls per core second\n", round, $1, $2, $2 / $1, used / 5, $2 * 5 / used}'
 done
--- a/examples/bench/setup.sh
+++ b/examples/bench/setup.sh
@@ -2,19 +2,23 @@
 # Starts the stand-ins and daemons of a trial and puts its configuration in force.
 # Usage: setup.sh DIR BIN [DAEMONS [ENGINES [SERVICES [STAGES]]]]
 # Writes site, settings and intent files into DIR, the process ids into DIR/pids (the daemons' into
-# DIR/daemons), and returns when every daemon serves. stop.sh DIR ends what it started.
+# DIR/daemons), and returns when every daemon serves. stop.sh DIR ends what it started. PORT names
+# the first of the 1000 ports that it uses.
 set -euo pipefail
 dir=$1 bin=$2 daemons=${3:-1} engines=${4:-6} services=${5:-1} stages=${6:-3}
-slots=${SLOTS:-16} step=${STEP:-5} layers=12
+base=${PORT:-21000} slots=${SLOTS:-16} step=${STEP:-5} layers=12
+# A session is in one stage at a time, so an engine holds more sessions than its batch has places.
+sessions=${SESSIONS:-$((slots * stages * 3 / 2))}
 domains=(north middle south)
 mkdir -p "$dir"
 digest() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
-caller() { echo "127.0.0.1:$((7000 + $1))"; }
+caller() { echo "127.0.0.1:$((base + $1))"; }
 
 vms() {
+    local i
     echo "vms:"
     for ((i = 1; i <= daemons; i++)); do
-        echo "  - {vm: vm-$i, domain: ${domains[i % 3]}, caller: '$(caller "$i")', peer: '127.0.0.1:$((7100 + i))', leaving: false}"
+        echo "  - {vm: vm-$i, domain: ${domains[i % 3]}, caller: '$(caller "$i")', peer: '127.0.0.1:$((base + 100 + i))', leaving: false}"
     done
 }
 
@@ -25,31 +29,34 @@
 }
 
 site() {
-    echo "platform: 127.0.0.1:7900"
+    echo "platform: 127.0.0.1:$((base + 900))"
     vms
 }
 
 engine_site() {
+    local i
     echo "engines:"
     for ((i = $1; i < engines; i += $2)); do
-        echo "  - {addr: '127.0.0.1:$((8000 + i))', layers: $(range "$i"), total: $layers, slots: $slots, step: $step}"
+        echo "  - {addr: '127.0.0.1:$((base + 200 + i))', layers: $(range "$i"), total: $layers, slots: $slots, step: $step}"
     done
 }
 
 service_site() {
-    echo "services: ['127.0.0.1:$((8500 + $1))']"
+    echo "services: ['127.0.0.1:$((base + 500 + $1))']"
 }
 
 intent() {
+    local i
     cat <<YAML
 services:
   - {name: chat, kind: {model: {layers: $layers, version: v1}}}
   - {name: ledger, kind: {plain: {}}}
-owners: [{name: owner, token: $(digest owner)}]
+operators: [{name: ada, token: '$(digest ada)'}]
+owners: [{name: owner, token: '$(digest owner)'}]
 teams:
-  - {name: counter, token: $(digest counter), priority: urgent, weight: 2}
-  - {name: web, token: $(digest web)}
-  - {name: batch, token: $(digest batch), priority: batch}
+  - {name: counter, token: '$(digest counter)', priority: urgent, weight: 2}
+  - {name: web, token: '$(digest web)'}
+  - {name: batch, token: '$(digest batch)', priority: batch}
 grants:
   - {team: counter, service: chat}
   - {team: counter, service: ledger}
@@ -59,10 +66,10 @@
 endpoints:
 YAML
     for ((i = 0; i < engines; i++)); do
-        echo "  - {name: engine-$i, addr: '127.0.0.1:$((8000 + i))', domain: ${domains[i % 3]}, owner: owner, service: chat, layers: $(range "$i"), slots: $slots, rate: $((slots * 1000 / step))}"
+        echo "  - {name: engine-$i, addr: '127.0.0.1:$((base + 200 + i))', domain: ${domains[i % 3]}, owner: owner, service: chat, layers: $(range "$i"), slots: $sessions, rate: $((slots * 1000 / step))}"
     done
     for ((i = 0; i < services; i++)); do
-        echo "  - {name: ledger-$i, addr: '127.0.0.1:$((8500 + i))', domain: ${domains[i % 3]}, owner: owner, service: ledger, slots: ${LEDGER_SLOTS:-1024}}"
+        echo "  - {name: ledger-$i, addr: '127.0.0.1:$((base + 500 + i))', domain: ${domains[i % 3]}, owner: owner, service: ledger, slots: ${LEDGER_SLOTS:-1024}}"
     done
 }
 
@@ -71,10 +78,10 @@
 vm: vm-$1
 domain: ${domains[$1 % 3]}
 caller: $(caller "$1")
-peer: 127.0.0.1:$((7100 + $1))
-platform: 127.0.0.1:7900
+peer: 127.0.0.1:$((base + 100 + $1))
+platform: 127.0.0.1:$((base + 900))
 secret: a-secret-of-this-trial
-operators: [{name: ada, token: $(digest ada)}]
+operators: [{name: ada, token: '$(digest ada)'}]
 level: warn
 YAML
 }
@@ -87,8 +94,7 @@
 }
 
 ask() {
-    curl -sS --fail-with-body --max-time 20 -H "authorization: Bearer $1" "${@:3}" "http://$(caller 1)/v1/operate/$2"
-    echo
+    curl -sS --fail-with-body --max-time 20 -H "authorization: Bearer $1" "${@:3}" "http://$(caller 1)/v1/operate/$2" && echo
 }
 
 ready() {
@@ -100,6 +106,16 @@
     exit 1
 }
 
+# Repeats a request until it is accepted: a daemon that has just started may not be ready for it.
+retry() {
+    for ((try = 0; try < 50; try++)); do
+        "$@" >"$dir/reply.json" 2>>"$dir/retries.log" && cat "$dir/reply.json" && return
+        sleep 0.2
+    done
+    echo "given up: $*" >&2
+    exit 1
+}
+
 site >"$dir/platform.yaml"
 intent >"$dir/intent.yaml"
 start pids platform "$bin/standin" all "$dir/platform.yaml"
@@ -116,12 +132,11 @@
     start daemons "vm-$i" "$bin/cornelwharfd" "$dir/vm-$i.yaml"
 done
 for ((i = 1; i <= daemons; i++)); do ready "$i"; done
-ask ada plans --data-binary "@$dir/intent.yaml" >"$dir/plan.json"
+retry ask ada plans --data-binary "@$dir/intent.yaml" >"$dir/plan.json"
 plan=$(sed -n 's/.*"id":"\([0-9a-f]*\)".*/\1/p' "$dir/plan.json" | head -1)
-ask ada "plans/$plan/confirm" -X POST >"$dir/confirm.json"
-for team in counter web batch; do
-    for service in chat ledger; do
-        ask owner approvals -d "{\"team\":\"$team\",\"service\":\"$service\",\"on\":true}" >>"$dir/approvals.json" || true
-    done
+retry ask ada "plans/$plan/confirm" -X POST >"$dir/confirm.json"
+for grant in counter/chat counter/ledger web/chat web/ledger batch/chat; do
+    body="{\"team\":\"${grant%/*}\",\"service\":\"${grant#*/}\",\"on\":true}"
+    retry ask owner approvals -d "$body" >>"$dir/approvals.json"
 done
 sleep 3
--- a/src/bench/completion.rs
+++ b/src/bench/completion.rs
@@ -104,7 +104,7 @@
     where
         N: Fn(),
     {
-        let request = self.request(class, completion)?;
+        let request = self.request(class, completion, span)?;
         if completion.stream {
             let work = self.stream(entries, addr, &request, note);
             let broken = Err(Fail::unknown(Miss::Broken));
@@ -121,7 +121,12 @@
         self.check(completion)
     }
 
-    fn request(&self, class: &Class, completion: &Completion) -> Result<Request, Fail> {
+    fn request(
+        &self,
+        class: &Class,
+        completion: &Completion,
+        span: Millis,
+    ) -> Result<Request, Fail> {
         let body = Body {
             model: &completion.model,
             prompt: &self.prompt,
@@ -130,7 +135,7 @@
             stream: completion.stream,
         };
         let bad = || Fail::unknown(Miss::Malformed);
-        let mut request = plain::request(Method::POST, PATH, &class.token).ok_or_else(bad)?;
+        let mut request = plain::request(Method::POST, PATH, &class.token, span).ok_or_else(bad)?;
         request.body = serde_json::to_vec(&body).map_err(|_| bad())?.into();
         if let Some(event) = &self.event {
             request.headers.insert(LAST_EVENT, event.clone());
--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -156,8 +156,12 @@
         }
     }
 
+    fn patience(&self) -> Millis {
+        self.inner.scenario.patience
+    }
+
     async fn plain(&self, class: &Class, due: Instant, path: &str, done: &mut Done) {
-        let Some(request) = plain::request(Method::GET, path, &class.token) else {
+        let Some(request) = plain::request(Method::GET, path, &class.token, self.patience()) else {
             done.fail = Some(Fail::unknown(Miss::Malformed));
             return;
         };
@@ -171,7 +175,7 @@
 
     async fn keyed(&self, class: &Class, due: Instant, path: &str, number: u64, done: &mut Done) {
         let key = format!("bench-{}-{}-{number}", self.inner.run, class.team);
-        let request = plain::request(Method::POST, path, &class.token);
+        let request = plain::request(Method::POST, path, &class.token, self.patience());
         let (Some(mut request), Ok(value)) = (request, key.parse()) else {
             done.fail = Some(Fail::unknown(Miss::Malformed));
             return;
--- a/src/bench/plain.rs
+++ b/src/bench/plain.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Uri;
 
@@ -14,6 +16,8 @@
 use crate::io::http::Request;
 use crate::io::http::Response;
 
+const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
+
 /// Makes one attempt at `addr`; a kept connection that turns out closed costs nothing if the call
 /// may be repeated.
 pub(super) async fn attempt(
@@ -61,9 +65,10 @@
     }
 }
 
-/// Returns a request with the team's token.
-pub(super) fn request(method: Method, path: &str, token: &str) -> Option<Request> {
+/// Returns a request with the team's token and the time that the caller waits.
+pub(super) fn request(method: Method, path: &str, token: &str, span: Millis) -> Option<Request> {
     let mut request = Request::new(method, path.parse::<Uri>().ok()?);
+    request.headers.insert(TIMEOUT, HeaderValue::from(span.0));
     if !token.is_empty() {
         let value = format!("Bearer {token}").parse().ok()?;
         request.headers.insert(http::header::AUTHORIZATION, value);
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -12,9 +12,11 @@
 use super::scenario::Scenario;
 use super::scenario::Work;
 use super::tally::Counts;
+use super::tally::SLOT_MS;
 use super::tally::Slot;
 use super::tally::Spans;
 use super::tally::Tally;
+use crate::clock::Millis;
 use crate::names::Team;
 
 /// The figures of a run.
@@ -28,7 +30,7 @@
     pub seconds: f64,
     /// The classes, in the scenario's order.
     pub classes: Vec<Line>,
-    /// Tokens a second, of all models.
+    /// Tokens a second that came in the counted part, of all models.
     pub tokens: f64,
     /// The bounds of the models.
     pub bounds: Vec<Bound>,
@@ -45,7 +47,7 @@
     pub team: Team,
     /// What it asks for.
     pub work: String,
-    /// Good answers a second.
+    /// Good answers to the requests due in the counted part, by its seconds.
     pub goodput: f64,
     /// Good answers.
     pub good: u64,
@@ -124,7 +126,15 @@
     /// Sums up a run.
     pub fn new(scenario: &Scenario, tally: &Tally, bounds: Vec<Bound>, effects: Effects) -> Self {
         let seconds = tally.span.as_secs_f64().max(f64::EPSILON);
-        let given: u64 = tally.classes.iter().map(|counts| counts.tokens).sum();
+        let slots = |span: Millis| (u128::from(span.0) / SLOT_MS) as usize;
+        let counted = slots(scenario.warmup)..slots(scenario.span);
+        let given: u64 = tally
+            .slots
+            .iter()
+            .take(counted.end)
+            .skip(counted.start)
+            .map(|slot| slot.tokens)
+            .sum();
         let classes = scenario
             .classes
             .iter()
@@ -165,11 +175,12 @@
         for bound in &self.bounds {
             let _ = writeln!(
                 text,
-                "bound of {}: {:.0} tokens/s, by layers {} of {}",
+                "bound of {}: {:.0} tokens/s, by layers {} of {}; measured of it: {:.3}",
                 bound.service,
                 bound.rate,
                 bound.layers,
-                names(bound)
+                names(bound),
+                self.tokens / bound.rate
             );
         }
         let Effects {
