--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -109,6 +109,7 @@
     sharing: Sharing,
     snapshots: Snapshots,
     stop: Option<Millis>,
+    ticked: Millis,
     rng: ChaCha8Rng,
 }
 
@@ -151,6 +152,7 @@
             sharing: Sharing::default(),
             snapshots: Snapshots::default(),
             stop: None,
+            ticked: Millis(0),
             rng: ChaCha8Rng::seed_from_u64(seed()),
             me,
         }
--- a/src/core/daemon/tick.rs
+++ b/src/core/daemon/tick.rs
@@ -10,6 +10,7 @@
 impl Core {
     /// Does what is due. Called every [`crate::consts::TICK_SPAN`].
     pub(super) fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.note_gap(now);
         self.members.set_load(self.open.len() as u32);
         let mut actions = Vec::new();
         self.members.tick(now, &mut actions);
