Suspect a silent engine within 3 s, so that streams go on within 5 s

Before its times were known, an engine had 5 s for a decode step, because the router names its ceiling then and the span meant for this case was never used; a prefill had 5 s too. A suspicion costs only a probe, so both spans are 3 s now, and the search for another chain ends after 4 s.

--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -30,13 +30,16 @@
 use super::suspect::Permit;
 use super::suspect::Purpose;
 
-/// How long a decode step may be unanswered where the endpoint's times are not known.
-const STEP_SPAN: Millis = Millis::seconds(1);
+/// The longest that a decode step may be unanswered before the endpoint is probed.
+///
+/// With the probe and the next prefill, a stream goes on within 5 s of the fault.
+const STEP_SPAN: Millis = Millis::seconds(3);
 /// How long a prefill may be unanswered before the endpoint is probed.
-const PREFILL_SPAN: Millis = Millis::seconds(5);
+const PREFILL_SPAN: Millis = Millis::seconds(3);
 
-/// How long a session that lost its chain waits for another one.
-const PARK_SPAN: Millis = Millis::seconds(5);
+/// How long a session that lost its chain waits for another one; with the time to notice the loss,
+/// its caller learns within 5 s of the fault.
+const PARK_SPAN: Millis = Millis::seconds(4);
 /// What the caller is told if none was found in that time.
 const STILL: &str = "No endpoints were found in time to go on with the stream.";
 /// The interval at which it asks for one.
@@ -175,8 +178,8 @@
     fn leg(&self, leg: route::chain::Leg) -> Leg {
         let patience = self.router.patience(&leg.endpoint).unwrap_or(STEP_SPAN);
         Leg {
-            patience,
-            prefill: PREFILL_SPAN.max(patience),
+            patience: patience.min(STEP_SPAN),
+            prefill: PREFILL_SPAN,
             endpoint: leg.endpoint,
             layers: leg.layers,
         }
