--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -110,6 +110,7 @@
     sharing: Sharing,
     snapshots: Snapshots,
     stop: Option<Millis>,
+    ticked: Millis,
     rng: ChaCha8Rng,
 }
 
@@ -152,6 +153,7 @@
             sharing: Sharing::default(),
             snapshots: Snapshots::default(),
             stop: None,
+            ticked: Millis(0),
             rng: ChaCha8Rng::seed_from_u64(seed()),
             me,
         }
