Give a slow engine twice the patience after each probe

An engine that says it works on the hop gets 0.4, 0.8, 1.6 and 3.2 s more now, from a patience of 0.2 s.

--- a/src/core/session/flight.rs
+++ b/src/core/session/flight.rs
@@ -3,8 +3,9 @@
 use crate::clock::Millis;
 use crate::consts::PROBE_SPAN;
 
-/// How often a slow hop is probed before its endpoint is given up.
-pub const PROBE_LIMIT: u8 = 2;
+/// How often a slow hop is probed before its endpoint is given up. The patience doubles each time,
+/// so that a queue that grows under load is not taken for a fault, which would add to the load.
+pub const PROBE_LIMIT: u8 = 4;
 
 /// An outstanding hop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,11 +55,12 @@
         })
     }
 
-    /// Returns the hop with more time, since the endpoint still works on it.
+    /// Returns the hop with more time, since the endpoint still works on it: `span` doubled once
+    /// for each probe.
     #[must_use]
-    pub fn extended(self, due: Millis) -> Self {
+    pub fn extended(self, now: Millis, span: Millis) -> Self {
         Self {
-            due,
+            due: now + Millis(span.0 << self.probes),
             probing: false,
             ..self
         }
--- a/src/core/session/state.rs
+++ b/src/core/session/state.rs
@@ -150,7 +150,7 @@
         match health {
             Health::Working => {
                 let span = self.span(flight.leg);
-                self.stage = Stage::Running(flight.extended(now + span));
+                self.stage = Stage::Running(flight.extended(now, span));
             }
             Health::Idle => self.give_up(now, false, out),
             Health::Gone => self.give_up(now, true, out),
