--- a/src/trial/crash.rs
+++ b/src/trial/crash.rs
@@ -36,7 +36,8 @@
     let mut text = stream::some(&mut tokens, BEFORE, report).await?;
     let after = hops(&engines).await?;
     let grown = before.iter().zip(&after).position(|(old, new)| new > old);
-    let victim = engines[grown.unwrap_or_default()];
+    let index = grown.ok_or(TrialError::Kind)?;
+    let victim = engines[index];
     crash(victim.addr).await?;
     report.part(&format!(" [{} crashes] ", victim.name))?;
     text.push_str(&stream::rest(&mut tokens, report).await?);
