--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -42,9 +42,7 @@
     }
 
     fn try_call(&mut self, now: Millis, call: Call, out: &mut Vec<Action>) -> Result<(), Failure> {
-        self.ready(now).map_err(|reason| {
-            Failure::unrun(Code::NotReady, reason.to_string()).after(READY_SPAN)
-        })?;
+        self.check_ready(now)?;
         let team = self.caller(call.token.as_ref())?;
         let id = call.id;
         let (service, job) = match call.work {
@@ -204,6 +202,13 @@
         }
     }
 
+    /// Refuses new work where this VM takes none. A VM can be paused between any two steps of a
+    /// request, so this is checked again before work goes to an endpoint.
+    pub(super) fn check_ready(&self, now: Millis) -> Result<(), Failure> {
+        self.ready(now)
+            .map_err(|reason| Failure::unrun(Code::NotReady, reason.to_string()).after(READY_SPAN))
+    }
+
     fn caller(&self, token: Option<&Digest>) -> Result<Team, Failure> {
         let principal = token.and_then(|token| self.state.authenticate(token));
         match principal {
--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -105,6 +105,7 @@
         id: RequestId,
         avoid: &[EndpointName],
     ) -> Result<Arc<[Leg]>, Failure> {
+        self.check_ready(now)?;
         let Some(service) = self.open.get(&id).map(|open| open.service.clone()) else {
             return Err(Failure::unrun(Code::NotFound, "The request is over."));
         };
@@ -396,10 +397,10 @@
         let deadline = self.open.get(&id).map_or(now, |open| open.deadline);
         let lost = self.model_mut(id).and_then(|model| model.lost);
         let end = (lost.unwrap_or(now) + PARK_SPAN).min(deadline);
-        let legs = match self.ready(now) {
-            _ if now >= end => Err(Failure::unrun(Code::NoCapacity, STILL)),
-            Ok(()) => self.chain(now, id, &parked.avoid),
-            Err(why) => Err(Failure::unrun(Code::NotReady, why.to_string())),
+        let legs = if now < end {
+            self.chain(now, id, &parked.avoid)
+        } else {
+            Err(Failure::unrun(Code::NoCapacity, STILL))
         };
         if legs.is_err() && now < end {
             parked.due = now + PARK_STEP;
--- a/src/core/daemon/plain.rs
+++ b/src/core/daemon/plain.rs
@@ -106,7 +106,10 @@
     /// Sends the call to an endpoint that has not been tried.
     pub(super) fn send_plain(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
         let candidates = self.candidates(id);
-        match self.pick(now, id, &candidates) {
+        let picked = self
+            .check_ready(now)
+            .and_then(|()| self.pick(now, id, &candidates));
+        match picked {
             Ok(endpoint) => self.send_to(now, id, &endpoint, out),
             Err(failure) => self.give_up(now, id, failure, out),
         }
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -157,8 +157,10 @@
         self.names[name]
     }
 
-    pub fn node(&self, name: &str) -> usize {
-        self.requests[&self.id(name)].node
+    /// Returns the VM that got a request, and its boot at that time.
+    pub fn place(&self, name: &str) -> (usize, u64) {
+        let request = &self.requests[&self.id(name)];
+        (request.node, request.boot)
     }
 
     pub fn answers(&self, name: &str) -> &[Answer] {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -52,6 +52,8 @@
     pub core: Option<Core>,
     pub boot: u64,
     pub paused: bool,
+    /// What reached it while it was paused, in order.
+    held: Vec<Event>,
     pub cut_log: bool,
     pub cut_peers: bool,
     /// Whether it stopped by itself, as told.
@@ -139,6 +141,7 @@
                 core: None,
                 boot: BOOT,
                 paused: false,
+                held: Vec::new(),
                 cut_log: false,
                 cut_peers: false,
                 exited: false,
@@ -161,6 +164,7 @@
         let place = &mut self.nodes[node];
         place.boot += 1;
         place.paused = false;
+        place.held.clear();
         place.exited = false;
         let boot = place.boot;
         place.core = Some(Core::new(Setup {
@@ -263,6 +267,16 @@
         }
     }
 
+    /// Lets a paused VM go on; what reached it meanwhile comes in the order that it came in.
+    pub fn wake(&mut self, node: usize) {
+        let place = &mut self.nodes[node];
+        place.paused = false;
+        let boot = place.boot;
+        for event in std::mem::take(&mut place.held) {
+            self.answer(node, boot, Millis(0), event);
+        }
+    }
+
     fn tick(&mut self, node: usize) {
         let place = &self.nodes[node];
         if place.core.is_none() {
@@ -314,7 +328,7 @@
             return;
         }
         if place.paused {
-            self.answer(node, boot, TICK, event);
+            place.held.push(event);
             return;
         }
         let Some(core) = &mut place.core else {
--- a/tests/world/script.rs
+++ b/tests/world/script.rs
@@ -335,8 +335,8 @@
             }
             Self::Gone(name) => {
                 let id = world.ledger.id(&name);
-                let node = world.ledger.node(&name);
-                world.event(node, Millis(0), Event::Gone(id));
+                let (node, boot) = world.ledger.place(&name);
+                world.answer(node, boot, Millis(0), Event::Gone(id));
             }
             Self::Operate(order) => order.run(world),
             Self::Addresses { vm, name } => world.addresses(vm, &name),
@@ -606,7 +606,7 @@
                 world.ledger.disturbed.insert(node, now);
             }
             Self::Wake(node) => {
-                world.nodes[node].paused = false;
+                world.wake(node);
                 world.ledger.disturbed.insert(node, now);
             }
             Self::Join(node) => {
