Send nothing to an endpoint that crashed until it reports again

At 0.8 of the bound a stage's death (an engine that accepts connections and cuts them) ended 17 of 946 completions: 9 barred, though they had crashed nothing, since each cut connection counted as another crash of the same start; 8 no_capacity, since chains kept leading to it. One start of an endpoint ends once now, and the endpoint gets no work until it reports; the VM that saw it crash asks it every second.

--- a/src/core/daemon/hints.rs
+++ b/src/core/daemon/hints.rs
@@ -118,6 +118,8 @@
     found: Option<Found>,
     reports: BTreeMap<EndpointName, Report>,
     leaving: BTreeSet<EndpointName>,
+    /// The endpoints that crashed and have not reported since, by the start that ended.
+    crashed: BTreeMap<EndpointName, u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,7 +136,9 @@
         }
         self.sharing.due = now + SHARE_SPAN;
         self.find_polled();
-        for endpoint in &self.sharing.polled {
+        let crashed = self.sharing.crashed.keys();
+        let crashed = crashed.filter(|name| !self.sharing.polled.contains(name));
+        for endpoint in self.sharing.polled.iter().chain(crashed) {
             if let Some(entry) = self.state.endpoint(endpoint) {
                 out.push(Action::Poll {
                     endpoint: endpoint.clone(),
@@ -230,7 +234,7 @@
     /// Takes in a peer's hints.
     pub(super) fn hear(&mut self, now: Millis, vm: &Vm, hints: Hints, out: &mut Vec<Action>) {
         for each in hints.reports {
-            self.reported(now, &each.endpoint, each.report, out);
+            self.learn(now, &each.endpoint, each.report, out);
         }
         for work in hints.work {
             let surplus = Surplus {
@@ -271,30 +275,45 @@
         out: &mut Vec<Action>,
     ) {
         if let Some(endpoint) = self.state.endpoint_at(addr).map(|entry| entry.name.clone()) {
-            self.reported(now, &endpoint, report, out);
+            self.learn(now, &endpoint, report, out);
         }
     }
 
-    /// An endpoint told its load, here or to a peer.
+    /// An endpoint told its load when this VM asked, which ends a check whether it crashed.
     pub(super) fn reported(
         &mut self,
         now: Millis,
         endpoint: &EndpointName,
         report: Report,
         out: &mut Vec<Action>,
+    ) {
+        self.learn(now, endpoint, report, out);
+        self.checked(now, endpoint, out);
+    }
+
+    /// An endpoint told its load, here or to a peer.
+    fn learn(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        report: Report,
+        out: &mut Vec<Action>,
     ) {
         if self.state.endpoint(endpoint).is_none() {
             return;
         }
         let known = self.sharing.reports.get(endpoint).copied();
         if known.is_some_and(|known| (known.boot, known.at) >= (report.boot, report.at)) {
-            self.checked(now, endpoint, out);
             return;
         }
         if let Some(known) = known.filter(|known| known.boot < report.boot) {
-            self.suspects.ledger.crashed(now, endpoint, known.boot);
+            self.crash(now, endpoint, known.boot);
         }
         self.sharing.reports.insert(endpoint.clone(), report);
+        if self.sharing.crashed.remove(endpoint).is_some() {
+            let back = route::Event::Leaving(report.leaving);
+            self.router.apply(now, endpoint, back);
+        }
         let load = view::Report {
             at: report.at,
             running: report.running,
@@ -305,7 +324,17 @@
         self.router
             .apply(now, endpoint, route::Event::Reported(load));
         self.note_leaving(now, endpoint, report, out);
-        self.checked(now, endpoint, out);
+    }
+
+    /// An endpoint's start has ended: what ran there is suspect, and nothing goes there until it
+    /// reports again. Connections that break before that are not further crashes.
+    fn crash(&mut self, now: Millis, endpoint: &EndpointName, boot: u64) {
+        if self.sharing.crashed.insert(endpoint.clone(), boot) == Some(boot) {
+            return;
+        }
+        self.suspects.ledger.crashed(now, endpoint, boot);
+        self.router
+            .apply(now, endpoint, route::Event::Leaving(true));
     }
 
     /// Spreads at once that an endpoint is leaving, or has come back.
@@ -362,7 +391,7 @@
                 .reports
                 .get(endpoint)
                 .map_or(0, |report| report.boot);
-            self.suspects.ledger.crashed(now, endpoint, boot);
+            self.crash(now, endpoint, boot);
         }
         self.checked(now, endpoint, out);
     }
