--- a/tests/world/endpoints.rs
+++ b/tests/world/endpoints.rs
@@ -40,6 +40,8 @@
     pub layers: Option<Layers>,
     pub total: u32,
     pub down: bool,
+    /// It accepts connections and cuts them.
+    pub cut: bool,
     pub leaving: bool,
     pub boot: u64,
     kv: BTreeMap<(SessionId, u32), Kv>,
@@ -232,6 +234,10 @@
             self.answer(node, boot, LINK, failed(PlainFault::Unsent));
             return;
         }
+        if endpoint.cut {
+            self.answer(node, boot, CUT, failed(PlainFault::Broken));
+            return;
+        }
         self.work(node, addr);
         if take(&mut self.endpoints.next.refuse) {
             let answer = PlainAnswer {
@@ -292,6 +298,10 @@
             self.answer(node, boot, CUT, fault(Fault::Unreachable));
             return;
         }
+        if endpoint.cut {
+            self.answer(node, boot, CUT, fault(Fault::Broken));
+            return;
+        }
         if take(&mut self.endpoints.next.refuse) {
             self.answer(node, boot, CUT, fault(Fault::Refused));
             return;
@@ -338,7 +348,7 @@
     pub fn probe(&mut self, node: usize, boot: u64, id: RequestId, addr: SocketAddr, key: HopKey) {
         let endpoint = self.endpoints.all.get(&addr);
         let (delay, health) = match endpoint {
-            Some(endpoint) if !endpoint.down => (LINK, Health::Idle),
+            Some(endpoint) if !endpoint.down && !endpoint.cut => (LINK, Health::Idle),
             _ => (Millis(400), Health::Gone),
         };
         let event = Event::Session(session::Event::Probed { id, key, health });
@@ -350,7 +360,7 @@
             .endpoints
             .all
             .get(&addr)
-            .filter(|endpoint| !endpoint.down);
+            .filter(|endpoint| !endpoint.down && !endpoint.cut);
         let event = match endpoint {
             Some(endpoint) => {
                 let report = Report {
--- a/tests/world/script.rs
+++ b/tests/world/script.rs
@@ -183,6 +183,8 @@
     LoseMessages(u32),
     DoubleMessages(u32),
     LateMessages(u32),
+    /// The endpoint used last crashes, and cuts every connection for the span.
+    Cut(u64),
     /// The endpoint used last crashes, and is down for the span.
     Crash(u64),
     Silent(u32),
@@ -536,16 +538,8 @@
             Self::LoseMessages(count) => world.lose = count,
             Self::DoubleMessages(count) => world.double = count,
             Self::LateMessages(count) => world.late = count,
-            Self::Crash(span) => {
-                let Some(addr) = world.endpoints.last else {
-                    return;
-                };
-                if let Some(endpoint) = world.endpoints.all.get_mut(&addr) {
-                    endpoint.crash();
-                    endpoint.down = true;
-                    world.heal_after(span, Heal::Endpoint(addr));
-                }
-            }
+            Self::Crash(span) => world.crash(span, |endpoint| endpoint.down = true),
+            Self::Cut(span) => world.crash(span, |endpoint| endpoint.cut = true),
             Self::Silent(count) => world.endpoints.next.silent = count,
             Self::Broken(count) => world.endpoints.next.broken = count,
             Self::Refuse(count) => world.endpoints.next.refuse = count,
@@ -566,6 +560,21 @@
         self.heal_after(span, Heal::Join(node));
     }
 
+    /// Crashes the endpoint that was used last, in the way that `how` says, for a span.
+    fn crash<H>(&mut self, span: u64, how: H)
+    where
+        H: FnOnce(&mut Endpoint),
+    {
+        let Some(addr) = self.endpoints.last else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.all.get_mut(&addr) {
+            endpoint.crash();
+            how(endpoint);
+            self.heal_after(span, Heal::Endpoint(addr));
+        }
+    }
+
     fn heal_after(&mut self, span: u64, heal: Heal) {
         let order = Box::new(Order::Fault(Fault::Heal(heal)));
         self.push(Millis(span), Due::Order(order));
@@ -624,6 +633,7 @@
             Self::Endpoint(addr) => {
                 if let Some(endpoint) = world.endpoints.all.get_mut(&addr) {
                     endpoint.down = false;
+                    endpoint.cut = false;
                 }
             }
         }
