Let operators refuse idempotency keys whose age cannot be read

The setting opaque: false refuses such keys unrun, and then no key ever runs twice. It is on by default, since most clients send random keys.

--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -338,6 +338,7 @@
         me,
         operators: Vec::new(),
         shards: 4,
+        opaque: true,
         seed: 1,
     };
     let before = resident();
--- a/src/core/daemon/mod.rs
+++ b/src/core/daemon/mod.rs
@@ -81,6 +81,8 @@
     pub operators: Vec<OperatorEntry>,
     /// The number of streams that claims are spread over.
     pub shards: u16,
+    /// Whether idempotency keys are accepted whose age cannot be read (docs/ONCE.md).
+    pub opaque: bool,
     /// The seed of every random choice.
     pub seed: u64,
 }
@@ -129,6 +131,7 @@
         };
         let mut settings = Settings::new(holder);
         settings.streams = setup.shards;
+        settings.opaque = setup.opaque;
         let mut seeds = ChaCha8Rng::seed_from_u64(setup.seed);
         let mut seed = || rand::Rng::next_u64(&mut seeds);
         Self {
--- a/src/core/once/call.rs
+++ b/src/core/once/call.rs
@@ -120,7 +120,10 @@
             Some(time) if now.since(time) > self.settings.window => Err(expired()),
             Some(time) => Ok(time),
             None if self.settings.opaque => Ok(now),
-            None => Err(expired()),
+            None => Err(Failure::unrun(
+                Code::BadRequest,
+                "the idempotency key is not a UUID of version 7",
+            )),
         }
     }
 
--- a/src/io/daemon.rs
+++ b/src/io/daemon.rs
@@ -95,6 +95,7 @@
         },
         operators: settings.operators.clone(),
         shards: settings.shards,
+        opaque: settings.opaque,
         seed: rand::random(),
     }
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -38,6 +38,7 @@
         operators: file.operators,
         level: file.level.into(),
         shards: shards(file.shards.as_ref())?,
+        opaque: file.opaque,
     })
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -40,6 +40,8 @@
     pub level: LevelFilter,
     /// The number of streams that claims are spread over; the same on every VM.
     pub shards: u16,
+    /// Whether idempotency keys are accepted whose age cannot be read; they are protected for a day.
+    pub opaque: bool,
 }
 
 /// The file as it is written, with the place of each value that is checked.
@@ -58,6 +60,12 @@
     level: Level,
     #[serde(default)]
     shards: Option<Spanned<u16>>,
+    #[serde(default = "yes")]
+    opaque: bool,
+}
+
+const fn yes() -> bool {
+    true
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -256,5 +256,6 @@
         }],
         level: LevelFilter::Off,
         shards: 4,
+        opaque: true,
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -171,6 +171,7 @@
             me: member(node, boot),
             operators: script::operators(),
             shards: 2,
+            opaque: true,
             seed: self.rng.random(),
         }));
         self.push(Millis(0), Due::Tick(node));
