--- a/src/core/daemon/status.rs
+++ b/src/core/daemon/status.rs
@@ -4,7 +4,6 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
-use crate::core::config::object::Priority;
 use crate::names::Domain;
 use crate::names::EndpointName;
 use crate::names::Owner;
@@ -100,13 +99,4 @@
         });
         status.collect()
     }
-
-    /// Returns the priority of a team, for endpoints that honour it.
-    #[must_use]
-    pub fn priority(&self, team: &crate::names::Team) -> Priority {
-        self.state
-            .team(team)
-            .map(|entry| entry.priority)
-            .unwrap_or_default()
-    }
 }
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -10,6 +10,7 @@
 pub mod addresses;
 pub mod message;
 mod probe;
+mod reach;
 mod receive;
 pub mod rendezvous;
 mod table;
@@ -45,6 +46,7 @@
 
 pub use self::probe::DIRECT_SPAN;
 pub use self::probe::INDIRECT_SPAN;
+pub use self::reach::Reach;
 pub use self::watch::PING_SPAN;
 pub use self::watch::SUSPECT_SPAN;
 pub use self::watch::WAKE_SPAN;
@@ -112,15 +114,6 @@
     Woke,
 }
 
-/// Whether this daemon is in contact with most of the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
-    /// It is in contact with more than half of the failure domains and of the VMs.
-    Majority,
-    /// It is not.
-    Minority,
-}
-
 /// The soft view of the fleet.
 #[derive(Debug)]
 pub struct Members {
@@ -314,45 +307,6 @@
         !self.paused(now) && self.refreshing.is_none_or(waited)
     }
 
-    fn find_reach(&self, now: Millis) -> Reach {
-        if self.table.is_empty() {
-            return Reach::Majority;
-        }
-        let answered = self.answered.is_some_and(|at| recent(now, at));
-        let domains = self.domains_reached(now);
-        let vms = self.vms_reached();
-        if answered && domains.most() && vms.most() {
-            Reach::Majority
-        } else {
-            Reach::Minority
-        }
-    }
-
-    fn domains_reached(&self, now: Millis) -> Share {
-        let mine = &self.me.member.domain;
-        let mut known: BTreeSet<&Domain> = BTreeSet::from([mine]);
-        known.extend(self.counted().map(|entry| &entry.rumour.member.domain));
-        let heard = |domain: &Domain| self.contacts.get(domain).is_some_and(|at| recent(now, *at));
-        let reached = known
-            .iter()
-            .filter(|domain| **domain == mine || heard(domain));
-        Share {
-            part: reached.count(),
-            total: known.len(),
-        }
-    }
-
-    fn vms_reached(&self) -> Share {
-        Share {
-            part: 1 + self.counted().filter(|entry| entry.live()).count(),
-            total: 1 + self.counted().count(),
-        }
-    }
-
-    fn counted(&self) -> impl Iterator<Item = &Entry> {
-        self.table.values().filter(|entry| entry.counted())
-    }
-
     /// Returns the daemons that are believed to run, this one included, in the order of names.
     #[must_use]
     pub fn live(&self) -> Vec<Member> {
@@ -504,19 +458,6 @@
     }
 }
 
-/// A part of a whole.
-#[derive(Clone, Copy, Debug)]
-struct Share {
-    part: usize,
-    total: usize,
-}
-
-impl Share {
-    fn most(self) -> bool {
-        self.part * 2 > self.total
-    }
-}
-
 fn recent(now: Millis, at: Millis) -> bool {
     now.since(at) <= CONTACT_SPAN
 }
--- /dev/null
+++ b/src/core/member/reach.rs
@@ -0,0 +1,72 @@
+//! Whether this daemon is in contact with most of the fleet.
+
+use std::collections::BTreeSet;
+
+use super::Members;
+use super::recent;
+use super::table::Entry;
+use crate::clock::Millis;
+use crate::names::Domain;
+
+/// Whether this daemon is in contact with most of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It is in contact with more than half of the failure domains and of the VMs.
+    Majority,
+    /// It is not.
+    Minority,
+}
+
+/// A part of a whole.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    part: usize,
+    total: usize,
+}
+
+impl Share {
+    fn most(self) -> bool {
+        self.part * 2 > self.total
+    }
+}
+
+impl Members {
+    pub(super) fn find_reach(&self, now: Millis) -> Reach {
+        if self.table.is_empty() {
+            return Reach::Majority;
+        }
+        let answered = self.answered.is_some_and(|at| recent(now, at));
+        let domains = self.domains_reached(now);
+        let vms = self.vms_reached();
+        if answered && domains.most() && vms.most() {
+            Reach::Majority
+        } else {
+            Reach::Minority
+        }
+    }
+
+    fn domains_reached(&self, now: Millis) -> Share {
+        let mine = &self.me.member.domain;
+        let mut known: BTreeSet<&Domain> = BTreeSet::from([mine]);
+        known.extend(self.counted().map(|entry| &entry.rumour.member.domain));
+        let heard = |domain: &Domain| self.contacts.get(domain).is_some_and(|at| recent(now, *at));
+        let reached = known
+            .iter()
+            .filter(|domain| **domain == mine || heard(domain));
+        Share {
+            part: reached.count(),
+            total: known.len(),
+        }
+    }
+
+    fn vms_reached(&self) -> Share {
+        Share {
+            part: 1 + self.counted().filter(|entry| entry.live()).count(),
+            total: 1 + self.counted().count(),
+        }
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Entry> {
+        self.table.values().filter(|entry| entry.counted())
+    }
+}
