Call the digests and the fault switch that stood already

Digests of tokens and calls were written a second time beside Digest::of and CallDigest::of, and the countdown of a fault switch three times in the stand-ins; each stands once now. The first request of a hop is a function of hop.rs and no longer a method added to Conn from outside its module, and telling a few peers copies no list of all VM names.

--- a/src/core/daemon/hints.rs
+++ b/src/core/daemon/hints.rs
@@ -220,13 +220,13 @@
     where
         B: Clone + Into<Body>,
     {
-        let vms: Vec<Vm> = self.peers.keys().cloned().collect();
-        if vms.is_empty() {
+        let size = self.peers.len();
+        if size == 0 {
             return;
         }
-        let start = self.rng.random_range(0..vms.len());
-        for step in 0..count.min(vms.len()) {
-            let vm = &vms[(start + step) % vms.len()];
+        let start = self.rng.random_range(0..size);
+        let around = self.peers.keys().cycle().skip(start);
+        for vm in around.take(count.min(size)) {
             self.tell(vm, body.clone(), out);
         }
     }
--- a/src/core/once/id.rs
+++ b/src/core/once/id.rs
@@ -76,6 +76,12 @@
     pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
         Self(digest(&[method.as_bytes(), path.as_bytes(), body]))
     }
+
+    /// Returns the digest of an answer's body.
+    #[must_use]
+    pub fn of_body(body: &[u8]) -> Self {
+        Self(digest(&[body]))
+    }
 }
 
 /// Digests the parts, each preceded by its length, so that no two lists of parts look alike.
--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -43,7 +43,7 @@
 /// Sends a hop and feeds its replies to the core.
 pub async fn send(shell: Shell, id: RequestId, addr: SocketAddr, hop: Hop) {
     let key = hop.key();
-    let fault = match Conn::request(&shell, addr, &hop).await {
+    let fault = match open(&shell, addr, &hop).await {
         Ok((conn, head)) if head.status == StatusCode::OK => {
             carried(&shell, addr, &head);
             replies(&shell, id, addr, &hop, conn).await
@@ -59,31 +59,25 @@
     }
 }
 
-impl Conn {
-    /// Sends the hop, on a kept connection or a fresh one, and reads the answer's head.
-    async fn request(
-        shell: &Shell,
-        addr: SocketAddr,
-        hop: &Hop,
-    ) -> Result<(Self, Response), Fault> {
-        let uri = Uri::from_static("/v1/hops");
-        let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Bad)?;
-        let mut conn = shell
-            .pool()
-            .get(addr)
-            .await
-            .map_err(|_| Fault::Unreachable)?;
-        conn.writer
-            .request(&request)
-            .await
-            .map_err(|_| Fault::Broken)?;
-        let head = timeout(LINE_SPAN.duration(), conn.reader.response_head(false)).await;
-        match head {
-            Ok(Ok(head)) => Ok((conn, head)),
-            Ok(Err(HttpError::Malformed | HttpError::TooLarge)) => Err(Fault::Bad),
-            Ok(Err(_)) => Err(Fault::Broken),
-            Err(_) => Err(Fault::Silent),
-        }
+/// Sends the hop, on a kept connection or a fresh one, and reads the answer's head.
+async fn open(shell: &Shell, addr: SocketAddr, hop: &Hop) -> Result<(Conn, Response), Fault> {
+    let uri = Uri::from_static("/v1/hops");
+    let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Bad)?;
+    let mut conn = shell
+        .pool()
+        .get(addr)
+        .await
+        .map_err(|_| Fault::Unreachable)?;
+    conn.writer
+        .request(&request)
+        .await
+        .map_err(|_| Fault::Broken)?;
+    let head = timeout(LINE_SPAN.duration(), conn.reader.response_head(false)).await;
+    match head {
+        Ok(Ok(head)) => Ok((conn, head)),
+        Ok(Err(HttpError::Malformed | HttpError::TooLarge)) => Err(Fault::Bad),
+        Ok(Err(_)) => Err(Fault::Broken),
+        Err(_) => Err(Fault::Silent),
     }
 }
 
--- a/src/io/serve/plain.rs
+++ b/src/io/serve/plain.rs
@@ -99,7 +99,7 @@
     let target = target(&rest[end..]);
     let key = key(&request)?;
     let digest = match &key {
-        Some(_) => digest::call(&request, &target),
+        Some(_) => once::CallDigest::of(request.method.as_str(), &target, &request.body),
         None => CallDigest(0),
     };
     let now = shell.now();
@@ -317,7 +317,7 @@
     if response.body.len() > once::ANSWER_BYTES {
         return once::Answer::Large {
             status,
-            digest: digest::of_body(&response.body),
+            digest: once::CallDigest::of_body(&response.body),
         };
     }
     let header = |value: &str| once::Header {
--- a/src/standin/engine/faults.rs
+++ b/src/standin/engine/faults.rs
@@ -61,10 +61,3 @@
         size > 0 && tokens.windows(size).any(|window| window == self.poison)
     }
 }
-
-/// Counts one use of a switch down and says whether it was on.
-pub(super) fn take(count: &mut u32) -> bool {
-    let on = *count > 0;
-    *count = count.saturating_sub(1);
-    on
-}
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -31,6 +31,7 @@
 use super::serve;
 use super::serve::Handed;
 use super::serve::Reply;
+use super::take;
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::core::config::object::Layers;
--- a/src/standin/engine/run.rs
+++ b/src/standin/engine/run.rs
@@ -7,12 +7,12 @@
 
 use super::Shared;
 use super::State;
-use super::faults::take;
 use super::kv::Entry;
 use super::kv::Key;
 use super::model::Activation;
 use super::serve::Handed;
 use super::serve::Reply;
+use super::take;
 use crate::core::daemon::Report;
 use crate::core::session::wire::Hop;
 use crate::core::session::wire::HopError;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,3 +8,10 @@
 mod serve;
 pub mod service;
 pub mod site;
+
+/// Counts one use of a fault switch down and says whether it was on.
+fn take(count: &mut u32) -> bool {
+    let on = *count > 0;
+    *count = count.saturating_sub(1);
+    on
+}
--- a/src/standin/platform/faults.rs
+++ b/src/standin/platform/faults.rs
@@ -5,6 +5,7 @@
 
 use super::log::Limits;
 use crate::clock::Millis;
+use crate::standin::take;
 
 /// The fault switches, replaced as a whole by `PUT /faults`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -51,8 +52,6 @@
 impl Faults {
     /// Says whether this append's answer is lost, and counts it.
     pub(super) fn lose(&mut self) -> bool {
-        let lost = self.lose > 0;
-        self.lose = self.lose.saturating_sub(1);
-        lost
+        take(&mut self.lose)
     }
 }
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -17,6 +17,7 @@
 use super::serve;
 use super::serve::Handed;
 use super::serve::Reply;
+use super::take;
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::core::daemon::Report;
@@ -157,12 +158,6 @@
     response
 }
 
-fn take(count: &mut u32) -> bool {
-    let some = *count > 0;
-    *count = count.saturating_sub(1);
-    some
-}
-
 impl Ledger {
     fn new() -> Self {
         let clock = Clock::start();
