--- /dev/null
+++ b/src/core/attempt/budget.rs
@@ -0,0 +1,69 @@
+//! The budget of attempts beyond the first, which all VMs share.
+
+use std::collections::VecDeque;
+
+use crate::clock::Millis;
+
+/// The part of a VM's share that it uses, so that shares counted with a lag stay within the whole.
+const CAUTION: f64 = 0.7;
+/// The time that one count covers.
+const SLOT_SPAN: Millis = Millis(500);
+
+/// One VM's share of the budget: in any window, a ratio of its requests and a part of what is
+/// allowed beside them.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    ratio: f64,
+    extra: f64,
+    window: Millis,
+    slots: VecDeque<(Millis, u32, u32)>,
+}
+
+impl Budget {
+    /// Starts a budget of `ratio` retries a request and `extra` more in each window.
+    pub fn new(ratio: f64, extra: f64, window: Millis) -> Self {
+        Self {
+            ratio,
+            extra,
+            window,
+            slots: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: Millis) {
+        self.slot(now).1 += 1;
+    }
+
+    /// Takes a retry out of the budget, or says that none is left; `vms` share it.
+    pub fn retry(&mut self, now: Millis, vms: usize) -> bool {
+        self.slot(now);
+        let requests = self.slots.iter().map(|slot| f64::from(slot.1)).sum::<f64>();
+        let retries = self.slots.iter().map(|slot| f64::from(slot.2)).sum::<f64>();
+        let share = self.ratio * requests + self.extra / vms.max(1) as f64;
+        if retries + 1.0 > share * CAUTION {
+            return false;
+        }
+        self.slot(now).2 += 1;
+        true
+    }
+
+    fn slot(&mut self, now: Millis) -> &mut (Millis, u32, u32) {
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| now.since(slot.0) > self.window)
+        {
+            self.slots.pop_front();
+        }
+        if self
+            .slots
+            .back()
+            .is_none_or(|slot| now.since(slot.0) >= SLOT_SPAN)
+        {
+            self.slots.push_back((now, 0, 0));
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,13 +3,18 @@
 //! Each module takes typed events and the time, and answers with typed actions; `io` carries
 //! them out (docs/DESIGN.md).
 
+pub mod attempt;
 pub mod config;
 pub mod daemon;
+pub mod fleet;
 pub mod limit;
 pub mod member;
 pub mod once;
 pub mod order;
+pub mod pipe;
 pub mod poison;
+pub mod roster;
 pub mod route;
 pub mod session;
+pub mod site;
 pub mod sync;
--- /dev/null
+++ b/src/core/pipe/path.rs
@@ -0,0 +1,219 @@
+//! The choice of a path: engines whose parts run every layer once and in order.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+use super::Span;
+use crate::core::site::Card;
+use crate::core::site::Model;
+use crate::names::Domain;
+use crate::names::EndpointName;
+
+/// The share of a link's time that crossings between domains are assumed to wait for others.
+const PIPE_WAIT: f64 = 1.5;
+/// The fixed cost of one more engine in a path, in milliseconds a token: a pass to wait for.
+const HOP_COST: f64 = 0.4;
+/// The room of an engine, as a share, above which its cost is multiplied.
+const ROOM_HIGH: f64 = 0.85;
+/// The factor on the cost of an engine whose room is nearly used up.
+const ROOM_COST: f64 = 8.0;
+
+/// An engine as a path may use it.
+#[derive(Clone, Debug)]
+pub struct Stage {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// The layers that it holds.
+    pub span: Span,
+    /// Its accelerator.
+    pub card: Card,
+    /// The requests that are estimated to pass through it now, of all VMs.
+    pub running: f64,
+    /// The share of its memory for requests that is estimated to be in use.
+    pub room: f64,
+    /// A factor on its cost: over 1 if it was seen to be slow or failing.
+    pub penalty: f64,
+    /// Whether it may be the first engine, which takes a request in and speaks for the path.
+    pub first: bool,
+}
+
+/// One engine's part of a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The layers that it runs.
+    pub span: Span,
+}
+
+/// What a request asks of a path.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Its prompt tokens.
+    pub prompt: f64,
+    /// The tokens of its answer, as far as is known.
+    pub answer: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Open {
+    cost: f64,
+    at: u32,
+    stage: usize,
+}
+
+impl Eq for Open {}
+
+impl Ord for Open {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other
+            .cost
+            .total_cmp(&self.cost)
+            .then_with(|| other.at.cmp(&self.at))
+            .then_with(|| other.stage.cmp(&self.stage))
+    }
+}
+
+impl PartialOrd for Open {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Chooses the path of the least estimated time from `home`, or `None` if no path runs all layers.
+///
+/// The answer to ordinary load: the time of a path is what its engines take for the prompt and for
+/// each token at their present load, and the crossings between domains.
+pub fn choose(stages: &[Stage], model: &Model, home: &Domain, demand: Demand) -> Option<Vec<Part>> {
+    let mut best: BTreeMap<(u32, usize), f64> = BTreeMap::new();
+    let mut back: BTreeMap<(u32, usize), (u32, usize)> = BTreeMap::new();
+    let mut open = BinaryHeap::new();
+    for (index, stage) in stages.iter().enumerate() {
+        if stage.span.holds(0) && stage.first {
+            let cost = if stage.domain == *home {
+                0.0
+            } else {
+                model.delay * demand.answer
+            };
+            best.insert((0, index), cost);
+            open.push(Open {
+                cost,
+                at: 0,
+                stage: index,
+            });
+        }
+    }
+    while let Some(Open { cost, at, stage }) = open.pop() {
+        if best.get(&(at, stage)).is_some_and(|known| *known < cost) {
+            continue;
+        }
+        if at >= model.layers {
+            return Some(parts(stages, &back, (at, stage)));
+        }
+        let own = &stages[stage];
+        let mut step = |to: u32, next: usize, extra: f64| {
+            let cost = cost + time(own, model, to - at, demand) + extra;
+            let slot = best.entry((to, next)).or_insert(f64::INFINITY);
+            if cost < *slot {
+                *slot = cost;
+                back.insert((to, next), (at, stage));
+                open.push(Open {
+                    cost,
+                    at: to,
+                    stage: next,
+                });
+            }
+        };
+        if own.span.to >= model.layers {
+            step(model.layers, stage, 0.0);
+            continue;
+        }
+        for (index, next) in stages.iter().enumerate() {
+            if index == stage || next.span.to <= own.span.to {
+                continue;
+            }
+            let crossing = crossing(own, next, model, demand);
+            if next.span.holds(own.span.to) {
+                step(own.span.to, index, crossing);
+            }
+            if next.span.from > at && next.span.from < own.span.to {
+                step(next.span.from, index, crossing);
+            }
+        }
+    }
+    None
+}
+
+/// Says whether the stages together hold every layer of a model.
+pub fn covers(stages: &[Stage], layers: u32) -> bool {
+    let mut at = 0;
+    while at < layers {
+        let Some(to) = stages
+            .iter()
+            .filter(|stage| stage.span.holds(at))
+            .map(|stage| stage.span.to)
+            .max()
+        else {
+            return false;
+        };
+        at = to;
+    }
+    true
+}
+
+/// Returns the estimated time, in milliseconds, that a request spends in an engine's part.
+fn time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
+    let share = f64::from(layers) / f64::from(model.layers.max(1));
+    let context = (demand.prompt + demand.answer) / 1000.0 * model.context;
+    let step = model.step + (model.sequence + context) * stage.running;
+    let token = share * stage.card.pace * step + HOP_COST;
+    let prompt = share * stage.card.read * demand.prompt / model.reading;
+    let full = if stage.room > ROOM_HIGH {
+        ROOM_COST
+    } else {
+        1.0
+    };
+    (token * demand.answer + prompt) * stage.penalty * full
+}
+
+fn crossing(from: &Stage, to: &Stage, model: &Model, demand: Demand) -> f64 {
+    /// Megabits a second as bytes a millisecond.
+    const BYTES_PER_MS: f64 = 125.0;
+    if from.domain == to.domain {
+        return 0.0;
+    }
+    let tokens = demand.prompt + demand.answer;
+    let transfer = model.activation / (model.pipe * BYTES_PER_MS);
+    tokens * transfer * PIPE_WAIT + model.delay * demand.answer
+}
+
+fn parts(
+    stages: &[Stage],
+    back: &BTreeMap<(u32, usize), (u32, usize)>,
+    end: (u32, usize),
+) -> Vec<Part> {
+    let mut list = Vec::new();
+    let mut here = end;
+    while let Some(before) = back.get(&here) {
+        let stage = &stages[before.1];
+        list.push(Part {
+            endpoint: stage.endpoint.clone(),
+            addr: stage.addr,
+            span: Span {
+                from: before.0,
+                to: here.0,
+            },
+        });
+        here = *before;
+    }
+    list.reverse();
+    list
+}
--- /dev/null
+++ b/src/core/pipe/place.rs
@@ -0,0 +1,180 @@
+//! Placement: which layers each engine should hold.
+//!
+//! Transfers between domains are slow, so each domain that can hold a whole model gets a copy of
+//! its own, and what is left over in a domain doubles layers that no other domain has doubled.
+//! The rest of an engine's memory holds requests (docs/PLATFORM.md).
+
+use std::collections::BTreeMap;
+
+use super::Span;
+use crate::core::site::Model;
+use crate::names::Domain;
+use crate::names::EndpointName;
+
+/// The share of an engine's memory that is given to layers; the rest holds requests.
+const FILL: f64 = 0.73;
+/// The largest share of an engine's memory that layers take when a lost engine is made up for.
+const FILL_MOST: f64 = 0.9;
+
+/// An engine that layers are placed on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seat {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its memory, in megabytes.
+    pub memory: f64,
+    /// The factor on its time for a token step.
+    pub pace: f64,
+    /// The layers that it holds or was told to hold.
+    pub span: Option<Span>,
+}
+
+impl Seat {
+    fn layers(&self, model: &Model, fill: f64) -> u32 {
+        let most = (self.memory * fill / model.weight).floor();
+        (most as u32).min(model.layers)
+    }
+}
+
+/// Plans the layers of engines that are all empty.
+///
+/// Within a domain the engines are taken fastest first, lap after lap over the layers; the last
+/// lap, which is not whole, starts at another layer in each domain.
+pub fn place(seats: &[Seat], model: &Model) -> BTreeMap<EndpointName, Span> {
+    let mut plan = BTreeMap::new();
+    let groups = groups(seats, model);
+    let count = groups.len().max(1) as u32;
+    for (index, mut group) in groups.into_iter().enumerate() {
+        group.sort_by(|a, b| a.pace.total_cmp(&b.pace).then(a.endpoint.cmp(&b.endpoint)));
+        let offset = model.layers * index as u32 / count;
+        fill(&group, model, offset, &mut plan);
+    }
+    plan
+}
+
+/// Plans the next order that makes up for engines that came or went: an empty engine gets the
+/// layers that are held least often, and a layer that nobody holds goes to the engine of the most
+/// room beside it.
+pub fn repair(seats: &[Seat], model: &Model) -> Option<(EndpointName, Span)> {
+    let held = counts(seats, model.layers);
+    if let Some(seat) = seats.iter().find(|seat| seat.span.is_none()) {
+        let size = seat.layers(model, FILL).max(1);
+        let domain = seats.iter().filter(|other| other.domain == seat.domain);
+        let near = counts(domain, model.layers);
+        let from = (0..=model.layers.saturating_sub(size)).min_by_key(|from| {
+            let range = *from as usize..(from + size) as usize;
+            let far = held[range.clone()]
+                .iter()
+                .map(|count| weight(*count))
+                .sum::<u32>();
+            let own = near[range].iter().map(|count| weight(*count)).sum::<u32>();
+            far + own
+        })?;
+        let span = Span {
+            from,
+            to: from + size,
+        };
+        return Some((seat.endpoint.clone(), span));
+    }
+    widen(seats, model, &held)
+}
+
+/// Weighs a layer that is held `count` times: the first copies matter most.
+const fn weight(count: u32) -> u32 {
+    match count {
+        0 => 0,
+        1 => 20,
+        2 => 30,
+        more => 30 + more,
+    }
+}
+
+/// Extends an engine over a neighbouring layer that nobody holds.
+fn widen(seats: &[Seat], model: &Model, held: &[u32]) -> Option<(EndpointName, Span)> {
+    let hole = held.iter().position(|count| *count == 0)? as u32;
+    let end = held[hole as usize..]
+        .iter()
+        .position(|count| *count > 0)
+        .map_or(model.layers, |len| hole + len as u32);
+    seats
+        .iter()
+        .filter_map(|seat| {
+            let span = seat.span?;
+            let most = seat.layers(model, FILL_MOST);
+            let room = most.saturating_sub(span.len());
+            if room == 0 {
+                return None;
+            }
+            if span.to == hole {
+                let to = end.min(span.to + room);
+                return Some((seat, Span { to, ..span }));
+            }
+            if span.from == end {
+                let from = hole.max(span.from.saturating_sub(room));
+                return Some((seat, Span { from, ..span }));
+            }
+            None
+        })
+        .max_by_key(|(seat, span)| span.len() - seat.span.map_or(0, Span::len))
+        .map(|(seat, span)| (seat.endpoint.clone(), span))
+}
+
+fn counts<'a, I>(seats: I, layers: u32) -> Vec<u32>
+where
+    I: IntoIterator<Item = &'a Seat>,
+{
+    let mut held = vec![0; layers as usize];
+    for span in seats.into_iter().filter_map(|seat| seat.span) {
+        for layer in span.from..span.to.min(layers) {
+            held[layer as usize] += 1;
+        }
+    }
+    held
+}
+
+/// Groups the seats by domain; domains that hold no whole copy are taken together.
+fn groups<'a>(seats: &'a [Seat], model: &Model) -> Vec<Vec<&'a Seat>> {
+    let mut domains: BTreeMap<&Domain, Vec<&Seat>> = BTreeMap::new();
+    for seat in seats {
+        domains.entry(&seat.domain).or_default().push(seat);
+    }
+    let mut whole = Vec::new();
+    let mut rest = Vec::new();
+    for group in domains.into_values() {
+        let layers = group
+            .iter()
+            .map(|seat| seat.layers(model, FILL))
+            .sum::<u32>();
+        if layers >= model.layers {
+            whole.push(group);
+        } else {
+            rest.extend(group);
+        }
+    }
+    if !rest.is_empty() {
+        whole.push(rest);
+    }
+    whole
+}
+
+fn fill(group: &[&Seat], model: &Model, offset: u32, plan: &mut BTreeMap<EndpointName, Span>) {
+    let sizes = group.iter().map(|seat| seat.layers(model, FILL));
+    let mut left = sizes.sum::<u32>();
+    let mut at = 0;
+    for seat in group {
+        let size = seat.layers(model, FILL);
+        if at == 0 && left < model.layers && !plan.is_empty() {
+            at = offset.min(model.layers - size.min(model.layers));
+        }
+        left -= size;
+        if size == 0 {
+            continue;
+        }
+        let to = (at + size).min(model.layers);
+        let from = to - size;
+        plan.insert(seat.endpoint.clone(), Span { from, to });
+        at = if to >= model.layers { 0 } else { to };
+    }
+}
--- /dev/null
+++ b/src/core/roster/mod.rs
@@ -0,0 +1,247 @@
+//! The endpoints that this VM knows, from entries that lag, lapse and come back.
+//!
+//! An entry says where an endpoint is and what it holds; what requests meet there says whether it
+//! works. Both are kept here, by the endpoint's name and start, so that a new start under an old
+//! name or address inherits nothing (docs/PLATFORM.md).
+
+mod entry;
+mod health;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+pub use self::entry::Change;
+pub use self::entry::Entry;
+pub use self::health::Health;
+use crate::clock::Millis;
+use crate::core::pipe::Span;
+use crate::core::pipe::Stage;
+use crate::core::site::Model;
+use crate::names::EndpointName;
+use crate::names::ServiceName;
+
+/// How long an endpoint whose entry lapsed in an outage of the store is still used: entries of
+/// endpoints that live are back within two seconds of the store's return.
+pub const LAPSE_SPAN: Millis = Millis(2000);
+/// How long the removal of an entry is remembered for VMs that have not heard of it.
+const TOMB_SPAN: Millis = Millis::seconds(60);
+
+/// What this VM does at an endpoint now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Its requests in progress.
+    pub running: u32,
+    /// Their tokens times layers.
+    pub cells: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    change: Change,
+    at: Millis,
+    lapsed: Option<Millis>,
+    held: Option<Entry>,
+    health: Health,
+    work: Work,
+}
+
+/// The endpoints by name.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    known: BTreeMap<EndpointName, Known>,
+    end: u64,
+    regained: Option<Millis>,
+}
+
+impl Roster {
+    /// Returns the offset up to which changes were applied.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Says that everything before `end` was applied.
+    pub fn advance(&mut self, end: u64) {
+        self.end = self.end.max(end);
+    }
+
+    /// Says that the store answers again after an outage; entries may lapse and come back now.
+    pub fn regain(&mut self, now: Millis) {
+        self.regained = Some(now);
+    }
+
+    /// Takes a change in; older ones than the one known are dropped. Returns whether it was news.
+    pub fn apply(&mut self, now: Millis, change: Change) -> bool {
+        let old = self.known.remove(&change.endpoint);
+        if let Some(old) = old.as_ref()
+            && old.change.offset >= change.offset
+        {
+            self.known.insert(change.endpoint.clone(), old.clone());
+            return false;
+        }
+        let same = |old: &&Known| {
+            let born = old.held.as_ref().map(|entry| (entry.born, entry.addr));
+            change
+                .entry
+                .as_ref()
+                .is_none_or(|entry| Some((entry.born, entry.addr)) == born)
+        };
+        let kept = old.as_ref().filter(same);
+        let lapsed = self
+            .regained
+            .filter(|at| change.entry.is_none() && now.since(*at) < LAPSE_SPAN)
+            .map(|at| at + LAPSE_SPAN);
+        let held = change
+            .entry
+            .clone()
+            .or_else(|| kept.and_then(|old| old.held.clone()));
+        let known = Known {
+            at: now,
+            lapsed,
+            held,
+            health: kept.map(|old| old.health.clone()).unwrap_or_default(),
+            work: kept.map(|old| old.work).unwrap_or_default(),
+            change,
+        };
+        self.known.insert(known.change.endpoint.clone(), known);
+        true
+    }
+
+    /// Returns the removal of every endpoint that is known but not in a whole list that was read
+    /// up to `end`.
+    pub fn missing(&self, listed: &[EndpointName], end: u64) -> Vec<Change> {
+        let held = self
+            .known
+            .values()
+            .filter(|known| known.change.entry.is_some());
+        held.filter(|known| known.change.offset < end && !listed.contains(&known.change.endpoint))
+            .map(|known| Change {
+                endpoint: known.change.endpoint.clone(),
+                offset: known.change.offset + 1,
+                entry: None,
+            })
+            .collect()
+    }
+
+    /// Returns a word for the state of an endpoint, and its layers, for logs.
+    pub fn state(&self, endpoint: &EndpointName) -> Option<(&'static str, Option<Span>)> {
+        let known = self.known.get(endpoint)?;
+        Some(match &known.change.entry {
+            None => ("gone", None),
+            Some(entry) if entry.leaving => ("leaving", entry.span),
+            Some(entry) => ("ready", entry.span),
+        })
+    }
+
+    /// Forgets what was removed long ago.
+    pub fn sweep(&mut self, now: Millis) {
+        self.known
+            .retain(|_, known| known.change.entry.is_some() || now.since(known.at) < TOMB_SPAN);
+    }
+
+    /// Returns the changes from an offset on, for a VM that the store does not answer.
+    pub fn changes(&self, from: u64) -> Vec<Change> {
+        let fresh = self
+            .known
+            .values()
+            .filter(|known| known.change.offset >= from);
+        fresh.map(|known| known.change.clone()).collect()
+    }
+
+    /// Returns the entry of an endpoint that may get new work now.
+    fn usable<'a>(&self, known: &'a Known, now: Millis) -> Option<&'a Entry> {
+        let entry = match &known.change.entry {
+            Some(entry) => entry,
+            None if known.lapsed.is_some_and(|until| now < until) => known.held.as_ref()?,
+            None => return None,
+        };
+        (!entry.leaving).then_some(entry)
+    }
+
+    /// Returns the endpoints of a service that may get new work, with their health.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Millis,
+    ) -> impl Iterator<Item = (&'a Entry, &'a Health, Work)> + 'a {
+        self.known.values().filter_map(move |known| {
+            let entry = self.usable(known, now)?;
+            (entry.service == *service).then_some((entry, &known.health, known.work))
+        })
+    }
+
+    /// Returns the engines of a service as the stages of paths; `vms` is the number of VMs that
+    /// are assumed to load them alike.
+    pub fn stages(
+        &self,
+        service: &ServiceName,
+        model: &Model,
+        now: Millis,
+        vms: f64,
+    ) -> Vec<Stage> {
+        let mut stages = Vec::new();
+        for (entry, health, work) in self.serving(service, now) {
+            let (Some(span), Some(kind)) = (entry.span, entry.kind.as_ref()) else {
+                continue;
+            };
+            let Some(card) = model.cards.get(kind) else {
+                continue;
+            };
+            if span.is_empty() || health.avoids(now) {
+                continue;
+            }
+            let free = card.memory - f64::from(span.len()) * model.weight;
+            let cell = model.token / f64::from(model.layers.max(1)) / 1e6;
+            let cells = (free / cell).max(1.0);
+            let running = f64::from(work.running) * vms;
+            stages.push(Stage {
+                endpoint: entry.endpoint.clone(),
+                addr: entry.addr,
+                domain: entry.domain.clone(),
+                span,
+                card: *card,
+                running,
+                room: work.cells * vms / cells,
+                penalty: health.penalty(now),
+                first: running < f64::from(model.slots),
+            });
+        }
+        stages
+    }
+
+    /// Returns the health of an endpoint that is known.
+    pub fn health(&mut self, endpoint: &EndpointName) -> Option<&mut Health> {
+        self.known.get_mut(endpoint).map(|known| &mut known.health)
+    }
+
+    /// Counts a request at an endpoint; `cells` are its tokens times layers.
+    pub fn begin(&mut self, endpoint: &EndpointName, cells: f64) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.work.running += 1;
+            known.work.cells += cells;
+        }
+    }
+
+    /// Counts the end of a request that [`Self::begin`] counted.
+    pub fn end_work(&mut self, endpoint: &EndpointName, cells: f64) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.work.running = known.work.running.saturating_sub(1);
+            known.work.cells = (known.work.cells - cells).max(0.0);
+        }
+    }
+
+    /// Returns the entry of an endpoint, whether or not it may get new work.
+    pub fn entry(&self, endpoint: &EndpointName) -> Option<&Entry> {
+        self.known.get(endpoint)?.held.as_ref()
+    }
+
+    /// Returns the endpoint at an address that was heard of last.
+    pub fn at(&self, addr: SocketAddr) -> Option<&Entry> {
+        let held = self
+            .known
+            .values()
+            .filter(|known| known.change.entry.is_some());
+        held.filter_map(|known| known.held.as_ref())
+            .filter(|entry| entry.addr == addr)
+            .max_by_key(|entry| entry.born)
+    }
+}
--- /dev/null
+++ b/src/core/site/mod.rs
@@ -0,0 +1,72 @@
+//! The configuration of an entry VM as the operator wrote it to the store: routes, services, teams.
+//!
+//! A [`Site`] is always whole and replaces the one before it, so a VM holds exactly one version and
+//! [`Accepted`] never goes back (docs/PLATFORM.md).
+
+mod accepted;
+mod model;
+mod route;
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use self::accepted::Accepted;
+pub use self::accepted::Offer;
+pub use self::model::Card;
+pub use self::model::Model;
+pub use self::route::Match;
+pub use self::route::Refusal;
+pub use self::route::Route;
+pub use self::route::RouteKind;
+pub use self::route::Share;
+use crate::clock::Millis;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+/// One version of the configuration, whole.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Site {
+    /// The operator's version; versions rise in uneven steps.
+    pub version: u64,
+    /// The routes, in the order in which they were written.
+    pub routes: Vec<Route>,
+    /// The services by name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// The holder of each key; `None` if requests need no key.
+    pub keys: Option<BTreeMap<String, Holder>>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
+/// A service that routes lead to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// The most connections that one endpoint of it accepts from all callers.
+    pub connections: u32,
+    /// The model, if its endpoints are engines that hold ranges of layers.
+    pub model: Option<Model>,
+}
+
+/// The team that holds a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The team.
+    pub team: Team,
+    /// Its rank, 0 first, which goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// The largest head, in bytes.
+    pub head: usize,
+    /// The largest body, in bytes.
+    pub body: usize,
+    /// How long a head may take to arrive.
+    pub arrival: Millis,
+    /// How long an idle connection is kept.
+    pub idle: Millis,
+}
--- /dev/null
+++ b/src/edge/feed.rs
@@ -0,0 +1,260 @@
+//! Following the store: the configuration and the endpoints, and from peers while it is away.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use http::Uri;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::dialect::Keyed;
+use super::dialect::Tail;
+use super::state::Edge;
+use super::store::StoreError;
+use crate::clock::Millis;
+use crate::core::roster::Change;
+use crate::core::site::Offer;
+use crate::core::site::Site;
+use crate::io::http::Request;
+use crate::names::EndpointName;
+
+/// The longest that a read of the configuration waits for news. A change answers at once.
+const CONFIG_WAIT: Millis = Millis(1500);
+/// The longest that a read of the endpoints waits for news.
+const ROSTER_WAIT: Millis = Millis(1500);
+/// The least time between two reads of the endpoints, whose entries change often.
+const ROSTER_SPAN: Millis = Millis(250);
+/// How long to wait before a call that failed is made again.
+const RETRY_SPAN: Millis = Millis(300);
+/// Without an answer of the store for this long it counts as lost.
+pub const LOST_SPAN: Millis = Millis(2700);
+/// The interval at which peers are looked at for news.
+const PEER_SPAN: Millis = Millis(250);
+/// How long a peer may take to tell its news.
+const PEER_CALL: Millis = Millis(500);
+
+/// What a VM tells another that knows less.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    /// The configuration, if the asker's is older.
+    pub site: Option<Site>,
+    /// The endpoints that changed.
+    pub changes: Vec<Change>,
+    /// Up to which offset all changes are told.
+    pub end: u64,
+}
+
+/// Follows the configuration.
+pub async fn config(edge: Edge) {
+    let topic = edge.dialect().topics.operator;
+    follow(edge, topic, CONFIG_WAIT, Millis(0), take_config).await;
+}
+
+/// Follows the endpoints.
+pub async fn roster(edge: Edge) {
+    let topic = edge.dialect().topics.endpoints;
+    follow(edge, topic, ROSTER_WAIT, ROSTER_SPAN, take_entries).await;
+}
+
+async fn follow<F>(edge: Edge, topic: &'static str, wait: Millis, pause: Millis, take: F)
+where
+    F: Fn(&Edge, Vec<Keyed>, u64, bool),
+{
+    let mut from: Option<u64> = None;
+    let mut lost = false;
+    loop {
+        let read = match from {
+            None => edge.store().newest(topic).await.map(|(records, end)| {
+                take(&edge, records, end, true);
+                Some(end)
+            }),
+            Some(offset) => edge
+                .store()
+                .tail(topic, offset, wait)
+                .await
+                .map(|tail| match tail {
+                    Tail::Records(records, next) => {
+                        if !records.is_empty() {
+                            take(&edge, records, next, false);
+                        }
+                        Some(next)
+                    }
+                    Tail::Dropped => None,
+                }),
+        };
+        match read {
+            Ok(next) => {
+                if lost {
+                    log::info!(dependency = "store", topic, offset = next.unwrap_or(0); "regained");
+                    edge.roster(|roster| roster.regain(edge.now()));
+                }
+                lost = false;
+                from = next;
+                edge.touch();
+                edge.metrics().store("answered");
+                if pause > Millis(0) {
+                    monoio::time::sleep(pause.duration()).await;
+                }
+            }
+            Err(error) => {
+                if !lost {
+                    report(topic, from, &error);
+                }
+                lost = true;
+                edge.metrics().store("failed");
+                monoio::time::sleep(RETRY_SPAN.duration()).await;
+            }
+        }
+    }
+}
+
+fn report(topic: &str, from: Option<u64>, error: &StoreError) {
+    log::warn!(dependency = "store", topic, offset = from.unwrap_or(0), error:% = error; "lost");
+}
+
+fn take_config(edge: &Edge, records: Vec<Keyed>, _end: u64, _whole: bool) {
+    for record in records {
+        if record.key != edge.dialect().topics.config {
+            continue;
+        }
+        let Some(value) = record.value else {
+            continue;
+        };
+        match (edge.dialect().site)(&value) {
+            Ok(site) => accept(edge, site, "store", record.offset),
+            Err(error) => {
+                log::warn!(offset = record.offset, error:% = error; "config_refused");
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force if it is newer.
+fn accept(edge: &Edge, site: Site, source: &'static str, offset: u64) {
+    let version = site.version;
+    let routes = site.routes.len();
+    if edge.accepted(|accepted| accepted.offer(site)) == Offer::Taken {
+        log::info!(version, offset, routes, source; "config_in_force");
+        edge.fleet(|fleet| fleet.me().version = version);
+    }
+}
+
+fn take_entries(edge: &Edge, records: Vec<Keyed>, end: u64, whole: bool) {
+    let now = edge.now();
+    let listed: Vec<EndpointName> = if whole {
+        records
+            .iter()
+            .map(|record| record.key.as_str().into())
+            .collect()
+    } else {
+        Vec::new()
+    };
+    for record in records {
+        let endpoint = EndpointName::from(record.key.as_str());
+        let entry = record
+            .value
+            .and_then(|value| decode(edge, &endpoint, &value, record.offset));
+        let change = Change {
+            endpoint,
+            offset: record.offset,
+            entry,
+        };
+        apply(edge, now, change);
+    }
+    if whole {
+        let gone = edge.roster(|roster| roster.missing(&listed, end));
+        for change in gone {
+            apply(edge, now, change);
+        }
+    }
+    edge.roster(|roster| {
+        roster.advance(end);
+        roster.sweep(now);
+    });
+    edge.fleet(|fleet| fleet.me().known = end);
+}
+
+fn decode(
+    edge: &Edge,
+    endpoint: &EndpointName,
+    value: &Bytes,
+    offset: u64,
+) -> Option<crate::core::roster::Entry> {
+    match (edge.dialect().entry)(endpoint, value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::warn!(endpoint:% = endpoint, offset, error:% = error; "entry_refused");
+            None
+        }
+    }
+}
+
+fn apply(edge: &Edge, now: Millis, change: Change) {
+    let endpoint = change.endpoint.clone();
+    let offset = change.offset;
+    let state = match &change.entry {
+        None => "gone",
+        Some(entry) if entry.leaving => "leaving",
+        Some(_) => "ready",
+    };
+    let span = change.entry.as_ref().and_then(|entry| entry.span);
+    let before = edge.roster(|roster| roster.state(&endpoint));
+    if edge.roster(|roster| roster.apply(now, change)) && before != Some((state, span)) {
+        let from = span.map_or(0, |span| span.from);
+        let to = span.map_or(0, |span| span.to);
+        log::info!(endpoint:% = endpoint, offset, state, from, to; "endpoint_changed");
+    }
+}
+
+/// Asks peers for news that this VM lacks. A VM that the store turns away learns of changes so.
+pub async fn peers(edge: Edge) {
+    loop {
+        monoio::time::sleep(PEER_SPAN.duration()).await;
+        let now = edge.now();
+        edge.fleet(|fleet| fleet.me().linked = now.since(edge.contact()) < LOST_SPAN);
+        if now.since(edge.contact()) < PEER_SPAN + ROSTER_SPAN {
+            continue;
+        }
+        let Some(peer) = edge.fleet(|fleet| fleet.ahead(now).map(|member| member.peer)) else {
+            continue;
+        };
+        match ask(&edge, peer).await {
+            Some(news) => take_news(&edge, news),
+            None => log::debug!(peer:% = peer; "peer_silent"),
+        }
+    }
+}
+
+async fn ask(edge: &Edge, peer: SocketAddr) -> Option<News> {
+    let version = edge.accepted(|accepted| accepted.version()).unwrap_or(0);
+    let end = edge.roster(|roster| roster.end());
+    let target = format!("/news?version={version}&from={end}");
+    let request = Request::new(Method::GET, Uri::try_from(target).ok()?);
+    let mut conn = edge.pool().get(peer).await.ok()?;
+    let response = conn.call(&request, PEER_CALL).await.ok()?;
+    edge.pool().keep(peer, conn);
+    response.parse().ok()
+}
+
+fn take_news(edge: &Edge, news: News) {
+    let now = edge.now();
+    if let Some(site) = news.site {
+        accept(edge, site, "peer", 0);
+    }
+    for change in news.changes {
+        apply(edge, now, change);
+    }
+    edge.roster(|roster| roster.advance(news.end));
+    edge.fleet(|fleet| fleet.me().known = news.end);
+}
+
+/// Returns the news for a VM that has `version` in force and knows the endpoints up to `from`.
+pub fn news(edge: &Edge, version: u64, from: u64) -> News {
+    let site = edge.site().filter(|site| site.version > version);
+    News {
+        site: site.map(|site| Site::clone(&site)),
+        changes: edge.roster(|roster| roster.changes(from)),
+        end: edge.roster(|roster| roster.end()),
+    }
+}
--- /dev/null
+++ b/src/edge/front.rs
@@ -0,0 +1,204 @@
+//! Callers' connections: one request after the other, each to its route.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+
+use super::ACCEPT_SPAN;
+use super::call;
+use super::forward;
+use super::relay;
+use super::state::Edge;
+use crate::clock::Millis;
+use crate::core::site::Refusal;
+use crate::core::site::Route;
+use crate::core::site::RouteKind;
+use crate::core::site::Site;
+use crate::io::http::Conn;
+use crate::io::http::HttpError;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::listen;
+use crate::names::ServiceName;
+use crate::names::Team;
+
+/// When a caller whose VM knows no configuration yet may come back.
+const UNREADY_BACK: Millis = Millis(500);
+
+/// Whether a connection may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum After {
+    /// It may.
+    Keep,
+    /// It must be closed.
+    Close,
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request as the caller sent it.
+    pub request: Request,
+    /// The id of the caller's attempt.
+    pub id: String,
+    /// The configuration that it is served under.
+    pub site: Rc<Site>,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// The team that sends it.
+    pub team: Option<Team>,
+    /// When it was read.
+    pub start: Millis,
+    /// When the caller or the route stops waiting.
+    pub until: Millis,
+}
+
+impl Job {
+    /// Returns the time that is left.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.until.since(now)
+    }
+}
+
+/// Opens the callers' socket.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn start(edge: &Edge) -> io::Result<()> {
+    let listener = listen::bind(edge.settings().front)?;
+    let edge = edge.clone();
+    monoio::spawn(listen::accept(listener, move |conn, from| {
+        serve(edge.clone(), conn, from)
+    }));
+    Ok(())
+}
+
+async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
+    if edge.stopping().is_some_and(|span| span > ACCEPT_SPAN) {
+        return;
+    }
+    loop {
+        let request = match conn.reader.request().await {
+            Ok(Some(request)) => request,
+            Ok(None) => return,
+            Err(error) => return refuse_bytes(&mut conn, from, &error).await,
+        };
+        let busy = edge.enter();
+        let after = handle(&edge, &mut conn, request).await;
+        drop(busy);
+        if after == After::Close {
+            conn.writer.close().await;
+            return;
+        }
+    }
+}
+
+/// Answers bytes that are no acceptable request.
+async fn refuse_bytes(conn: &mut Conn, from: SocketAddr, error: &HttpError) {
+    log::debug!(from:% = from, error:% = error; "request_dropped");
+    let status = match error {
+        HttpError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        HttpError::Malformed => StatusCode::BAD_REQUEST,
+        HttpError::Closed | HttpError::TimedOut | HttpError::Io(_) => return,
+    };
+    let mut response = Response::new(status);
+    response
+        .headers
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    if let Err(error) = conn.writer.response(&response, false).await {
+        log::debug!(from:% = from, error:% = error; "answer_not_sent");
+    }
+}
+
+async fn handle(edge: &Edge, conn: &mut Conn, request: Request) -> After {
+    let start = edge.now();
+    let bodiless = request.method == Method::HEAD;
+    let names = &edge.dialect().headers;
+    let id = request.header(&names.request).unwrap_or("-").to_owned();
+    let Some(site) = edge.site() else {
+        log::info!(id, status = 503, reason = "no_config"; "refused");
+        return respond(edge, conn, forward::refusal(UNREADY_BACK), bodiless, start).await;
+    };
+    let host = request
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = host.unwrap_or_default();
+    let key = (edge.dialect().key)(&request);
+    let (route, team) = match site.find(host, request.uri.path(), key) {
+        Ok(found) => (
+            found.route.clone(),
+            found.holder.map(|holder| holder.team.clone()),
+        ),
+        Err(refusal) => {
+            let status = match refusal {
+                Refusal::Unknown => StatusCode::NOT_FOUND,
+                Refusal::Key => StatusCode::UNAUTHORIZED,
+            };
+            let path = request.uri.path();
+            log::info!(id, version = site.version, host, path, status = status.as_u16(); "refused");
+            return respond(edge, conn, Response::new(status), bodiless, start).await;
+        }
+    };
+    let Some(service) = route.pick(edge.draw()).cloned() else {
+        log::warn!(id, version = site.version, route = route.name, reason = "no_service"; "refused");
+        return respond(edge, conn, forward::refusal(UNREADY_BACK), bodiless, start).await;
+    };
+    let asked = request
+        .header(&names.deadline)
+        .and_then(|text| text.parse().ok())
+        .map(Millis);
+    let patience = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    let job = Job {
+        id,
+        service,
+        team,
+        start,
+        until: start + patience,
+        site,
+        request,
+        route,
+    };
+    edge.budget(|budget| budget.request(start));
+    match job.route.kind {
+        RouteKind::Stream => relay::stream(edge, conn, &job).await,
+        RouteKind::Once | RouteKind::Idempotent => match call::run(edge, conn, &job).await {
+            Some(response) => respond(edge, conn, response, bodiless, start).await,
+            None => After::Close,
+        },
+    }
+}
+
+/// Sends a whole answer.
+pub async fn respond(
+    edge: &Edge,
+    conn: &mut Conn,
+    mut response: Response,
+    bodiless: bool,
+    start: Millis,
+) -> After {
+    let stopping = edge.stopping().is_some();
+    if stopping {
+        response
+            .headers
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    edge.metrics()
+        .answer(response.status.as_u16(), edge.now().since(start));
+    match conn.writer.response(&response, bodiless).await {
+        Ok(()) if !stopping => After::Keep,
+        Ok(()) => After::Close,
+        Err(error) => {
+            log::debug!(status = response.status.as_u16(), error:% = error; "answer_not_sent");
+            After::Close
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/gossip.rs
@@ -0,0 +1,119 @@
+//! Messages between VMs: who is there and what each knows (docs/PROTOCOLS.md).
+
+use std::io;
+use std::rc::Rc;
+
+use monoio::net::udp::UdpSocket;
+
+use super::state::Edge;
+use crate::core::fleet::BEAT_SPAN;
+use crate::core::fleet::Member;
+use crate::core::fleet::Message;
+
+/// The largest message, in bytes: it fits one packet of an ordinary network with room to spare.
+const MESSAGE_BYTES: usize = 8192;
+/// The interval between two looks at whether this VM's record in the store is still wanted.
+const PUBLISH_SPAN: crate::clock::Millis = crate::clock::Millis::seconds(2);
+
+/// Opens the socket and starts the tasks.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn start(edge: &Edge) -> io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(edge.settings().peer)?);
+    monoio::spawn(listen(edge.clone(), Rc::clone(&socket)));
+    monoio::spawn(beat(edge.clone(), socket));
+    monoio::spawn(publish(edge.clone()));
+    Ok(())
+}
+
+async fn listen(edge: Edge, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MESSAGE_BYTES];
+    loop {
+        let (result, back) = socket.recv_from(buf).await;
+        buf = back;
+        let Ok((size, from)) = result else {
+            buf = vec![0; MESSAGE_BYTES];
+            continue;
+        };
+        match postcard::from_bytes::<Message>(&buf[..size]) {
+            Ok(message) => edge.fleet(|fleet| fleet.receive(edge.now(), message)),
+            Err(error) => log::debug!(from:% = from, error:% = error; "message_dropped"),
+        }
+    }
+}
+
+async fn beat(edge: Edge, socket: Rc<UdpSocket>) {
+    loop {
+        let now = edge.now();
+        let ready = edge.ready();
+        let (message, to) = edge.fleet(|fleet| {
+            fleet.me().ready = ready;
+            fleet.beat(now)
+        });
+        match postcard::to_stdvec(&message) {
+            Ok(bytes) => {
+                for addr in to {
+                    let (result, _) = socket.send_to(bytes.clone(), addr).await;
+                    if let Err(error) = result {
+                        log::debug!(to:% = addr, error:% = error; "message_not_sent");
+                    }
+                }
+            }
+            Err(error) => log::error!(error:% = error; "message_not_encoded"),
+        }
+        monoio::time::sleep(BEAT_SPAN.duration()).await;
+    }
+}
+
+/// Writes where this VM is to the store, once a start, and reads where the others are as long as
+/// none of them is heard.
+async fn publish(edge: Edge) {
+    let mut written = false;
+    loop {
+        if !written {
+            written = write(&edge).await;
+        }
+        let alone = edge.fleet(|fleet| fleet.alive(edge.now()).next().is_none());
+        if alone {
+            read(&edge).await;
+        }
+        monoio::time::sleep(PUBLISH_SPAN.duration()).await;
+    }
+}
+
+async fn write(edge: &Edge) -> bool {
+    let me = edge.fleet(|fleet| fleet.me().clone());
+    let Ok(value) = postcard::to_stdvec(&me) else {
+        return false;
+    };
+    let topic = edge.dialect().topics.vms;
+    match edge.store().append(topic, &me.vm, &value).await {
+        Ok(offset) => {
+            log::info!(offset; "vm_published");
+            true
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "vm_not_published");
+            false
+        }
+    }
+}
+
+async fn read(edge: &Edge) {
+    let topic = edge.dialect().topics.vms;
+    match edge.store().newest(topic).await {
+        Ok((records, _)) => {
+            for record in records {
+                let member = record
+                    .value
+                    .and_then(|value| postcard::from_bytes::<Member>(&value).ok());
+                if let Some(member) = member {
+                    edge.fleet(|fleet| fleet.add_contact(member.peer));
+                }
+            }
+        }
+        Err(error) => log::warn!(error:% = error; "vms_not_read"),
+    }
+}
--- /dev/null
+++ b/src/edge/metrics.rs
@@ -0,0 +1,100 @@
+//! The edge's metrics, on a page that Prometheus reads.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::clock::Millis;
+use crate::io::metrics::BOUNDS;
+
+/// The counters and histograms of an edge daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    attempts: Counter<u64>,
+    store: Counter<u64>,
+    first: Histogram<f64>,
+    whole: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let provider = match exporter.build() {
+            Ok(reader) => SdkMeterProvider::builder().with_reader(reader).build(),
+            Err(error) => {
+                log::error!(error:% = error; "metrics_off");
+                SdkMeterProvider::default()
+            }
+        };
+        let meter = provider.meter("cornelwharf");
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder
+                .with_unit("ms")
+                .with_boundaries(BOUNDS.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            answers: counter("edge_answers", "Answers to callers, by HTTP status."),
+            attempts: counter("edge_attempts", "Attempts at endpoints, by outcome."),
+            store: counter("edge_store_calls", "Calls to the store, by outcome."),
+            first: histogram("edge_first_event", "Time to the first event of a stream."),
+            whole: histogram("edge_answer", "Time to the end of an answer."),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answer and its time.
+    pub fn answer(&self, status: u16, span: Millis) {
+        self.answers
+            .add(1, &[KeyValue::new("status", i64::from(status))]);
+        self.whole.record(span.0 as f64, &[]);
+    }
+
+    /// Counts the time to a stream's first event.
+    pub fn first(&self, span: Millis) {
+        self.first.record(span.0 as f64, &[]);
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store(&self, outcome: &'static str) {
+        self.store.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns the page that Prometheus reads.
+    pub fn page(&self) -> String {
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(page) => page,
+            Err(error) => {
+                log::error!(error:% = error; "metrics_not_encoded");
+                String::new()
+            }
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/edge/registry.rs
@@ -0,0 +1,100 @@
+//! The small questions: readiness, where to connect, metrics, and news for other VMs.
+
+use std::io;
+use std::net::SocketAddr;
+
+use http::StatusCode;
+
+use super::dialect::Question;
+use super::feed;
+use super::state::Edge;
+use crate::clock::Millis;
+use crate::io::http::Conn;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::io::listen;
+
+/// How long callers may keep the addresses, where the platform allows as long.
+const KEEP_SPAN: Millis = Millis::seconds(2);
+
+/// Opens the listening sockets: those of the platform's questions, of metrics and of other VMs.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub fn start(edge: &Edge) -> io::Result<()> {
+    let settings = edge.settings();
+    let mut addrs = vec![
+        settings.ready,
+        settings.registry,
+        settings.metrics,
+        settings.peer,
+    ];
+    addrs.sort_unstable();
+    addrs.dedup();
+    for addr in addrs {
+        let listener = listen::bind(addr)?;
+        let edge = edge.clone();
+        monoio::spawn(listen::accept(listener, move |conn, from| {
+            serve(edge.clone(), conn, from)
+        }));
+    }
+    Ok(())
+}
+
+async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
+    loop {
+        match conn.reader.request().await {
+            Ok(Some(request)) => {
+                let response = answer(&edge, &request);
+                if conn.writer.response(&response, false).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(error) => {
+                log::debug!(from:% = from, error:% = error; "question_dropped");
+                return;
+            }
+        }
+    }
+}
+
+fn answer(edge: &Edge, request: &Request) -> Response {
+    match (edge.dialect().question)(request) {
+        Some(Question::Ready) if edge.ready() => Response::new(StatusCode::OK),
+        Some(Question::Ready) => Response::new(StatusCode::SERVICE_UNAVAILABLE),
+        Some(Question::Addresses(_)) => addresses(edge),
+        None => match request.uri.path() {
+            "/news" => news(edge, request),
+            "/metrics" => Response::text(StatusCode::OK, edge.metrics().page()),
+            _ => Response::new(StatusCode::NOT_FOUND),
+        },
+    }
+}
+
+fn addresses(edge: &Edge) -> Response {
+    let now = edge.now();
+    let list = edge.fleet(|fleet| {
+        fleet.me().ready = edge.ready();
+        fleet.addresses(now)
+    });
+    if list.is_empty() {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let most = Millis::seconds(edge.settings().bounds.keep);
+    (edge.dialect().addresses)(&list, KEEP_SPAN.min(most))
+}
+
+fn news(edge: &Edge, request: &Request) -> Response {
+    let number = |name| {
+        request
+            .query(name)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
+    };
+    Response::json(
+        StatusCode::OK,
+        &feed::news(edge, number("version"), number("from")),
+    )
+}
--- /dev/null
+++ b/src/edge/state.rs
@@ -0,0 +1,217 @@
+//! What the tasks of an edge daemon share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::dialect::Dialect;
+use super::metrics::Metrics;
+use super::settings::Settings;
+use super::store::Store;
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::core::attempt::Budget;
+use crate::core::fleet::Fleet;
+use crate::core::fleet::Member;
+use crate::core::roster::Roster;
+use crate::core::site::Accepted;
+use crate::core::site::Site;
+use crate::io::pool::Pool;
+
+/// The state of an edge daemon; clones share it.
+#[derive(Clone, Debug)]
+pub struct Edge {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    clock: Clock,
+    settings: Settings,
+    dialect: Rc<Dialect>,
+    store: Store,
+    pool: Pool,
+    accepted: RefCell<Accepted>,
+    roster: RefCell<Roster>,
+    fleet: RefCell<Fleet>,
+    budget: RefCell<Budget>,
+    rng: RefCell<ChaCha8Rng>,
+    metrics: Metrics,
+    contact: Cell<Millis>,
+    stop: Cell<Option<Millis>>,
+    open: Cell<u64>,
+}
+
+impl Edge {
+    /// Creates the state; nothing is known yet.
+    pub fn new(settings: Settings, dialect: Dialect, clock: Clock, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let pool = Pool::new(clock);
+        let dialect = Rc::new(dialect);
+        let store = Store::new(settings.store, pool.clone(), Rc::clone(&dialect));
+        let me = Member {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            front: settings.front,
+            peer: settings.peer,
+            boot: clock.now().0,
+            beat: 0,
+            ready: false,
+            version: 0,
+            known: 0,
+            linked: false,
+        };
+        let peers = settings.peers().filter(|addr| *addr != settings.peer);
+        let fleet = Fleet::new(me, peers.collect(), ChaCha8Rng::seed_from_u64(rng.random()));
+        let bounds = settings.bounds;
+        let budget = Budget::new(bounds.ratio, bounds.extra, Millis::seconds(bounds.window));
+        let inner = Inner {
+            clock,
+            dialect,
+            store,
+            pool,
+            accepted: RefCell::default(),
+            roster: RefCell::default(),
+            fleet: RefCell::new(fleet),
+            budget: RefCell::new(budget),
+            rng: RefCell::new(rng),
+            metrics: Metrics::new(),
+            contact: Cell::new(Millis(0)),
+            stop: Cell::new(None),
+            open: Cell::new(0),
+            settings,
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Millis {
+        self.inner.clock.now()
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    /// Returns the platform's way of speaking.
+    pub fn dialect(&self) -> &Dialect {
+        &self.inner.dialect
+    }
+
+    /// Returns the store's client.
+    pub fn store(&self) -> &Store {
+        &self.inner.store
+    }
+
+    /// Returns the kept connections.
+    pub fn pool(&self) -> &Pool {
+        &self.inner.pool
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
+    }
+
+    /// Returns the configuration in force.
+    pub fn site(&self) -> Option<Rc<Site>> {
+        self.inner.accepted.borrow().site()
+    }
+
+    /// Runs `work` on the configuration in force.
+    pub fn accepted<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Accepted) -> T,
+    {
+        work(&mut self.inner.accepted.borrow_mut())
+    }
+
+    /// Runs `work` on the known endpoints.
+    pub fn roster<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Roster) -> T,
+    {
+        work(&mut self.inner.roster.borrow_mut())
+    }
+
+    /// Runs `work` on the known VMs.
+    pub fn fleet<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Fleet) -> T,
+    {
+        work(&mut self.inner.fleet.borrow_mut())
+    }
+
+    /// Runs `work` on the budget of retries.
+    pub fn budget<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        work(&mut self.inner.budget.borrow_mut())
+    }
+
+    /// Draws a number between 0 and 1.
+    pub fn draw(&self) -> f64 {
+        self.inner.rng.borrow_mut().random()
+    }
+
+    /// Notes that the store answered.
+    pub fn touch(&self) {
+        self.inner.contact.set(self.now());
+    }
+
+    /// Returns when the store last answered.
+    pub fn contact(&self) -> Millis {
+        self.inner.contact.get()
+    }
+
+    /// Begins to stop.
+    pub fn stop(&self) {
+        if self.inner.stop.get().is_none() {
+            self.inner.stop.set(Some(self.now()));
+            self.fleet(|fleet| fleet.me().ready = false);
+        }
+    }
+
+    /// Returns for how long the daemon has been stopping.
+    pub fn stopping(&self) -> Option<Millis> {
+        self.inner.stop.get().map(|at| self.now().since(at))
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn open(&self) -> u64 {
+        self.inner.open.get()
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub fn enter(&self) -> Busy {
+        self.inner.open.set(self.open() + 1);
+        Busy { edge: self.clone() }
+    }
+
+    /// Says whether the VM serves callers: it has a configuration, knows endpoints, and does not
+    /// stop.
+    pub fn ready(&self) -> bool {
+        self.site().is_some() && self.stopping().is_none() && self.contact() > Millis(0)
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub struct Busy {
+    edge: Edge,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let open = &self.edge.inner.open;
+        open.set(open.get().saturating_sub(1));
+    }
+}
--- a/src/io/http/conn.rs
+++ b/src/io/http/conn.rs
@@ -49,7 +49,9 @@
         let Ok(stream) = timeout(DIAL_SPAN.duration(), TcpStream::connect_addr(addr)).await else {
             return Err(HttpError::TimedOut);
         };
-        Self::accept(stream?)
+        let mut conn = Self::accept(stream?)?;
+        conn.writer.name(addr);
+        Ok(conn)
     }
 
     /// Sends a request and waits for the whole response, for no longer than `span`.
--- a/src/io/http/writer.rs
+++ b/src/io/http/writer.rs
@@ -1,9 +1,11 @@
 //! The writing half of a connection.
 
 use std::io::Write;
+use std::net::SocketAddr;
 
 use http::HeaderMap;
 use http::StatusCode;
+use http::header::HOST;
 use monoio::io::AsyncWriteRent;
 use monoio::io::AsyncWriteRentExt;
 use monoio::io::OwnedWriteHalf;
@@ -23,6 +25,7 @@
 pub struct Writer {
     io: OwnedWriteHalf<TcpStream>,
     buf: Vec<u8>,
+    authority: Option<SocketAddr>,
 }
 
 impl Writer {
@@ -30,9 +33,15 @@
         Self {
             io,
             buf: Vec::new(),
+            authority: None,
         }
     }
 
+    /// Names the server in requests that do not name one.
+    pub(super) fn name(&mut self, authority: SocketAddr) {
+        self.authority = Some(authority);
+    }
+
     /// Writes a whole request.
     ///
     /// # Errors
@@ -44,6 +53,11 @@
             .path_and_query()
             .map_or("/", |target| target.as_str());
         self.text(format_args!("{} {target} HTTP/1.1\r\n", request.method));
+        if let Some(authority) = self.authority
+            && !request.headers.contains_key(HOST)
+        {
+            self.text(format_args!("host: {authority}\r\n"));
+        }
         self.headers(&request.headers);
         if !request.body.is_empty() || !request.method.is_safe() {
             self.text(format_args!("content-length: {}\r\n", request.body.len()));
--- a/src/io/metrics.rs
+++ b/src/io/metrics.rs
@@ -11,7 +11,7 @@
 use crate::clock::Millis;
 
 /// The bounds of the histograms, in milliseconds.
-const BOUNDS: [f64; 12] = [
+pub const BOUNDS: [f64; 12] = [
     1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 125.0, 250.0, 500.0, 1000.0, 2000.0,
 ];
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod consts;
 pub mod core;
+pub mod edge;
 pub mod error;
 pub mod io;
 pub mod names;
