--- a/src/core/attempt/mod.rs
+++ b/src/core/attempt/mod.rs
@@ -1,8 +1,11 @@
 //! What follows from the answer of an endpoint: pass it on, try another, or tell the caller.
 
 mod budget;
+mod events;
 
 pub use self::budget::Budget;
+pub use self::events::EVENT_BYTES;
+pub use self::events::Events;
 
 /// How an attempt at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -23,6 +23,8 @@
 pub const BEAT_SPAN: Millis = Millis(300);
 /// The VMs that each message goes to.
 const FANOUT: usize = 3;
+/// The messages after which one goes to a contact too, so that parts of the fleet find together.
+const CONTACT_BEATS: u64 = 8;
 /// The most VMs that one message speaks of, besides its sender.
 const RUMOURS: usize = 16;
 /// The most addresses that a caller is told.
@@ -111,10 +113,9 @@
             .alive(now)
             .map(|member| member.peer)
             .sample(&mut self.rng.clone(), FANOUT);
-        if to.len() < FANOUT && !self.contacts.is_empty() {
-            let one = self.rng.random_range(0..self.contacts.len());
-            to.push(self.contacts[one]);
-        } else if self.me.beat.is_multiple_of(8) && !self.contacts.is_empty() {
+        let alone = to.len() < FANOUT;
+        let due = self.me.beat.is_multiple_of(CONTACT_BEATS);
+        if (alone || due) && !self.contacts.is_empty() {
             let one = self.rng.random_range(0..self.contacts.len());
             to.push(self.contacts[one]);
         }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -148,7 +148,7 @@
     }
 
     /// Returns the entry of an endpoint that may get new work now.
-    fn usable<'a>(&self, known: &'a Known, now: Millis) -> Option<&'a Entry> {
+    fn usable(known: &Known, now: Millis) -> Option<&Entry> {
         let entry = match &known.change.entry {
             Some(entry) => entry,
             None if known.lapsed.is_some_and(|until| now < until) => known.held.as_ref()?,
@@ -164,7 +164,7 @@
         now: Millis,
     ) -> impl Iterator<Item = (&'a Entry, &'a Health, Work)> + 'a {
         self.known.values().filter_map(move |known| {
-            let entry = self.usable(known, now)?;
+            let entry = Self::usable(known, now)?;
             (entry.service == *service).then_some((entry, &known.health, known.work))
         })
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod front;
 mod gossip;
+mod mend;
 mod metrics;
 mod orders;
 mod registry;
