Place layers once entries have stopped coming; charge crossings for the pipe's queue

Cause: the first look placed the 12 engines heard of by then and the rest one by one, so that paths crossed domains; and a crossing cost 32 ms of transfer against seconds of engine time, so paths crossed for a faster card. Prompts (18 MB at a crossing) filled the pipes and each token waited behind them. Engines that stand still now wait for a probe; a hole in a domain's copy is closed by a neighbour.

--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -8,7 +8,6 @@
 pub use self::path::Part;
 pub use self::path::Stage;
 pub use self::path::choose;
-pub use self::path::covers;
 pub use self::place::Seat;
 pub use self::place::place;
 pub use self::place::repair;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -11,8 +11,9 @@
 use crate::names::Domain;
 use crate::names::EndpointName;
 
-/// The share of a link's time that crossings between domains are assumed to wait for others.
-const PIPE_WAIT: f64 = 1.5;
+/// How long each token is assumed to wait, in milliseconds, for other transfers on the link between
+/// two domains: transfers go one after the other, and that of a prompt takes tens of milliseconds.
+const PIPE_WAIT: f64 = 6.0;
 /// The fixed cost of one more engine in a path, in milliseconds a token: a pass to wait for.
 const HOP_COST: f64 = 0.4;
 /// The room of an engine, as a share, above which its cost is multiplied.
@@ -152,23 +153,6 @@
     None
 }
 
-/// Says whether the stages together hold every layer of a model.
-pub fn covers(stages: &[Stage], layers: u32) -> bool {
-    let mut at = 0;
-    while at < layers {
-        let Some(to) = stages
-            .iter()
-            .filter(|stage| stage.span.holds(at))
-            .map(|stage| stage.span.to)
-            .max()
-        else {
-            return false;
-        };
-        at = to;
-    }
-    true
-}
-
 /// Returns the estimated time, in milliseconds, that a request spends in an engine's part.
 fn time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
     let share = f64::from(layers) / f64::from(model.layers.max(1));
@@ -192,7 +176,7 @@
     }
     let tokens = demand.prompt + demand.answer;
     let transfer = model.activation / (model.pipe * BYTES_PER_MS);
-    tokens * transfer * PIPE_WAIT + model.delay * demand.answer
+    tokens * transfer + (model.delay + PIPE_WAIT) * demand.answer
 }
 
 fn parts(
--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -55,8 +55,8 @@
 }
 
 /// Plans the next order that makes up for engines that came or went: an empty engine gets the
-/// layers that are held least often, and a layer that nobody holds goes to the engine of the most
-/// room beside it.
+/// layers that are held least often, and a layer that nobody holds any more, anywhere or in a
+/// domain that can hold a whole copy, goes to the engine of the most room beside it.
 pub fn repair(seats: &[Seat], model: &Model) -> Option<(EndpointName, Span)> {
     let held = counts(seats, model.layers);
     if let Some(seat) = seats.iter().find(|seat| seat.span.is_none()) {
@@ -65,10 +65,7 @@
         let near = counts(domain, model.layers);
         let from = (0..=model.layers.saturating_sub(size)).min_by_key(|from| {
             let range = *from as usize..(from + size) as usize;
-            let far = held[range.clone()]
-                .iter()
-                .map(|count| weight(*count))
-                .sum::<u32>();
+            let far = held[range.clone()].iter().map(|count| weight(*count)).sum::<u32>();
             let own = near[range].iter().map(|count| weight(*count)).sum::<u32>();
             far + own
         })?;
@@ -78,7 +75,12 @@
         };
         return Some((seat.endpoint.clone(), span));
     }
-    widen(seats, model, &held)
+    let whole = groups(seats, model);
+    let near = whole.iter().find_map(|group| {
+        let layers = group.iter().map(|seat| seat.layers(model, FILL)).sum::<u32>();
+        (layers >= model.layers).then(|| widen(group, model)).flatten()
+    });
+    near.or_else(|| widen(&seats.iter().collect::<Vec<_>>(), model))
 }
 
 /// Weighs a layer that is held `count` times: the first copies matter most.
@@ -91,8 +93,9 @@
     }
 }
 
-/// Extends an engine over a neighbouring layer that nobody holds.
-fn widen(seats: &[Seat], model: &Model, held: &[u32]) -> Option<(EndpointName, Span)> {
+/// Extends an engine over a neighbouring layer that none of the group holds.
+fn widen(seats: &[&Seat], model: &Model) -> Option<(EndpointName, Span)> {
+    let held = counts(seats.iter().copied(), model.layers);
     let hole = held.iter().position(|count| *count == 0)? as u32;
     let end = held[hole as usize..]
         .iter()
--- a/src/core/roster/health.rs
+++ b/src/core/roster/health.rs
@@ -2,26 +2,28 @@
 
 use crate::clock::Millis;
 
-/// How long an endpoint is left alone after its first failure.
-const AVOID_SPAN: Millis = Millis(600);
-/// The longest that an endpoint is left alone between two tries.
-const AVOID_MOST: Millis = Millis(2400);
-/// The failures in a row after which an endpoint is left alone for a while.
-const AVOID_AFTER: u32 = 1;
-/// The factor on the cost of an endpoint whose last request failed some seconds ago.
-const DOUBT_COST: f64 = 3.0;
-
-/// Failures in a row, and until when the endpoint is left alone for them.
+/// How long an endpoint is left alone after a failure, unless a probe succeeds.
+const AVOID_SPAN: Millis = Millis(500);
+/// The longest that an endpoint that goes on failing is left alone.
+const AVOID_MOST: Millis = Millis(4000);
+/// The factor on the cost of an endpoint for each failure that was not followed by a success.
+const DOUBT_COST: f64 = 2.0;
+/// The most failures that count.
+const DOUBT_MOST: u32 = 4;
+
+/// What requests and probes met at an endpoint.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Health {
     fails: u32,
+    down: bool,
     until: Millis,
 }
 
 impl Health {
     /// Takes in a request that the endpoint served.
     pub fn succeed(&mut self) {
-        self.fails = 0;
+        self.fails = self.fails.saturating_sub(1);
+        self.down = false;
         self.until = Millis(0);
     }
 
@@ -30,20 +32,34 @@
         if now < self.until {
             return;
         }
-        self.fails += 1;
-        if self.fails >= AVOID_AFTER {
-            let doubled = AVOID_SPAN.0 << (self.fails - AVOID_AFTER).min(4);
-            self.until = now + Millis(doubled.min(AVOID_MOST.0));
-        }
+        let doubled = AVOID_SPAN.0 << self.fails;
+        self.fails = (self.fails + 1).min(DOUBT_MOST);
+        self.until = now + Millis(doubled.min(AVOID_MOST.0));
+    }
+
+    /// Takes in that the endpoint stands still: it gets no work until a probe is answered.
+    pub fn stand_still(&mut self, now: Millis) {
+        self.fail(now);
+        self.down = true;
+    }
+
+    /// Takes in a probe that was answered.
+    pub fn answer_probe(&mut self) {
+        self.down = false;
+    }
+
+    /// Says whether the endpoint waits for a probe.
+    pub const fn is_down(&self) -> bool {
+        self.down
     }
 
     /// Says whether the endpoint gets no work now.
     pub fn avoids(&self, now: Millis) -> bool {
-        now < self.until
+        self.down || now < self.until
     }
 
-    /// Returns the factor on the endpoint's cost: over one while its last request failed.
-    pub fn penalty(&self, _now: Millis) -> f64 {
-        if self.fails > 0 { DOUBT_COST } else { 1.0 }
+    /// Returns the factor on the endpoint's cost: over one while requests have failed there.
+    pub fn penalty(&self) -> f64 {
+        DOUBT_COST.powi(self.fails as i32)
     }
 }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -50,6 +50,7 @@
 pub struct Roster {
     known: BTreeMap<EndpointName, Known>,
     end: u64,
+    newest: Millis,
     regained: Option<Millis>,
 }
 
@@ -59,6 +60,20 @@
         self.end
     }
 
+    /// Returns when an endpoint was last heard of for the first time.
+    pub fn newest(&self) -> Millis {
+        self.newest
+    }
+
+    /// Returns the endpoints that failed and are left alone until a probe says that they answer.
+    pub fn doubtful(&self) -> Vec<(EndpointName, SocketAddr)> {
+        let held = self.known.values().filter(|known| known.health.is_down());
+        held.filter_map(|known| known.change.entry.as_ref())
+            .filter(|entry| !entry.leaving)
+            .map(|entry| (entry.endpoint.clone(), entry.addr))
+            .collect()
+    }
+
     /// Says that everything before `end` was applied.
     pub fn advance(&mut self, end: u64) {
         self.end = self.end.max(end);
@@ -86,6 +101,9 @@
                 .is_none_or(|entry| Some((entry.born, entry.addr)) == born)
         };
         let kept = old.as_ref().filter(same);
+        if kept.is_none() && change.entry.is_some() {
+            self.newest = now;
+        }
         let lapsed = self
             .regained
             .filter(|at| change.entry.is_none() && now.since(*at) < LAPSE_SPAN)
@@ -201,7 +219,7 @@
                 card: *card,
                 running,
                 room: work.cells * vms / cells,
-                penalty: health.penalty(now),
+                penalty: health.penalty(),
                 first: running < f64::from(model.slots),
             });
         }
--- a/src/edge/mend.rs
+++ b/src/edge/mend.rs
@@ -6,16 +6,21 @@
 use super::engine;
 use super::front::Job;
 use super::state::Edge;
+use crate::clock::Millis;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::choose;
+use crate::core::roster::Health;
 use crate::core::site::Model;
 use crate::names::EndpointName;
 
 /// The largest random part of an engine's cost, so that VMs with the same view choose differently.
 const SPREAD: f64 = 0.15;
 
+/// The interval between two probes of an engine that stands still.
+const PROBE_SPAN: Millis = Millis(600);
+
 /// A request on its way through engines, and the ones that failed it.
 #[derive(Debug)]
 pub struct Trip<'a> {
@@ -85,6 +90,18 @@
 
     /// Notes that an engine failed the request.
     pub fn fail(&mut self, addr: SocketAddr) {
+        self.note(addr, Health::fail);
+    }
+
+    /// Notes that an engine stands still.
+    fn stand_still(&mut self, addr: SocketAddr) {
+        self.note(addr, Health::stand_still);
+    }
+
+    fn note<F>(&mut self, addr: SocketAddr, take: F)
+    where
+        F: FnOnce(&mut Health, Millis),
+    {
         let now = self.edge.now();
         if !self.bad.contains(&addr) {
             self.bad.push(addr);
@@ -92,7 +109,7 @@
         self.edge.roster(|roster| {
             let endpoint = roster.at(addr).map(|entry| entry.endpoint.clone());
             if let Some(health) = endpoint.and_then(|endpoint| roster.health(&endpoint)) {
-                health.fail(now);
+                take(health, now);
             }
         });
     }
@@ -110,7 +127,7 @@
             Ok(report) => report,
             Err(error) => {
                 log::info!(id, endpoint:% = first.endpoint, error:% = error; "path_given_up");
-                self.fail(first.addr);
+                self.stand_still(first.addr);
                 return false;
             }
         };
@@ -120,7 +137,7 @@
             return true;
         }
         for addr in &stalled {
-            self.fail(*addr);
+            self.stand_still(*addr);
         }
         let Some(other) = self.detour(&first) else {
             log::info!(id, stalled:? = stalled, reason = "no_path"; "path_given_up");
@@ -157,6 +174,24 @@
     }
 }
 
+/// Probes the engines that stand still, for ever, so that they get work again once they answer.
+pub async fn probe(edge: Edge) {
+    loop {
+        monoio::time::sleep(PROBE_SPAN.duration()).await;
+        for (endpoint, addr) in edge.roster(|roster| roster.doubtful()) {
+            let answered = engine::report(&edge, addr).await.is_ok();
+            edge.roster(|roster| {
+                if let Some(health) = roster.health(&endpoint).filter(|_| answered) {
+                    health.answer_probe();
+                }
+            });
+            if answered {
+                log::info!(endpoint:% = endpoint; "endpoint_answers");
+            }
+        }
+    }
+}
+
 /// Notes that the engines of a path served a request.
 pub fn succeed(edge: &Edge, path: &[Part]) {
     edge.roster(|roster| {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -49,6 +49,7 @@
     monoio::spawn(feed::roster(edge.clone()));
     monoio::spawn(feed::peers(edge.clone()));
     monoio::spawn(orders::run(edge.clone()));
+    monoio::spawn(mend::probe(edge.clone()));
     log::info!(vm:% = settings.vm, domain:% = settings.domain, front:% = settings.front; "started");
     Ok(())
 }
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -27,6 +27,8 @@
 const LOOK_SPAN: Millis = Millis(250);
 /// How long a VM waits after its start before it leads: by then it has heard of the others.
 const SETTLE_SPAN: Millis = Millis(1500);
+/// How long no endpoint must have been heard of for the first time: entries come one by one.
+const QUIET_SPAN: Millis = Millis(1000);
 /// How long an order counts as carried out although no entry shows it yet.
 const PENDING_SPAN: Millis = Millis(6000);
 
@@ -79,7 +81,10 @@
         .values()
         .filter_map(|entry| seat(entry, model, holder))
         .collect();
-    let plan: Vec<(EndpointName, Span)> = if seats.iter().all(|seat| seat.span.is_none()) {
+    let quiet = now.since(edge.roster(|roster| roster.newest())) >= QUIET_SPAN;
+    let plan: Vec<(EndpointName, Span)> = if !quiet {
+        Vec::new()
+    } else if seats.iter().all(|seat| seat.span.is_none()) {
         place(&seats, model).into_iter().collect()
     } else {
         repair(&seats, model).into_iter().collect()
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -43,7 +43,7 @@
 /// The paths that one request is offered in vain.
 const OFFERS: u32 = 4;
 /// Without an event for this long, the first engine is asked what holds it up.
-const QUIET_SPAN: Millis = Millis(600);
+const QUIET_SPAN: Millis = Millis(350);
 
 type Next<T> = Pin<Box<dyn Future<Output = T>>>;
 type Piece = (Reader, Result<Option<Bytes>, HttpError>);
@@ -75,6 +75,22 @@
     offers: u32,
     ran: bool,
     first: Option<Millis>,
+    last: Millis,
+    pause: Millis,
+}
+
+impl Progress {
+    /// Takes the time of an event that is passed on.
+    fn time(&mut self, edge: &Edge, job: &Job) {
+        let now = edge.now();
+        if self.first.is_none() {
+            self.first = Some(now);
+            edge.metrics().first(now.since(job.start));
+        } else {
+            self.pause = self.pause.max(now.since(self.last));
+        }
+        self.last = now;
+    }
 }
 
 /// Serves a stream.
@@ -124,6 +140,7 @@
         events = progress.events.count(),
         last = progress.events.last().unwrap_or(0),
         first_ms = progress.first.map_or(0, |at| at.since(job.start).0),
+        pause_ms = progress.pause.0,
         ms = edge.now().since(job.start).0,
         outcome:? = ended;
         "stream"
@@ -337,11 +354,10 @@
                     log::warn!(id = job.id, endpoint:% = path[0].endpoint; "event_too_long");
                     return Err(Ended::Broke);
                 }
-                if progress.first.is_none() && progress.events.count() > 0 {
-                    progress.first = Some(edge.now());
-                    edge.metrics().first(edge.now().since(job.start));
-                }
                 let whole = progress.events.take();
+                if !whole.is_empty() {
+                    progress.time(edge, job);
+                }
                 if !whole.is_empty() && writer.chunk(&whole).await.is_err() {
                     return Err(Ended::Left);
                 }
