Test placement, paths, roster, fleet, verdicts and messages; scale gossip; move spare engines to holes

Causes found by the tests: at 144 VMs a VM knew 56 others and four VMs led, since a message described 16 VMs in full and each was forgotten after 1.5 s; a hole in a domain's copy was closed by one to three layers only, since widening has little room. Now messages carry 48 signs of life, the list in the store is read once a start, the span grows by 20 ms a VM, the leader is always named; an engine whose layers others hold moves to the hole. Ruled out: larger messages (16 full descriptions take 6.9 KB/s already).

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -5,6 +5,9 @@
 //! grow with the fleet (docs/PLATFORM.md).
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 use rand::RngExt;
@@ -17,16 +20,21 @@
 use crate::names::Domain;
 use crate::names::Vm;
 
-/// A VM that was not heard of for this long is taken as gone.
+/// A VM that was not heard of for this long is taken as gone, in a fleet of a few VMs.
 pub const ALIVE_SPAN: Millis = Millis(1500);
+/// What each known VM adds to that span: messages are bounded, so news of one VM comes the more
+/// seldom the more there are.
+const ALIVE_EACH: Millis = Millis(20);
 /// The interval between two messages of a VM.
 pub const BEAT_SPAN: Millis = Millis(300);
 /// The VMs that each message goes to.
 const FANOUT: usize = 3;
 /// The messages after which one goes to a contact too, so that parts of the fleet find together.
 const CONTACT_BEATS: u64 = 8;
-/// The most VMs that one message speaks of, besides its sender.
-const RUMOURS: usize = 16;
+/// The most VMs that one message describes, besides its sender.
+const RUMOURS: usize = 6;
+/// The most VMs of which one message says only that they are alive.
+const DIGESTS: usize = 48;
 /// The most addresses that a caller is told.
 const ADDRESSES: usize = 64;
 /// How long a VM that is gone is remembered, so that stale rumours do not bring it back.
@@ -57,19 +65,49 @@
     pub linked: bool,
 }
 
+impl Member {
+    /// Says whether the VM could give orders: it serves, and the store answers it.
+    fn may_lead(&self) -> bool {
+        self.ready && self.linked
+    }
+}
+
 /// A message between two VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// The sender.
     pub from: Member,
-    /// Others, some of them drawn at random.
+    /// Others, drawn at random, and the one that leads.
     pub others: Vec<Member>,
+    /// Signs of life of more of them.
+    pub digests: Vec<Digest>,
+}
+
+/// A sign of life of a VM that the receiver knows already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The start of the VM that it is about.
+    pub start: u32,
+    /// Its count.
+    pub beat: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether the store answers it.
+    pub linked: bool,
+}
+
+/// Names a start of a VM in few bytes; one that two VMs share only makes both be heard of.
+fn start(member: &Member) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    (&member.vm, member.boot).hash(&mut hasher);
+    hasher.finish() as u32
 }
 
 #[derive(Clone, Debug)]
 struct Seen {
     member: Member,
     at: Millis,
+    learned: Millis,
 }
 
 /// The fleet as one VM sees it.
@@ -77,6 +115,7 @@
 pub struct Fleet {
     me: Member,
     others: BTreeMap<Vm, Seen>,
+    starts: BTreeMap<u32, Vm>,
     contacts: Vec<SocketAddr>,
     rng: ChaCha8Rng,
 }
@@ -87,6 +126,7 @@
         Self {
             me,
             others: BTreeMap::new(),
+            starts: BTreeMap::new(),
             contacts,
             rng,
         }
@@ -98,21 +138,38 @@
     }
 
     /// Adds an address at which a VM may be found.
-    pub fn add_contact(&mut self, addr: SocketAddr) {
+    fn add_contact(&mut self, addr: SocketAddr) {
         if addr != self.me.peer && !self.contacts.contains(&addr) {
             self.contacts.push(addr);
         }
     }
 
+    /// Takes in a VM from the store's list: whether it lives is not known yet.
+    pub fn learn(&mut self, now: Millis, member: Member) {
+        self.add_contact(member.peer);
+        if member.vm == self.me.vm || self.others.contains_key(&member.vm) {
+            return;
+        }
+        self.starts.insert(start(&member), member.vm.clone());
+        let seen = Seen {
+            member,
+            at: Millis(0),
+            learned: now,
+        };
+        self.others.insert(seen.member.vm.clone(), seen);
+    }
+
     /// Returns the next message and the addresses that it goes to.
     pub fn beat(&mut self, now: Millis) -> (Message, Vec<SocketAddr>) {
         self.me.beat += 1;
         self.others
-            .retain(|_, seen| now.since(seen.at) < FORGET_SPAN);
-        let mut to: Vec<SocketAddr> = self
-            .alive(now)
-            .map(|member| member.peer)
-            .sample(&mut self.rng.clone(), FANOUT);
+            .retain(|_, seen| now.since(seen.at.max(seen.learned)) < FORGET_SPAN);
+        let others = &self.others;
+        self.starts.retain(|_, vm| others.contains_key(vm));
+        let mut rng = self.rng.clone();
+        let peers = self.alive(now).map(|member| member.peer);
+        let mut to: Vec<SocketAddr> = peers.sample(&mut rng, FANOUT);
+        self.rng = rng;
         let alone = to.len() < FANOUT;
         let due = self.me.beat.is_multiple_of(CONTACT_BEATS);
         if (alone || due) && !self.contacts.is_empty() {
@@ -122,15 +179,24 @@
         to.sort_unstable();
         to.dedup();
         to.retain(|addr| *addr != self.me.peer);
-        let others = self
-            .others
-            .values()
-            .filter(|seen| now.since(seen.at) < ALIVE_SPAN)
-            .map(|seen| seen.member.clone())
-            .sample(&mut self.rng, RUMOURS);
+        let mut rng = self.rng.clone();
+        let mut others: Vec<Member> = self.alive(now).cloned().sample(&mut rng, RUMOURS);
+        let first = self.alive(now).find(|member| member.may_lead());
+        if let Some(first) = first.filter(|first| !others.contains(first)) {
+            others.push(first.clone());
+        }
+        let digest = |member: &Member| Digest {
+            start: start(member),
+            beat: member.beat,
+            ready: member.ready,
+            linked: member.linked,
+        };
+        let digests = self.alive(now).map(digest).sample(&mut rng, DIGESTS);
+        self.rng = rng;
         let message = Message {
             from: self.me.clone(),
             others,
+            digests,
         };
         (message, to)
     }
@@ -141,6 +207,21 @@
         for member in message.others {
             self.hear(now, member);
         }
+        for digest in message.digests {
+            let Some(seen) = self
+                .starts
+                .get(&digest.start)
+                .and_then(|vm| self.others.get_mut(vm))
+            else {
+                continue;
+            };
+            if digest.beat > seen.member.beat && start(&seen.member) == digest.start {
+                seen.member.beat = digest.beat;
+                seen.member.ready = digest.ready;
+                seen.member.linked = digest.linked;
+                seen.at = now;
+            }
+        }
     }
 
     fn hear(&mut self, now: Millis, member: Member) {
@@ -153,16 +234,22 @@
                 return;
             }
         }
-        let seen = Seen { member, at: now };
+        self.starts.insert(start(&member), member.vm.clone());
+        let seen = Seen {
+            member,
+            at: now,
+            learned: now,
+        };
         self.others.insert(seen.member.vm.clone(), seen);
     }
 
     /// Returns the other VMs that were heard of lately.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Member> {
+        let span = ALIVE_SPAN + Millis(ALIVE_EACH.0 * self.others.len() as u64);
         let fresh = self
             .others
             .values()
-            .filter(move |seen| now.since(seen.at) < ALIVE_SPAN);
+            .filter(move |seen| now.since(seen.at) < span);
         fresh.map(|seen| &seen.member)
     }
 
@@ -189,9 +276,8 @@
     /// Says whether this VM is the one that should give orders: the first by name of those that
     /// are ready and whose store answers.
     pub fn leads(&self, now: Millis) -> bool {
-        let able = |member: &Member| member.ready && member.linked;
-        let before = |member: &Member| able(member) && member.vm < self.me.vm;
-        able(&self.me) && !self.alive(now).any(before)
+        let before = |member: &Member| member.may_lead() && member.vm < self.me.vm;
+        self.me.may_lead() && !self.alive(now).any(before)
     }
 
     /// Returns the VM that knows most, if it knows more than this one.
--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -65,7 +65,10 @@
         let near = counts(domain, model.layers);
         let from = (0..=model.layers.saturating_sub(size)).min_by_key(|from| {
             let range = *from as usize..(from + size) as usize;
-            let far = held[range.clone()].iter().map(|count| weight(*count)).sum::<u32>();
+            let far = held[range.clone()]
+                .iter()
+                .map(|count| weight(*count))
+                .sum::<u32>();
             let own = near[range].iter().map(|count| weight(*count)).sum::<u32>();
             far + own
         })?;
@@ -77,10 +80,15 @@
     }
     let whole = groups(seats, model);
     let near = whole.iter().find_map(|group| {
-        let layers = group.iter().map(|seat| seat.layers(model, FILL)).sum::<u32>();
-        (layers >= model.layers).then(|| widen(group, model)).flatten()
+        let layers = group
+            .iter()
+            .map(|seat| seat.layers(model, FILL))
+            .sum::<u32>();
+        (layers >= model.layers)
+            .then(|| close(group, model))
+            .flatten()
     });
-    near.or_else(|| widen(&seats.iter().collect::<Vec<_>>(), model))
+    near.or_else(|| close(&seats.iter().collect::<Vec<_>>(), model))
 }
 
 /// Weighs a layer that is held `count` times: the first copies matter most.
@@ -93,14 +101,40 @@
     }
 }
 
-/// Extends an engine over a neighbouring layer that none of the group holds.
-fn widen(seats: &[&Seat], model: &Model) -> Option<(EndpointName, Span)> {
+/// Closes a hole in what a group holds: by an engine whose layers others of the group hold too, or
+/// else by one beside the hole that has room.
+fn close(seats: &[&Seat], model: &Model) -> Option<(EndpointName, Span)> {
     let held = counts(seats.iter().copied(), model.layers);
-    let hole = held.iter().position(|count| *count == 0)? as u32;
-    let end = held[hole as usize..]
+    let from = held.iter().position(|count| *count == 0)? as u32;
+    let to = held[from as usize..]
         .iter()
         .position(|count| *count > 0)
-        .map_or(model.layers, |len| hole + len as u32);
+        .map_or(model.layers, |len| from + len as u32);
+    let hole = Span { from, to };
+    shift(seats, model, &held, hole).or_else(|| widen(seats, model, hole))
+}
+
+/// Moves an engine to a hole whose own layers are all held by others.
+fn shift(seats: &[&Seat], model: &Model, held: &[u32], hole: Span) -> Option<(EndpointName, Span)> {
+    let spare = |seat: &&&Seat| {
+        seat.span
+            .is_some_and(|span| (span.from..span.to).all(|layer| held[layer as usize] > 1))
+    };
+    let seat = seats.iter().filter(spare).max_by(|a, b| {
+        let fit = |seat: &Seat| seat.layers(model, FILL).min(hole.len());
+        fit(a).cmp(&fit(b)).then(b.pace.total_cmp(&a.pace))
+    })?;
+    let size = seat.layers(model, FILL).max(1);
+    let from = hole.from.min(model.layers.saturating_sub(size));
+    let span = Span {
+        from,
+        to: from + size,
+    };
+    Some((seat.endpoint.clone(), span))
+}
+
+/// Extends an engine over a neighbouring layer that none of the group holds.
+fn widen(seats: &[&Seat], model: &Model, hole: Span) -> Option<(EndpointName, Span)> {
     seats
         .iter()
         .filter_map(|seat| {
@@ -110,12 +144,12 @@
             if room == 0 {
                 return None;
             }
-            if span.to == hole {
-                let to = end.min(span.to + room);
+            if span.to == hole.from {
+                let to = hole.to.min(span.to + room);
                 return Some((seat, Span { to, ..span }));
             }
-            if span.from == end {
-                let from = hole.max(span.from.saturating_sub(room));
+            if span.from == hole.to {
+                let from = hole.from.max(span.from.saturating_sub(room));
                 return Some((seat, Span { from, ..span }));
             }
             None
--- a/src/core/roster/health.rs
+++ b/src/core/roster/health.rs
@@ -60,6 +60,6 @@
 
     /// Returns the factor on the endpoint's cost: over one while requests have failed there.
     pub fn penalty(&self) -> f64 {
-        DOUBT_COST.powi(self.fails as i32)
+        DOUBT_COST.powi(self.fails.cast_signed())
     }
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -67,19 +67,20 @@
     }
 }
 
-/// Writes where this VM is to the store, once a start, and reads where the others are as long as
-/// none of them is heard.
+/// Writes where this VM is to the store, once a start, and reads where the others are, once after
+/// that and again as long as none of them is heard.
 async fn publish(edge: Edge) {
     let mut written = false;
+    let mut known = false;
     loop {
         if !written {
             written = write(&edge).await;
         }
         let alone = edge.fleet(|fleet| fleet.alive(edge.now()).next().is_none());
-        if alone {
-            read(&edge).await;
-        }
         monoio::time::sleep(PUBLISH_SPAN.duration()).await;
+        if alone || !known {
+            known = read(&edge).await;
+        }
     }
 }
 
@@ -101,7 +102,7 @@
     }
 }
 
-async fn read(edge: &Edge) {
+async fn read(edge: &Edge) -> bool {
     let topic = edge.dialect().topics.vms;
     match edge.store().newest(topic).await {
         Ok((records, _)) => {
@@ -110,10 +111,14 @@
                     .value
                     .and_then(|value| postcard::from_bytes::<Member>(&value).ok());
                 if let Some(member) = member {
-                    edge.fleet(|fleet| fleet.add_contact(member.peer));
+                    edge.fleet(|fleet| fleet.learn(edge.now(), member));
                 }
             }
+            true
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "vms_not_read");
+            false
         }
-        Err(error) => log::warn!(error:% = error; "vms_not_read"),
     }
 }
--- /dev/null
+++ b/tests/attempt.rs
@@ -0,0 +1,132 @@
+//! Verdicts on attempts, the shared budget of retries, and streams that are passed on whole.
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::attempt::Budget;
+use cornelwharf::core::attempt::Ending;
+use cornelwharf::core::attempt::Events;
+use cornelwharf::core::attempt::Left;
+use cornelwharf::core::attempt::Next;
+use cornelwharf::core::attempt::next;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const WINDOW: Millis = Millis::seconds(10);
+
+fn lefts() -> impl Iterator<Item = Left> {
+    (0..8).map(|bits| Left {
+        repeat: bits & 1 != 0,
+        another: bits & 2 != 0,
+        ran: bits & 4 != 0,
+    })
+}
+
+#[test]
+fn a_refusal_is_given_only_if_nothing_may_have_run() {
+    for left in lefts() {
+        for ending in [
+            Ending::Answered(200),
+            Ending::Answered(500),
+            Ending::NotRun,
+            Ending::Unknown,
+        ] {
+            if next(ending, left) == Next::Refuse {
+                assert!(ending == Ending::NotRun && !left.ran, "{ending:?} {left:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn what_must_not_repeat_is_not_sent_again_once_it_may_have_run() {
+    for left in lefts().filter(|left| !left.repeat) {
+        for ending in [
+            Ending::Answered(200),
+            Ending::Answered(500),
+            Ending::Unknown,
+        ] {
+            assert_ne!(next(ending, left), Next::Retry, "{ending:?} {left:?}");
+        }
+    }
+}
+
+#[test]
+fn an_answer_is_passed_on_when_no_attempt_is_left() {
+    for left in lefts().filter(|left| !left.another) {
+        assert_eq!(next(Ending::Answered(500), left), Next::Relay);
+    }
+}
+
+#[test]
+fn all_vms_together_stay_within_the_budget() {
+    const VMS: usize = 13;
+    let mut budgets = vec![Budget::new(0.2, 425.0, WINDOW); VMS];
+    let mut taken = 0;
+    for step in 0..100 {
+        let now = Millis::seconds(100) + Millis(step * 100);
+        for budget in &mut budgets {
+            budget.request(now);
+            for _ in 0..20 {
+                taken += u32::from(budget.retry(now, VMS));
+            }
+        }
+    }
+    let requests = 100 * VMS as u32;
+    let allowed = 0.2 * f64::from(requests) + 425.0;
+    assert!(f64::from(taken) <= allowed, "{taken} of {allowed}");
+    assert!(f64::from(taken) > 0.5 * allowed, "{taken} of {allowed}");
+}
+
+#[test]
+fn the_budget_comes_back_with_the_window() {
+    let mut budget = Budget::new(0.0, 10.0, WINDOW);
+    let start = Millis::seconds(1);
+    while budget.retry(start, 1) {}
+    assert!(!budget.retry(start + Millis::seconds(5), 1));
+    assert!(budget.retry(start + Millis::seconds(11), 1));
+}
+
+fn stream(from: u64, to: u64) -> Vec<u8> {
+    let event = |id: u64| format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 50));
+    (from..=to).map(event).collect::<String>().into_bytes()
+}
+
+#[test]
+fn half_an_event_is_never_given_out() {
+    let mut events = Events::default();
+    assert!(events.add(b"id: 1\ndata: a\n\nid: 2\nda"));
+    assert_eq!(&events.take()[..], b"id: 1\ndata: a\n\n");
+    assert!(!events.is_whole());
+    events.cut();
+    assert!(events.add(b"id: 2\ndata: b\n\n"));
+    assert_eq!(&events.take()[..], b"id: 2\ndata: b\n\n");
+    assert_eq!((events.last(), events.count()), (Some(2), 2));
+}
+
+proptest! {
+    #[test]
+    fn a_resumed_stream_has_no_gap_and_no_repeat(
+        cuts in prop::collection::vec(1_usize..700, 0..5),
+        overlap in 0_u64..4,
+        piece in 1_usize..90,
+        line in any::<bool>(),
+    ) {
+        let whole = stream(1, 40);
+        let mut events = Events::default();
+        let mut out = Vec::new();
+        for cut in cuts {
+            let from = events.last().map_or(1, |last| (last + 1).saturating_sub(overlap).max(1));
+            let bytes = stream(from, 40);
+            for part in bytes[..cut.min(bytes.len())].chunks(piece) {
+                events.add(part);
+                out.extend_from_slice(&events.take());
+            }
+            events.cut();
+        }
+        let from = events.last().map_or(1, |last| last + 1);
+        events.add(&stream(from, 40));
+        out.extend_from_slice(&events.take());
+        prop_assert_eq!(out, whole, "{}", line);
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,198 @@
+//! The fleet by gossip: who is there, who leads, and that no message grows with the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::fleet::BEAT_SPAN;
+use cornelwharf::core::fleet::Fleet;
+use cornelwharf::core::fleet::Member;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// The bytes of control messages that one VM may send in a second (the users' figure, 10 KB/s).
+const BYTES_PER_SECOND: usize = 10_000;
+
+/// Within this span a VM that died is named to no caller (the users' bound for being in touch).
+const CONTACT_SPAN: Millis = Millis::seconds(3);
+
+fn addr(index: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], port))
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        vm: format!("edge-zone-{index:04}").as_str().into(),
+        domain: "zone".into(),
+        front: addr(index, 80),
+        peer: addr(index, 90),
+        boot: 1,
+        beat: 0,
+        ready: true,
+        version: 0,
+        known: 0,
+        linked: true,
+    }
+}
+
+struct World {
+    fleets: BTreeMap<SocketAddr, Fleet>,
+    down: Vec<SocketAddr>,
+    now: Millis,
+    sent: usize,
+}
+
+impl World {
+    fn new(count: usize) -> Self {
+        let contacts: Vec<_> = (0..3).map(|index| addr(index, 90)).collect();
+        let fleet = |index| {
+            let rng = ChaCha8Rng::seed_from_u64(index as u64);
+            (
+                addr(index, 90),
+                Fleet::new(member(index), contacts.clone(), rng),
+            )
+        };
+        Self {
+            fleets: (0..count).map(fleet).collect(),
+            down: Vec::new(),
+            now: Millis::seconds(1000),
+            sent: 0,
+        }
+    }
+
+    /// Lets every VM read the store's list of VMs, as each does once after its start.
+    fn list(mut self) -> Self {
+        let all: Vec<Member> = (0..self.fleets.len()).map(member).collect();
+        for fleet in self.fleets.values_mut() {
+            for member in &all {
+                fleet.learn(self.now, member.clone());
+            }
+        }
+        self
+    }
+
+    fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += BEAT_SPAN;
+            let mut mail = Vec::new();
+            for (addr, fleet) in &mut self.fleets {
+                if !self.down.contains(addr) {
+                    let (message, to) = fleet.beat(self.now);
+                    let bytes = postcard::to_stdvec(&message).expect("a message").len();
+                    self.sent += bytes * to.len();
+                    mail.extend(to.into_iter().map(|to| (to, message.clone())));
+                }
+            }
+            for (to, message) in mail {
+                if let Some(fleet) = self
+                    .fleets
+                    .get_mut(&to)
+                    .filter(|_| !self.down.contains(&to))
+                {
+                    fleet.receive(self.now, message);
+                }
+            }
+        }
+    }
+
+    fn leaders(&self) -> usize {
+        let up = self
+            .fleets
+            .iter()
+            .filter(|(addr, _)| !self.down.contains(addr));
+        up.filter(|(_, fleet)| fleet.leads(self.now)).count()
+    }
+}
+
+#[test]
+fn every_vm_knows_all_within_two_seconds() {
+    let mut world = World::new(13);
+    world.run(Millis::seconds(2));
+    for fleet in world.fleets.values_mut() {
+        assert_eq!(fleet.addresses(world.now).len(), 13);
+    }
+    assert_eq!(world.leaders(), 1);
+}
+
+#[test]
+fn a_vm_that_died_is_named_no_longer_and_another_leads() {
+    let mut world = World::new(13);
+    world.run(Millis::seconds(3));
+    world.down.push(addr(0, 90));
+    world.run(CONTACT_SPAN);
+    let now = world.now;
+    let gone = addr(0, 80);
+    for (at, fleet) in &mut world.fleets {
+        assert!(*at == addr(0, 90) || !fleet.addresses(now).contains(&gone));
+    }
+    assert_eq!(world.leaders(), 1);
+}
+
+#[test]
+fn one_vm_leads_a_large_fleet() {
+    let mut world = World::new(144).list();
+    world.run(Millis::seconds(10));
+    assert_eq!(world.leaders(), 1);
+}
+
+#[test]
+fn a_vm_whose_store_is_silent_does_not_lead() {
+    let mut world = World::new(5);
+    if let Some(first) = world.fleets.get_mut(&addr(0, 90)) {
+        first.me().linked = false;
+    }
+    world.run(Millis::seconds(3));
+    assert_eq!(world.leaders(), 1);
+    assert!(!world.fleets[&addr(0, 90)].leads(world.now));
+}
+
+#[test]
+fn a_restarted_vm_is_believed_over_rumours_of_its_old_start() {
+    let mut world = World::new(4);
+    world.run(Millis::seconds(3));
+    let old = world.fleets[&addr(1, 90)].clone();
+    let mut again = member(1);
+    again.boot = 2;
+    again.ready = false;
+    let rng = ChaCha8Rng::seed_from_u64(77);
+    world
+        .fleets
+        .insert(addr(1, 90), Fleet::new(again, vec![addr(0, 90)], rng));
+    world.run(Millis::seconds(2));
+    let now = world.now;
+    let (stale, _) = old.clone().beat(now);
+    let fleet = world.fleets.get_mut(&addr(2, 90)).expect("known");
+    fleet.receive(now, stale);
+    assert!(!fleet.addresses(now).contains(&addr(1, 80)));
+}
+
+#[test]
+fn messages_do_not_grow_with_the_fleet() {
+    let mut rates = Vec::new();
+    for count in [13, 144, 360] {
+        let mut world = World::new(count).list();
+        world.run(Millis::seconds(10));
+        world.sent = 0;
+        world.run(Millis::seconds(10));
+        let rate = world.sent / 10 / count;
+        assert!(
+            rate <= BYTES_PER_SECOND,
+            "{rate} bytes a second at {count} VMs"
+        );
+        let serving = world
+            .fleets
+            .values()
+            .map(|fleet| fleet.serving(world.now))
+            .min();
+        rates.push((count, rate, serving));
+    }
+    for (count, _, serving) in &rates {
+        let known = serving.expect("a VM");
+        assert!(known * 10 >= count * 9, "{known} of {count} VMs are known");
+    }
+    let (_, small, _) = rates[1];
+    let (_, large, _) = rates[2];
+    assert!(large <= small + small / 10, "{rates:?}");
+    println!("bytes a second and the fewest VMs known, by fleet: {rates:?}");
+}
--- /dev/null
+++ b/tests/pipe.rs
@@ -0,0 +1,316 @@
+//! Placement and paths: every layer is held, every path runs each layer once and in order, and
+//! load that a domain cannot take goes round it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::pipe::Demand;
+use cornelwharf::core::pipe::Part;
+use cornelwharf::core::pipe::Seat;
+use cornelwharf::core::pipe::Span;
+use cornelwharf::core::pipe::Stage;
+use cornelwharf::core::pipe::choose;
+use cornelwharf::core::pipe::place;
+use cornelwharf::core::pipe::repair;
+use cornelwharf::core::site::Card;
+use cornelwharf::core::site::Model;
+use cornelwharf::names::Domain;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const LAYERS: u32 = 80;
+const DEMAND: Demand = Demand {
+    prompt: 800.0,
+    answer: 150.0,
+};
+
+fn model() -> Model {
+    Model {
+        layers: LAYERS,
+        weight: 1750.0,
+        token: 459_000.0,
+        slots: 192,
+        load: Millis::seconds(14),
+        step: 0.85,
+        sequence: 0.003,
+        context: 0.004,
+        reading: 252.0,
+        activation: 22_900.0,
+        pipe: 7900.0,
+        delay: 0.25,
+        usual: (770.0, 150.0),
+        cards: BTreeMap::new(),
+    }
+}
+
+fn card(memory: f64) -> Card {
+    Card {
+        memory,
+        pace: 10.0,
+        read: 8.0,
+    }
+}
+
+fn seat(index: usize, domain: &str, memory: f64, pace: f64) -> Seat {
+    Seat {
+        endpoint: format!("e{index:03}").as_str().into(),
+        domain: domain.into(),
+        memory,
+        pace,
+        span: None,
+    }
+}
+
+/// Three domains of unequal cards, each able to hold a whole copy.
+fn fleet() -> Vec<Seat> {
+    let mut seats = Vec::new();
+    for (domain, kinds) in [("a", [3, 3, 5]), ("b", [1, 5, 8]), ("c", [1, 7, 5])] {
+        let cards = [(36_000.0, 3.1), (21_600.0, 16.0), (14_400.0, 15.0)];
+        for (count, (memory, pace)) in kinds.into_iter().zip(cards) {
+            for _ in 0..count {
+                seats.push(seat(seats.len(), domain, memory, pace));
+            }
+        }
+    }
+    seats
+}
+
+fn placed(mut seats: Vec<Seat>) -> Vec<Seat> {
+    let plan = place(&seats, &model());
+    for seat in &mut seats {
+        seat.span = plan.get(&seat.endpoint).copied();
+    }
+    seats
+}
+
+fn stage(index: usize, seat: &Seat) -> Option<Stage> {
+    Some(Stage {
+        endpoint: seat.endpoint.clone(),
+        addr: SocketAddr::from(([10, 0, 0, index as u8], 80)),
+        domain: seat.domain.clone(),
+        span: seat.span?,
+        card: Card {
+            pace: seat.pace,
+            ..card(seat.memory)
+        },
+        running: 0.0,
+        room: 0.0,
+        penalty: 1.0,
+        first: true,
+    })
+}
+
+fn stages(seats: &[Seat]) -> Vec<Stage> {
+    let numbered = seats.iter().enumerate();
+    numbered
+        .filter_map(|(index, seat)| stage(index, seat))
+        .collect()
+}
+
+fn holders(seats: &[Seat], layer: u32) -> Vec<&Seat> {
+    let holds = |seat: &&Seat| seat.span.is_some_and(|span| span.holds(layer));
+    seats.iter().filter(holds).collect()
+}
+
+fn is_whole(path: &[Part]) -> bool {
+    let mut at = 0;
+    for part in path {
+        if part.span.from != at || part.span.is_empty() {
+            return false;
+        }
+        at = part.span.to;
+    }
+    let mut addrs: Vec<_> = path.iter().map(|part| part.addr).collect();
+    addrs.sort_unstable();
+    addrs.dedup();
+    at == LAYERS && addrs.len() == path.len()
+}
+
+#[test]
+fn each_domain_holds_every_layer() {
+    let seats = placed(fleet());
+    for layer in 0..LAYERS {
+        let held = holders(&seats, layer);
+        for domain in ["a", "b", "c"] {
+            let near = held.iter().any(|seat| *seat.domain == *domain);
+            assert!(near, "layer {layer} in {domain}");
+        }
+    }
+}
+
+#[test]
+fn the_layers_that_domains_double_differ() {
+    let seats = placed(fleet());
+    let doubled = (0..LAYERS)
+        .filter(|layer| holders(&seats, *layer).len() > 3)
+        .count();
+    assert!(
+        doubled >= 60,
+        "{doubled} of {LAYERS} layers are held four times"
+    );
+}
+
+#[test]
+fn no_engine_is_given_more_than_it_holds() {
+    for seat in placed(fleet()) {
+        let span = seat.span.expect("placed");
+        assert!(
+            f64::from(span.len()) * model().weight <= seat.memory,
+            "{span:?}"
+        );
+    }
+}
+
+#[test]
+fn domains_that_hold_no_copy_share_one() {
+    let seats: Vec<_> = (0..12)
+        .map(|index| seat(index, if index < 6 { "a" } else { "b" }, 18_000.0, 5.0))
+        .collect();
+    let seats = placed(seats);
+    assert!((0..LAYERS).all(|layer| !holders(&seats, layer).is_empty()));
+}
+
+#[test]
+fn an_empty_engine_gets_layers_that_its_domain_lacks() {
+    let mut seats = placed(fleet());
+    let lost = seats
+        .iter()
+        .position(|seat| *seat.domain == *"b" && seat.memory > 30_000.0);
+    let lost = lost.expect("a large engine");
+    let span = seats[lost].span.take().expect("placed");
+    let (endpoint, again) = repair(&seats, &model()).expect("an order");
+    assert_eq!(endpoint, seats[lost].endpoint);
+    assert!(
+        again.from < span.to && span.from < again.to,
+        "{again:?} for {span:?}"
+    );
+}
+
+#[test]
+fn neighbours_close_the_hole_of_a_lost_engine() {
+    let mut seats = placed(fleet());
+    let only = |seats: &[Seat], at: usize| {
+        let span = seats[at].span.expect("placed");
+        let domain = seats[at].domain.clone();
+        (span.from..span.to).all(|layer| {
+            holders(seats, layer)
+                .iter()
+                .filter(|seat| seat.domain == domain)
+                .count()
+                == 1
+        })
+    };
+    let lost = (0..seats.len())
+        .find(|at| only(&seats, *at))
+        .expect("one without a double");
+    let domain = seats.remove(lost).domain;
+    for _ in 0..8 {
+        let Some((endpoint, span)) = repair(&seats, &model()) else {
+            break;
+        };
+        let seat = seats
+            .iter_mut()
+            .find(|seat| seat.endpoint == endpoint)
+            .expect("known");
+        assert!(
+            f64::from(span.len()) * model().weight <= seat.memory,
+            "{span:?}"
+        );
+        seat.span = Some(span);
+    }
+    for layer in 0..LAYERS {
+        let near = holders(&seats, layer)
+            .iter()
+            .any(|seat| seat.domain == domain);
+        assert!(near, "layer {layer}");
+    }
+}
+
+#[test]
+fn a_calm_path_stays_in_one_domain() {
+    let seats = placed(fleet());
+    let stages = stages(&seats);
+    for home in ["a", "b", "c"] {
+        let path = choose(&stages, &model(), &Domain::from(home), DEMAND).expect("a path");
+        assert!(is_whole(&path), "{path:?}");
+        let mut domains: Vec<&Domain> = path
+            .iter()
+            .filter_map(|part| stages.iter().find(|stage| stage.addr == part.addr))
+            .map(|stage| &stage.domain)
+            .collect();
+        domains.dedup();
+        assert_eq!(domains.len(), 1, "{domains:?}");
+    }
+}
+
+#[test]
+fn a_path_goes_round_an_engine_whose_memory_is_full() {
+    let seats = placed(fleet());
+    let mut stages = stages(&seats);
+    let home = Domain::from("a");
+    let path = choose(&stages, &model(), &home, DEMAND).expect("a path");
+    for stage in &mut stages {
+        if stage.addr == path[1].addr {
+            stage.room = 1.2;
+        }
+    }
+    let other = choose(&stages, &model(), &home, DEMAND).expect("a path");
+    assert!(is_whole(&other), "{other:?}");
+    assert!(
+        other.iter().all(|part| part.addr != path[1].addr),
+        "{other:?}"
+    );
+}
+
+#[test]
+fn without_a_layer_there_is_no_path() {
+    let seats = placed(fleet());
+    let mut stages = stages(&seats);
+    stages.retain(|stage| !stage.span.holds(41));
+    assert_eq!(choose(&stages, &model(), &Domain::from("a"), DEMAND), None);
+}
+
+fn spans() -> impl Strategy<Value = Vec<Span>> {
+    let span = (0..LAYERS).prop_flat_map(|from| {
+        (Just(from), from + 1..=LAYERS).prop_map(|(from, to)| Span { from, to })
+    });
+    prop::collection::vec(span, 1..30)
+}
+
+proptest! {
+    #[test]
+    fn every_path_runs_each_layer_once_and_in_order(spans in spans(), paces in any::<u64>()) {
+        let stages: Vec<_> = spans
+            .iter()
+            .enumerate()
+            .filter_map(|(index, span)| {
+                let pace = 1.0 + (paces.rotate_left(index as u32) % 16) as f64;
+                let domain = ["a", "b", "c"][index % 3];
+                let mut seat = seat(index, domain, 36_000.0, pace);
+                seat.span = Some(*span);
+                stage(index, &seat)
+            })
+            .collect();
+        let covered = (0..LAYERS).all(|layer| spans.iter().any(|span| span.holds(layer)));
+        let path = choose(&stages, &model(), &Domain::from("a"), DEMAND);
+        prop_assert_eq!(path.is_some(), covered);
+        if let Some(path) = path {
+            prop_assert!(is_whole(&path), "{:?}", path);
+            for part in &path {
+                let index = part.addr.to_string();
+                let held = stages.iter().find(|stage| stage.addr == part.addr);
+                let held = held.map(|stage| stage.span);
+                prop_assert!(
+                    held.is_some_and(|span| span.from <= part.span.from && part.span.to <= span.to),
+                    "{}", index
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/roster.rs
@@ -0,0 +1,166 @@
+//! Endpoints by entries that lag, lapse and come back, and what requests meet at them.
+
+use std::net::SocketAddr;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::pipe::Span;
+use cornelwharf::core::roster::Change;
+use cornelwharf::core::roster::Entry;
+use cornelwharf::core::roster::Health;
+use cornelwharf::core::roster::LAPSE_SPAN;
+use cornelwharf::core::roster::Roster;
+use cornelwharf::names::ServiceName;
+
+const NOW: Millis = Millis::seconds(100);
+
+fn entry(name: &str, born: u64) -> Entry {
+    Entry {
+        endpoint: name.into(),
+        born,
+        service: "ledger".into(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        domain: "north".into(),
+        leaving: false,
+        slots: 6,
+        kind: None,
+        span: Some(Span { from: 0, to: 4 }),
+    }
+}
+
+fn change(offset: u64, entry: Entry) -> Change {
+    Change {
+        endpoint: entry.endpoint.clone(),
+        offset,
+        entry: Some(entry),
+    }
+}
+
+fn removal(offset: u64, name: &str) -> Change {
+    Change {
+        endpoint: name.into(),
+        offset,
+        entry: None,
+    }
+}
+
+fn serving(roster: &Roster, now: Millis) -> Vec<String> {
+    let service = ServiceName::from("ledger");
+    let list = roster.serving(&service, now);
+    list.map(|(entry, _, _)| entry.endpoint.to_string())
+        .collect()
+}
+
+#[test]
+fn an_older_entry_never_replaces_a_newer_one() {
+    let mut roster = Roster::default();
+    let mut leaving = entry("a", 1);
+    leaving.leaving = true;
+    assert!(roster.apply(NOW, change(7, leaving)));
+    assert!(!roster.apply(NOW, change(6, entry("a", 1))));
+    assert!(serving(&roster, NOW).is_empty());
+}
+
+#[test]
+fn an_endpoint_that_leaves_or_is_gone_gets_no_new_work() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.apply(NOW, change(2, entry("b", 1)));
+    let mut leaving = entry("a", 1);
+    leaving.leaving = true;
+    roster.apply(NOW, change(3, leaving));
+    roster.apply(NOW, removal(4, "b"));
+    assert!(serving(&roster, NOW).is_empty());
+}
+
+#[test]
+fn what_lapsed_in_an_outage_is_used_until_it_must_be_back() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.regain(NOW);
+    roster.apply(NOW, removal(2, "a"));
+    assert_eq!(serving(&roster, NOW), ["a"]);
+    assert!(serving(&roster, NOW + LAPSE_SPAN).is_empty());
+}
+
+#[test]
+fn a_new_start_under_an_old_name_inherits_nothing() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.begin(&"a".into(), 100.0);
+    roster.health(&"a".into()).expect("known").stand_still(NOW);
+    roster.apply(NOW, change(2, entry("a", 2)));
+    let service = ServiceName::from("ledger");
+    let (_, health, work) = roster.serving(&service, NOW).next().expect("serving");
+    assert!(!health.avoids(NOW));
+    assert_eq!(work.running, 0);
+}
+
+#[test]
+fn a_change_of_state_keeps_what_was_learned() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.health(&"a".into()).expect("known").stand_still(NOW);
+    let mut other = entry("a", 1);
+    other.span = None;
+    roster.apply(NOW, change(2, other));
+    let service = ServiceName::from("ledger");
+    let (_, health, _) = roster.serving(&service, NOW).next().expect("serving");
+    assert!(health.avoids(NOW));
+}
+
+#[test]
+fn what_a_whole_list_does_not_name_is_gone() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.apply(NOW, change(2, entry("b", 1)));
+    for gone in roster.missing(&["b".into()], 3) {
+        roster.apply(NOW, gone);
+    }
+    assert_eq!(serving(&roster, NOW), ["b"]);
+}
+
+#[test]
+fn a_peer_learns_of_removals_too() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.apply(NOW, removal(2, "a"));
+    let mut peer = Roster::default();
+    peer.apply(NOW, change(1, entry("a", 1)));
+    for news in roster.changes(2) {
+        peer.apply(NOW, news);
+    }
+    assert!(serving(&peer, NOW).is_empty());
+}
+
+#[test]
+fn an_endpoint_that_stands_still_waits_for_a_probe() {
+    let mut health = Health::default();
+    health.stand_still(NOW);
+    assert!(health.avoids(NOW + Millis::seconds(60)));
+    health.answer_probe();
+    assert!(!health.avoids(NOW + Millis::seconds(60)));
+    assert!(health.penalty() > 1.0);
+    health.succeed();
+    assert!(health.penalty() <= 1.0);
+}
+
+#[test]
+fn each_further_failure_doubles_the_pause_up_to_a_bound() {
+    let mut health = Health::default();
+    let mut now = NOW;
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        health.fail(now);
+        let mut until = now;
+        while health.avoids(until) {
+            until += Millis(100);
+        }
+        pauses.push(until.since(now).0);
+        now = until;
+    }
+    assert!(
+        pauses.windows(2).all(|pair| pair[0] <= pair[1]),
+        "{pauses:?}"
+    );
+    assert!(pauses[7] <= 8000, "{pauses:?}");
+}
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,129 @@
+//! The configuration in force: routes by host and longest prefix, keys, and that it never goes back.
+
+use std::collections::BTreeMap;
+
+use cornelwharf::clock::Millis;
+use cornelwharf::core::site::Accepted;
+use cornelwharf::core::site::Holder;
+use cornelwharf::core::site::Limits;
+use cornelwharf::core::site::Offer;
+use cornelwharf::core::site::Refusal;
+use cornelwharf::core::site::Route;
+use cornelwharf::core::site::RouteKind;
+use cornelwharf::core::site::Share;
+use cornelwharf::core::site::Site;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Millis(800),
+        target: Millis(150),
+        gap: None,
+        attempts: 2,
+        priority: 1,
+        public: false,
+        resume: false,
+        split: vec![Share {
+            service: "ledger".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn site(version: u64) -> Site {
+    let holder = Holder {
+        team: "red".into(),
+        priority: None,
+    };
+    Site {
+        version,
+        routes: vec![
+            route("all", "a.example", "/"),
+            route("deep", "a.example", "/x/y/"),
+            route("mid", "a.example", "/x/"),
+            route("other", "b.example", "/x/"),
+        ],
+        services: BTreeMap::new(),
+        keys: Some(BTreeMap::from([("secret".to_owned(), holder)])),
+        limits: Limits {
+            head: 16_384,
+            body: 4_194_304,
+            arrival: Millis(3000),
+            idle: Millis(15_000),
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let site = site(1);
+    let name = |host: &str, path: &str| {
+        let found = site.find(host, path, Some("secret")).ok()?;
+        Some(found.route.name.clone())
+    };
+    assert_eq!(name("a.example", "/x/y/z").as_deref(), Some("deep"));
+    assert_eq!(name("a.example", "/x/z").as_deref(), Some("mid"));
+    assert_eq!(name("a.example", "/xz").as_deref(), Some("all"));
+    assert_eq!(name("A.example:8080", "/x/").as_deref(), Some("mid"));
+    assert_eq!(name("b.example", "/y"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn a_key_that_no_team_holds_is_refused_unless_the_route_is_public() {
+    let mut site = site(1);
+    assert_eq!(
+        site.find("a.example", "/", Some("no")).err(),
+        Some(Refusal::Key)
+    );
+    assert_eq!(site.find("a.example", "/", None).err(), Some(Refusal::Key));
+    site.routes[0].public = true;
+    assert!(site.find("a.example", "/", None).is_ok());
+    site.keys = None;
+    assert!(site.find("a.example", "/x/", None).is_ok());
+}
+
+#[test]
+fn what_is_in_force_never_goes_back() {
+    let mut accepted = Accepted::default();
+    assert_eq!(accepted.offer(site(5)), Offer::Taken);
+    assert_eq!(accepted.offer(site(3)), Offer::Old);
+    assert_eq!(accepted.offer(site(5)), Offer::Old);
+    assert_eq!(accepted.version(), Some(5));
+    assert_eq!(accepted.offer(site(9)), Offer::Taken);
+    assert_eq!(accepted.version(), Some(9));
+}
+
+#[test]
+fn requests_are_split_by_weight() {
+    let mut route = route("split", "a.example", "/");
+    route.split = vec![
+        Share {
+            service: "old".into(),
+            weight: 90,
+        },
+        Share {
+            service: "new".into(),
+            weight: 10,
+        },
+    ];
+    let draws = (0..1000).map(|step| f64::from(step) / 1000.0);
+    let new = draws
+        .filter(|draw| route.pick(*draw).is_some_and(|name| **name == *"new"))
+        .count();
+    assert_eq!(new, 100);
+}
+
+#[test]
+fn only_what_may_repeat_may_be_resumed() {
+    let mut route = route("stream", "a.example", "/");
+    route.kind = RouteKind::Stream;
+    assert!(!route.may_repeat());
+    route.resume = true;
+    assert!(route.may_repeat());
+    route.kind = RouteKind::Once;
+    assert!(!route.may_repeat());
+}
