Let two VMs of each domain read the store for the others

Now the first two linked VMs of a domain read, news goes on by gossip at once and is fetched from a peer; a VM that hears of no answered read for the bound on changes less 0.6 s reads by itself.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -37,6 +37,9 @@
 const DIGESTS: usize = 48;
 /// The most addresses that a caller is told.
 const ADDRESSES: usize = 64;
+/// The VMs of each domain that read the store for the others: one more than must be lost at once
+/// before nobody of a domain reads.
+const READERS: usize = 2;
 /// How long a VM that is gone is remembered, so that stale rumours do not bring it back.
 const FORGET_SPAN: Millis = Millis::seconds(20);
 
@@ -81,6 +84,8 @@
     pub others: Vec<Member>,
     /// Signs of life of more of them.
     pub digests: Vec<Digest>,
+    /// How long ago the store answered any VM that the sender knows of.
+    pub age: Millis,
 }
 
 /// A sign of life of a VM that the receiver knows already.
@@ -117,6 +122,7 @@
     others: BTreeMap<Vm, Seen>,
     starts: BTreeMap<u32, Vm>,
     contacts: Vec<SocketAddr>,
+    fresh: Millis,
     rng: ChaCha8Rng,
 }
 
@@ -128,6 +134,7 @@
             others: BTreeMap::new(),
             starts: BTreeMap::new(),
             contacts,
+            fresh: Millis(0),
             rng,
         }
     }
@@ -197,12 +204,14 @@
             from: self.me.clone(),
             others,
             digests,
+            age: now.since(self.fresh),
         };
         (message, to)
     }
 
     /// Takes a message in.
     pub fn receive(&mut self, now: Millis, message: Message) {
+        self.fresh = self.fresh.max(now - message.age);
         self.hear(now, message.from);
         for member in message.others {
             self.hear(now, member);
@@ -273,6 +282,24 @@
         list
     }
 
+    /// Notes that the store answered this VM.
+    pub fn touch(&mut self, now: Millis) {
+        self.fresh = now;
+    }
+
+    /// Says whether this VM should read the store: it is among the first of its domain whose store
+    /// answers, or has not heard for `limit` of any VM that the store answered.
+    ///
+    /// The answer to many VMs at one store: the calls do not grow with the fleet, and news that
+    /// nobody reads is still read within the bound.
+    pub fn reads(&self, now: Millis, limit: Millis) -> bool {
+        let before = |member: &&Member| {
+            member.may_lead() && member.domain == self.me.domain && member.vm < self.me.vm
+        };
+        let rank = self.alive(now).filter(before).count();
+        rank < READERS || now.since(self.fresh) > limit
+    }
+
     /// Says whether this VM is the one that should give orders: the first by name of those that
     /// are ready and whose store answers.
     pub fn leads(&self, now: Millis) -> bool {
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -19,18 +19,19 @@
 use crate::io::http::Request;
 use crate::names::EndpointName;
 
-/// The longest that a read of the configuration waits for news. A change answers at once.
-const CONFIG_WAIT: Millis = Millis(1500);
-/// The longest that a read of the endpoints waits for news.
-const ROSTER_WAIT: Millis = Millis(1500);
+/// The longest that a read waits for news, which answers at once. A VM that reads tells the others
+/// with each answer that the store is there, so this is well under the bound on changes.
+const READ_WAIT: Millis = Millis(700);
+/// What is left of the bound on changes for a read, when this VM hears of no other that reads.
+const READ_SPAN: Millis = Millis(600);
+/// The interval at which a VM that does not read looks whether it should.
+const IDLE_SPAN: Millis = Millis(100);
 /// The least time between two reads of the endpoints, whose entries change often.
 const ROSTER_SPAN: Millis = Millis(250);
 /// How long to wait before a call that failed is made again.
 const RETRY_SPAN: Millis = Millis(300);
-/// Without an answer of the store for this long it counts as lost.
-pub const LOST_SPAN: Millis = Millis(2700);
 /// The interval at which peers are looked at for news.
-const PEER_SPAN: Millis = Millis(250);
+const PEER_SPAN: Millis = Millis(30);
 /// How long a peer may take to tell its news.
 const PEER_CALL: Millis = Millis(500);
 
@@ -48,40 +49,46 @@
 /// Follows the configuration.
 pub async fn config(edge: Edge) {
     let topic = edge.dialect().topics.operator;
-    follow(edge, topic, CONFIG_WAIT, Millis(0), take_config).await;
+    follow(edge, topic, Millis(0), take_config).await;
 }
 
 /// Follows the endpoints.
 pub async fn roster(edge: Edge) {
     let topic = edge.dialect().topics.endpoints;
-    follow(edge, topic, ROSTER_WAIT, ROSTER_SPAN, take_entries).await;
+    follow(edge, topic, ROSTER_SPAN, take_entries).await;
 }
 
-async fn follow<F>(edge: Edge, topic: &'static str, wait: Millis, pause: Millis, take: F)
+async fn follow<F>(edge: Edge, topic: &'static str, pause: Millis, take: F)
 where
     F: Fn(&Edge, Vec<Keyed>, u64, bool),
 {
     let mut from: Option<u64> = None;
     let mut lost = false;
+    let limit = edge.settings().bounds.apply() - READ_SPAN;
     loop {
+        if from.is_some() && !edge.fleet(|fleet| fleet.reads(edge.now(), limit)) {
+            monoio::time::sleep(IDLE_SPAN.duration()).await;
+            continue;
+        }
         let read = match from {
             None => edge.store().newest(topic).await.map(|(records, end)| {
                 take(&edge, records, end, true);
                 Some(end)
             }),
-            Some(offset) => edge
-                .store()
-                .tail(topic, offset, wait)
-                .await
-                .map(|tail| match tail {
-                    Tail::Records(records, next) => {
-                        if !records.is_empty() {
-                            take(&edge, records, next, false);
+            Some(offset) => {
+                edge.store()
+                    .tail(topic, offset, READ_WAIT)
+                    .await
+                    .map(|tail| match tail {
+                        Tail::Records(records, next) => {
+                            if !records.is_empty() {
+                                take(&edge, records, next, false);
+                            }
+                            Some(next)
                         }
-                        Some(next)
-                    }
-                    Tail::Dropped => None,
-                }),
+                        Tail::Dropped => None,
+                    })
+            }
         };
         match read {
             Ok(next) => {
@@ -103,6 +110,7 @@
                 }
                 lost = true;
                 edge.metrics().store("failed");
+                edge.lose();
                 monoio::time::sleep(RETRY_SPAN.duration()).await;
             }
         }
@@ -137,6 +145,7 @@
     if edge.accepted(|accepted| accepted.offer(site)) == Offer::Taken {
         log::info!(version, offset, routes, source; "config_in_force");
         edge.fleet(|fleet| fleet.me().version = version);
+        edge.nudge();
     }
 }
 
@@ -173,6 +182,7 @@
         roster.sweep(now);
     });
     edge.fleet(|fleet| fleet.me().known = end);
+    edge.nudge();
 }
 
 fn decode(
@@ -207,15 +217,12 @@
     }
 }
 
-/// Asks peers for news that this VM lacks. A VM that the store turns away learns of changes so.
+/// Asks peers for news that this VM lacks: one that does not read the store, or that the store turns
+/// away, learns of changes so.
 pub async fn peers(edge: Edge) {
     loop {
         monoio::time::sleep(PEER_SPAN.duration()).await;
         let now = edge.now();
-        edge.fleet(|fleet| fleet.me().linked = now.since(edge.contact()) < LOST_SPAN);
-        if now.since(edge.contact()) < PEER_SPAN + ROSTER_SPAN {
-            continue;
-        }
         let Some(peer) = edge.fleet(|fleet| fleet.ahead(now).map(|member| member.peer)) else {
             continue;
         };
@@ -247,6 +254,7 @@
     }
     edge.roster(|roster| roster.advance(news.end));
     edge.fleet(|fleet| fleet.me().known = news.end);
+    edge.nudge();
 }
 
 /// Returns the news for a VM that has `version` in force and knows the endpoints up to `from`.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -6,14 +6,18 @@
 use monoio::net::udp::UdpSocket;
 
 use super::state::Edge;
+use crate::clock::Millis;
 use crate::core::fleet::BEAT_SPAN;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
+use crate::io::patience::within;
 
 /// The largest message, in bytes: it fits one packet of an ordinary network with room to spare.
 const MESSAGE_BYTES: usize = 8192;
+/// The least time between two messages, also when there is news.
+const LEAST_SPAN: Millis = Millis(40);
 /// The interval between two looks at whether this VM's record in the store is still wanted.
-const PUBLISH_SPAN: crate::clock::Millis = crate::clock::Millis::seconds(2);
+const PUBLISH_SPAN: Millis = Millis::seconds(2);
 
 /// Opens the socket and starts the tasks.
 ///
@@ -63,7 +67,9 @@
             }
             Err(error) => log::error!(error:% = error; "message_not_encoded"),
         }
-        monoio::time::sleep(BEAT_SPAN.duration()).await;
+        monoio::time::sleep(LEAST_SPAN.duration()).await;
+        // Either way it is time for the next message.
+        let _ = within(BEAT_SPAN - LEAST_SPAN, edge.nudged()).await;
     }
 }
 
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -51,11 +51,19 @@
     pub extra: f64,
     /// The window of the two, in seconds.
     pub window: u64,
+    /// Within this span an accepted change is in force everywhere, in milliseconds.
+    pub apply: u64,
     /// The longest that callers may keep an answer of the registry, in seconds.
     pub keep: u64,
 }
 
 impl Bounds {
+    /// Returns the span within which an accepted change is in force everywhere.
+    #[must_use]
+    pub const fn apply(&self) -> Millis {
+        Millis(self.apply)
+    }
+
     /// Returns the time between the order to stop and the kill.
     #[must_use]
     pub const fn grace(&self) -> Millis {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -20,6 +20,7 @@
 use crate::core::roster::Roster;
 use crate::core::site::Accepted;
 use crate::core::site::Site;
+use crate::io::mailbox::Mailbox;
 use crate::io::pool::Pool;
 
 /// The state of an edge daemon; clones share it.
@@ -42,6 +43,7 @@
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
     contact: Cell<Millis>,
+    nudges: Mailbox<()>,
     stop: Cell<Option<Millis>>,
     open: Cell<u64>,
 }
@@ -81,6 +83,7 @@
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
             contact: Cell::new(Millis(0)),
+            nudges: Mailbox::new(1),
             stop: Cell::new(None),
             open: Cell::new(0),
             settings,
@@ -164,7 +167,28 @@
 
     /// Notes that the store answered.
     pub fn touch(&self) {
-        self.inner.contact.set(self.now());
+        let now = self.now();
+        self.inner.contact.set(now);
+        self.fleet(|fleet| {
+            fleet.me().linked = true;
+            fleet.touch(now);
+        });
+    }
+
+    /// Notes that the store did not answer.
+    pub fn lose(&self) {
+        self.fleet(|fleet| fleet.me().linked = false);
+    }
+
+    /// Has the next message to other VMs sent at once, because there is news.
+    pub fn nudge(&self) {
+        // A full mailbox means that the message is due already.
+        let _ = self.inner.nudges.send(());
+    }
+
+    /// Waits until there is news to tell.
+    pub async fn nudged(&self) {
+        self.inner.nudges.receive().await;
     }
 
     /// Returns when the store last answered.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -147,6 +147,43 @@
     assert!(!world.fleets[&addr(0, 90)].leads(world.now));
 }
 
+#[test]
+fn a_few_vms_read_the_store_for_all() {
+    const LIMIT: Millis = Millis(1400);
+    for count in [13, 144] {
+        let mut world = World::new(count).list();
+        for _ in 0..30 {
+            for fleet in world.fleets.values_mut() {
+                if fleet.reads(world.now, LIMIT) {
+                    fleet.touch(world.now);
+                }
+            }
+            world.run(BEAT_SPAN);
+        }
+        let readers = world
+            .fleets
+            .values()
+            .filter(|fleet| fleet.reads(world.now, LIMIT));
+        assert_eq!(readers.count(), 2, "of {count}");
+    }
+}
+
+#[test]
+fn when_the_readers_fall_silent_others_read_within_the_bound() {
+    const LIMIT: Millis = Millis(1400);
+    let mut world = World::new(13).list();
+    for fleet in world.fleets.values_mut() {
+        fleet.touch(world.now);
+    }
+    world.run(LIMIT + BEAT_SPAN + BEAT_SPAN);
+    assert!(
+        world
+            .fleets
+            .values()
+            .all(|fleet| fleet.reads(world.now, LIMIT))
+    );
+}
+
 #[test]
 fn a_restarted_vm_is_believed_over_rumours_of_its_old_start() {
     let mut world = World::new(4);
