Test edge daemons over sockets against a stand-in platform; describe the platform and operations

The stand-in (standin/fleet): a store that keeps the newest record of each key, engines that hold layers, drive paths and check each token's path, plain endpoints. Seven tests: service and refusals, an engine that stands still, a first engine that breaks off, a leaving endpoint, a change in force in 2 s, the store away, a stop in mid-stream.

--- /dev/null
+++ b/src/standin/fleet/endpoint.rs
@@ -0,0 +1,299 @@
+//! Endpoints: engines that hold layers and drive paths, and plain ones.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+
+use super::words::EVENT_SPAN;
+use super::words::Order;
+use super::words::ReportText;
+use crate::clock::Millis;
+use crate::core::pipe::Span;
+use crate::core::roster::Entry;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::standin::serve;
+use crate::standin::serve::Handed;
+use crate::standin::serve::Reply;
+
+/// The events of a whole stream.
+pub const EVENTS: u64 = 40;
+
+/// An endpoint, and what a test asks of it.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// What it says of itself.
+    pub entry: Entry,
+    /// Whether it stands still: neither its work nor its answers go on.
+    pub silent: bool,
+    /// Whether it breaks its connections off.
+    pub broken: bool,
+    /// The orders that it has accepted.
+    pub orders: u64,
+    /// The highest fencing number that it has seen.
+    pub fence: u64,
+    /// The requests that it ran, by id, with the layers of each path.
+    pub ran: Vec<String>,
+}
+
+/// All endpoints, by address.
+#[derive(Clone, Debug)]
+pub struct Endpoints {
+    layers: u32,
+    all: Rc<RefCell<BTreeMap<SocketAddr, Endpoint>>>,
+    paths: Rc<RefCell<BTreeMap<String, Vec<(SocketAddr, Span)>>>>,
+    wrong: Rc<RefCell<Vec<String>>>,
+}
+
+impl Endpoints {
+    /// Starts without any; engines serve a model of `layers` layers.
+    #[must_use]
+    pub fn new(layers: u32) -> Self {
+        Self {
+            layers,
+            all: Rc::default(),
+            paths: Rc::default(),
+            wrong: Rc::default(),
+        }
+    }
+
+    /// Starts an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its address cannot be bound.
+    pub fn start(&self, entry: Entry) -> std::io::Result<()> {
+        let addr = entry.addr;
+        let endpoint = Endpoint {
+            entry,
+            silent: false,
+            broken: false,
+            orders: 0,
+            fence: 0,
+            ran: Vec::new(),
+        };
+        self.all.borrow_mut().insert(addr, endpoint);
+        let endpoints = self.clone();
+        serve::listen(addr, move |request, conn| {
+            let endpoints = endpoints.clone();
+            async move { endpoints.answer(addr, request, conn).await }
+        })
+    }
+
+    /// Runs `work` on an endpoint.
+    pub fn at<T, F>(&self, addr: SocketAddr, work: F) -> Option<T>
+    where
+        F: FnOnce(&mut Endpoint) -> T,
+    {
+        self.all.borrow_mut().get_mut(&addr).map(work)
+    }
+
+    /// Returns the endpoints.
+    pub fn list(&self) -> Vec<Endpoint> {
+        self.all.borrow().values().cloned().collect()
+    }
+
+    /// Returns the tokens that were made on a path that does not run each layer once, in order.
+    pub fn wrong(&self) -> Vec<String> {
+        self.wrong.borrow().clone()
+    }
+
+    async fn answer(&self, addr: SocketAddr, request: Request, conn: Handed) -> (Handed, Reply) {
+        let state = self.at(addr, |endpoint| (endpoint.silent, endpoint.broken));
+        match state {
+            Some((false, false)) => {}
+            Some((true, _)) => return (conn, Reply::Silence),
+            _ => return (conn, Reply::Cut),
+        }
+        match (&request.method, request.uri.path()) {
+            (&Method::GET, "/report") => (conn, Reply::Whole(self.report(addr))),
+            (&Method::POST, "/order") => (conn, Reply::Whole(self.order(addr, &request))),
+            _ if request.headers.contains_key("path") => self.stream(addr, &request, conn).await,
+            _ => (conn, Reply::Whole(self.plain(addr, &request))),
+        }
+    }
+
+    fn report(&self, addr: SocketAddr) -> Response {
+        let all = self.all.borrow();
+        let still = all
+            .iter()
+            .filter(|(_, endpoint)| endpoint.silent || endpoint.broken);
+        let text = ReportText {
+            stalled: still.map(|(addr, _)| *addr).collect(),
+            orders: all.get(&addr).map_or(0, |endpoint| endpoint.orders),
+            span: all.get(&addr).and_then(|endpoint| endpoint.entry.span),
+        };
+        Response::json(StatusCode::OK, &text)
+    }
+
+    fn order(&self, addr: SocketAddr, request: &Request) -> Response {
+        let status = match serde_json::from_slice(&request.body) {
+            Ok(Order::Hold { span, fence, after }) => self.at(addr, |endpoint| {
+                if fence < endpoint.fence {
+                    return StatusCode::PRECONDITION_FAILED;
+                }
+                endpoint.fence = fence;
+                if after != endpoint.orders {
+                    return StatusCode::CONFLICT;
+                }
+                endpoint.orders += 1;
+                endpoint.entry.span = Some(span);
+                StatusCode::ACCEPTED
+            }),
+            Ok(Order::Repath { request, path }) => {
+                let path = parse(&path);
+                let known = self.paths.borrow().contains_key(&request);
+                let valid = known && self.fault(&path).is_none();
+                valid.then(|| {
+                    self.paths.borrow_mut().insert(request, path);
+                    StatusCode::ACCEPTED
+                })
+            }
+            Err(_) => Some(StatusCode::BAD_REQUEST),
+        };
+        Response::new(status.unwrap_or(StatusCode::CONFLICT))
+    }
+
+    /// Returns the part of a path that is not there.
+    fn fault(&self, path: &[(SocketAddr, Span)]) -> Option<SocketAddr> {
+        let all = self.all.borrow();
+        let holds = |addr: &SocketAddr, span: &Span| {
+            all.get(addr).is_some_and(|endpoint| {
+                let held = endpoint.entry.span;
+                let inside = held.is_some_and(|held| held.from <= span.from && span.to <= held.to);
+                inside && !endpoint.broken && !endpoint.entry.leaving
+            })
+        };
+        path.iter()
+            .find(|(addr, span)| !holds(addr, span))
+            .map(|(addr, _)| *addr)
+    }
+
+    fn is_still(&self, path: &[(SocketAddr, Span)]) -> bool {
+        let all = self.all.borrow();
+        let still = |addr| {
+            let endpoint: Option<&Endpoint> = all.get(addr);
+            endpoint.is_none_or(|endpoint| endpoint.silent || endpoint.broken)
+        };
+        path.iter().any(|(addr, _)| still(addr))
+    }
+
+    fn plain(&self, addr: SocketAddr, request: &Request) -> Response {
+        let id = text(&request.headers, "request-id");
+        let named = text(&request.headers, "endpoint");
+        let ran = self.at(addr, |endpoint| {
+            let own = *endpoint.entry.endpoint == *named;
+            if own {
+                endpoint.ran.push(id.clone());
+            }
+            own
+        });
+        if ran != Some(true) {
+            return refusal(StatusCode::MISDIRECTED_REQUEST, addr);
+        }
+        let mut response = Response::text(StatusCode::OK, request.uri.path().to_owned());
+        sign(&mut response.headers, &id);
+        response
+    }
+
+    async fn stream(&self, addr: SocketAddr, request: &Request, conn: Handed) -> (Handed, Reply) {
+        let mut conn = conn;
+        let id = text(&request.headers, "request-id");
+        let path = parse(&text(&request.headers, "path"));
+        if let Some(fault) = self.fault(&path) {
+            let response = refusal(StatusCode::SERVICE_UNAVAILABLE, fault);
+            return (conn, Reply::Whole(response));
+        }
+        self.paths.borrow_mut().insert(id.clone(), path);
+        self.at(addr, |endpoint| endpoint.ran.push(id.clone()));
+        let mut headers = HeaderMap::new();
+        sign(&mut headers, &id);
+        let from = text(&request.headers, "last-event-id").parse().unwrap_or(0);
+        if conn.writer.start(StatusCode::OK, &headers).await.is_err() {
+            return (conn, Reply::Cut);
+        }
+        for event in from + 1..=EVENTS {
+            monoio::time::sleep(EVENT_SPAN.duration()).await;
+            if !self.token(addr, &id).await {
+                return (conn, Reply::Cut);
+            }
+            let line = format!("id: {event}\ndata: token {event}\n\n");
+            if conn.writer.chunk(line.as_bytes()).await.is_err() {
+                return (conn, Reply::Cut);
+            }
+        }
+        let reply = match conn.writer.finish().await {
+            Ok(()) => Reply::Done,
+            Err(_) => Reply::Cut,
+        };
+        (conn, reply)
+    }
+
+    /// Makes a token as soon as its whole path works; `false` if the first engine does not.
+    async fn token(&self, addr: SocketAddr, id: &str) -> bool {
+        /// How often a path that stands still is looked at.
+        const LOOK_SPAN: Millis = Millis(5);
+        loop {
+            if self.at(addr, |endpoint| endpoint.broken) != Some(false) {
+                return false;
+            }
+            let path = self.paths.borrow().get(id).cloned().unwrap_or_default();
+            if !self.is_still(&path) {
+                let mut at = 0;
+                let follows = path.iter().all(|(_, span)| {
+                    let next = span.from == at;
+                    at = span.to;
+                    next
+                });
+                if !follows || at != self.layers {
+                    self.wrong.borrow_mut().push(format!("{id}: {path:?}"));
+                }
+                return true;
+            }
+            monoio::time::sleep(LOOK_SPAN.duration()).await;
+        }
+    }
+}
+
+fn refusal(status: StatusCode, fault: SocketAddr) -> Response {
+    let mut response = Response::new(status);
+    set(&mut response.headers, "not-run", "1");
+    set(&mut response.headers, "fault", &fault.to_string());
+    response
+}
+
+fn sign(headers: &mut HeaderMap, id: &str) {
+    set(headers, "signature", "s");
+    set(headers, "request-id", id);
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+fn parse(path: &str) -> Vec<(SocketAddr, Span)> {
+    let part = |part: &str| {
+        let (addr, span) = part.split_once('=')?;
+        let (from, to) = span.split_once('-')?;
+        let span = Span {
+            from: from.parse().ok()?,
+            to: to.parse().ok()?,
+        };
+        Some((addr.parse().ok()?, span))
+    };
+    path.split(',').filter_map(part).collect()
+}
--- /dev/null
+++ b/src/standin/fleet/store.rs
@@ -0,0 +1,156 @@
+//! A store of records, of which the newest of each key is kept.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::io::http::Request;
+use crate::io::http::Response;
+use crate::standin::serve;
+use crate::standin::serve::Reply;
+
+/// How often a read that waits looks for news.
+const LOOK_SPAN: Millis = Millis(5);
+
+/// A record.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value; empty if the key was dropped.
+    pub value: Vec<u8>,
+    /// Its offset.
+    pub offset: u64,
+}
+
+/// The answer to a read.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Records {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The offset after the last.
+    pub end: u64,
+}
+
+/// The store.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    topics: Rc<RefCell<BTreeMap<String, Vec<Record>>>>,
+    away: Rc<Cell<bool>>,
+    calls: Rc<Cell<u64>>,
+}
+
+impl Store {
+    /// Listens for calls.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn listen(&self, addr: SocketAddr) -> std::io::Result<()> {
+        let store = self.clone();
+        serve::listen(addr, move |request, conn| {
+            let store = store.clone();
+            async move {
+                let reply = store.answer(&request).await;
+                (conn, reply)
+            }
+        })
+    }
+
+    /// Takes the store away, or brings it back; calls are answered by silence meanwhile.
+    pub fn set_away(&self, away: bool) {
+        self.away.set(away);
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Writes a record, as an operator or an endpoint does.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let mut topics = self.topics.borrow_mut();
+        let records = topics.entry(topic.to_owned()).or_default();
+        let offset = records.len() as u64;
+        records.push(Record {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            offset,
+        });
+        offset
+    }
+
+    async fn answer(&self, request: &Request) -> Reply {
+        self.calls.set(self.calls.get() + 1);
+        if self.away.get() {
+            return Reply::Silence;
+        }
+        let topic = request.query("topic").unwrap_or_default();
+        let number = |name| request.query(name).and_then(|text| text.parse().ok());
+        let response = match (&request.method, request.uri.path()) {
+            (&Method::POST, "/append") => {
+                let key = request.query("key").unwrap_or_default();
+                let end = self.put(topic, key, &request.body);
+                Response::json(StatusCode::OK, &end)
+            }
+            (&Method::GET, "/newest") => Response::json(StatusCode::OK, &self.newest(topic)),
+            (&Method::GET, "/tail") => {
+                let from = number("from").unwrap_or(0);
+                let wait = Millis(number("wait").unwrap_or(0));
+                Response::json(StatusCode::OK, &self.tail(topic, from, wait).await)
+            }
+            _ => Response::new(StatusCode::NOT_FOUND),
+        };
+        Reply::Whole(response)
+    }
+
+    fn newest(&self, topic: &str) -> Records {
+        let topics = self.topics.borrow();
+        let Some(records) = topics.get(topic) else {
+            return Records::default();
+        };
+        let newest: BTreeMap<&str, &Record> = records
+            .iter()
+            .map(|record| (record.key.as_str(), record))
+            .collect();
+        Records {
+            records: newest.into_values().cloned().collect(),
+            end: records.len() as u64,
+        }
+    }
+
+    async fn tail(&self, topic: &str, from: u64, wait: Millis) -> Records {
+        for _ in 0..=wait.0 / LOOK_SPAN.0 {
+            let found = self.after(topic, from);
+            if !found.records.is_empty() {
+                return found;
+            }
+            monoio::time::sleep(LOOK_SPAN.duration()).await;
+        }
+        self.after(topic, from)
+    }
+
+    fn after(&self, topic: &str, from: u64) -> Records {
+        let topics = self.topics.borrow();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let fresh = records.iter().filter(|record| record.offset >= from);
+        Records {
+            records: fresh.cloned().collect(),
+            end: (records.len() as u64).max(from),
+        }
+    }
+}
+
+/// Returns a record's value, or `None` if its key was dropped.
+pub fn value(record: &Record) -> Option<Bytes> {
+    (!record.value.is_empty()).then(|| Bytes::from(record.value.clone()))
+}
--- /dev/null
+++ b/src/standin/fleet/words.rs
@@ -0,0 +1,202 @@
+//! How the stand-ins spell their messages: domain types as JSON, and headers of their own.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::store::Record;
+use super::store::Records;
+use super::store::value;
+use crate::clock::Millis;
+use crate::core::pipe::Part;
+use crate::core::pipe::Span;
+use crate::edge::dialect::Dialect;
+use crate::edge::dialect::DialectError;
+use crate::edge::dialect::Headers;
+use crate::edge::dialect::Keyed;
+use crate::edge::dialect::LayerOrder;
+use crate::edge::dialect::OrderAnswer;
+use crate::edge::dialect::Page;
+use crate::edge::dialect::Question;
+use crate::edge::dialect::Report;
+use crate::edge::dialect::Tail;
+use crate::edge::dialect::Topics;
+use crate::io::http::Request;
+use crate::io::http::Response;
+
+/// An order as it is sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Hold these layers.
+    Hold {
+        /// The layers.
+        span: Span,
+        /// The fencing number.
+        fence: u64,
+        /// The number of orders accepted before.
+        after: u64,
+    },
+    /// Pass a request along another path.
+    Repath {
+        /// The request.
+        request: String,
+        /// The path, as in the header.
+        path: String,
+    },
+}
+
+/// A report as it is sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportText {
+    /// The addresses of engines that stand still.
+    pub stalled: Vec<SocketAddr>,
+    /// The orders accepted.
+    pub orders: u64,
+    /// The layers held.
+    pub span: Option<Span>,
+}
+
+/// Returns the stand-ins' way of speaking.
+pub fn words() -> Dialect {
+    let name = HeaderName::from_static;
+    Dialect {
+        headers: Headers {
+            request: name("request-id"),
+            deadline: name("deadline"),
+            expect: name("endpoint"),
+            team: name("team"),
+            signature: name("signature"),
+            not_run: name("not-run"),
+            path: name("path"),
+            fault: name("fault"),
+            last: name("last-event-id"),
+            tokens: name("tokens"),
+            rank: name("rank"),
+            hint: name("hint"),
+        },
+        topics: Topics {
+            operator: "operator",
+            config: "site",
+            endpoints: "endpoints",
+            vms: "vms",
+            terms: "terms",
+        },
+        key: |request| request.header(&HeaderName::from_static("key")),
+        question,
+        addresses: |list, _| Response::json(StatusCode::OK, &list),
+        site: |bytes| Ok(serde_json::from_slice(bytes)?),
+        entry: |_, bytes| Ok(serde_json::from_slice(bytes)?),
+        tail: |topic, from, wait| get(&format!("/tail?topic={topic}&from={from}&wait={}", wait.0)),
+        records: |response, _| {
+            let read = records(response)?;
+            Ok(Tail::Records(
+                read.records.iter().map(keyed).collect(),
+                read.end,
+            ))
+        },
+        newest: |topic, _| get(&format!("/newest?topic={topic}")),
+        page: |response| {
+            let read = records(response)?;
+            Ok(Page {
+                records: read.records.iter().map(keyed).collect(),
+                more: None,
+                end: read.end,
+            })
+        },
+        append: |topic, key, value| {
+            let mut request = get(&format!("/append?topic={topic}&key={key}"));
+            request.method = Method::POST;
+            request.body = Bytes::copy_from_slice(value);
+            request
+        },
+        appended: |response| Ok(response.parse()?),
+        path,
+        order,
+        ordered: |response| match response.status.as_u16() {
+            202 => OrderAnswer::Begun,
+            409 => OrderAnswer::Stale,
+            412 => OrderAnswer::Fenced,
+            status => OrderAnswer::Refused(status),
+        },
+        repath,
+        ask_report: || get("/report"),
+        report,
+    }
+}
+
+/// Spells a path.
+pub fn spell(parts: &[Part]) -> String {
+    let part = |part: &Part| format!("{}={}-{}", part.addr, part.span.from, part.span.to);
+    parts.iter().map(part).collect::<Vec<_>>().join(",")
+}
+
+fn path(parts: &[Part]) -> HeaderValue {
+    HeaderValue::from_str(&spell(parts)).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+fn question(request: &Request) -> Option<Question> {
+    match request.uri.path() {
+        "/ready" => Some(Question::Ready),
+        "/addresses" => Some(Question::Addresses(None)),
+        _ => None,
+    }
+}
+
+fn order(order: &LayerOrder) -> Request {
+    post(&Order::Hold {
+        span: order.span,
+        fence: order.fence,
+        after: order.after,
+    })
+}
+
+fn repath(request: &str, parts: &[Part]) -> Request {
+    post(&Order::Repath {
+        request: request.to_owned(),
+        path: spell(parts),
+    })
+}
+
+fn post(order: &Order) -> Request {
+    let mut request = get("/order");
+    request.method = Method::POST;
+    request.body = serde_json::to_vec(order).unwrap_or_default().into();
+    request
+}
+
+fn report(response: &Response) -> Result<Report, DialectError> {
+    let text: ReportText = response.parse()?;
+    Ok(Report {
+        stalled: text.stalled,
+        orders: text.orders,
+        busy: false,
+        span: text.span,
+    })
+}
+
+fn records(response: &Response) -> Result<Records, DialectError> {
+    Ok(response.parse()?)
+}
+
+fn keyed(record: &Record) -> Keyed {
+    Keyed {
+        key: record.key.clone(),
+        value: value(record),
+        offset: record.offset,
+    }
+}
+
+fn get(target: &str) -> Request {
+    Request::new(Method::GET, Uri::try_from(target).unwrap_or_default())
+}
+
+/// How long an event takes to be made, over all layers.
+pub const EVENT_SPAN: Millis = Millis(10);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 //! They are no simulators: each does the least that shows what its clients rely on.
 
 pub mod engine;
+pub mod fleet;
 pub mod platform;
 mod serve;
 pub mod service;
--- /dev/null
+++ b/tests/edge.rs
@@ -0,0 +1,471 @@
+//! Three edge daemons, a store, engines and plain endpoints over real sockets, in one loop.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+
+use bytes::BytesMut;
+use cornelwharf::clock::Clock;
+use cornelwharf::clock::Millis;
+use cornelwharf::core::pipe::Span;
+use cornelwharf::core::roster::Entry;
+use cornelwharf::core::site::Card;
+use cornelwharf::core::site::Holder;
+use cornelwharf::core::site::Limits;
+use cornelwharf::core::site::Model;
+use cornelwharf::core::site::Route;
+use cornelwharf::core::site::RouteKind;
+use cornelwharf::core::site::Service;
+use cornelwharf::core::site::Share;
+use cornelwharf::core::site::Site;
+use cornelwharf::edge;
+use cornelwharf::edge::Edge;
+use cornelwharf::edge::settings::Settings;
+use cornelwharf::io::http::Conn;
+use cornelwharf::io::http::Request;
+use cornelwharf::io::runtime;
+use cornelwharf::standin::fleet::EVENTS;
+use cornelwharf::standin::fleet::Endpoints;
+use cornelwharf::standin::fleet::Store;
+use cornelwharf::standin::fleet::words;
+use http::HeaderName;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+
+const LAYERS: u32 = 8;
+/// Within this span an accepted change is in force on every VM (the users' bound).
+const APPLY_SPAN: Millis = Millis(2000);
+/// Within this span a leaving endpoint gets no new work (the users' bound).
+const DRAIN_SPAN: Millis = Millis(2000);
+/// The longest that the fleet may take to place its layers here.
+const PLACE_SPAN: Millis = Millis::seconds(8);
+
+/// Returns addresses that no other test and no other run of this file uses: each test has a
+/// loopback address of its own, where no outgoing connection takes a port either.
+fn own(count: u16) -> Vec<SocketAddr> {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let run = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(
+        127,
+        run[2].max(1),
+        run[3],
+        NEXT.fetch_add(1, Ordering::Relaxed),
+    );
+    (0..count)
+        .map(|port| SocketAddr::from((ip, 20_000 + port)))
+        .collect()
+}
+
+async fn sleep(span: Millis) {
+    monoio::time::sleep(span.duration()).await;
+}
+
+struct World {
+    store: Store,
+    endpoints: Endpoints,
+    edges: Vec<Edge>,
+    fronts: Vec<SocketAddr>,
+    next: Cell<u64>,
+    version: Cell<u64>,
+}
+
+struct Answer {
+    status: StatusCode,
+    body: String,
+    whole: bool,
+}
+
+impl World {
+    async fn start() -> Rc<Self> {
+        let addrs = own(1 + 9 + 3 * 5);
+        let (store_addr, rest) = addrs.split_first().expect("addresses");
+        let (engines, vms) = rest.split_at(9);
+        let store = Store::default();
+        store.listen(*store_addr).expect("a store");
+        let endpoints = Endpoints::new(LAYERS);
+        let world = Self {
+            store,
+            endpoints,
+            edges: Vec::new(),
+            fronts: vms.chunks(5).map(|vm| vm[0]).collect(),
+            next: Cell::new(0),
+            version: Cell::new(0),
+        };
+        world.configure(&["red"], "/post/");
+        for (index, addr) in engines.iter().enumerate() {
+            let plain = index >= 7;
+            let entry = Entry {
+                endpoint: format!("e{index}").as_str().into(),
+                born: 1,
+                service: if plain { "ledger" } else { "pool" }.into(),
+                addr: *addr,
+                domain: if index % 2 == 0 { "north" } else { "south" }.into(),
+                leaving: false,
+                slots: 16,
+                kind: (!plain).then(|| "card".into()),
+                span: None,
+            };
+            world.endpoints.start(entry).expect("an endpoint");
+        }
+        world.tell();
+        let mut edges = Vec::new();
+        for (index, vm) in vms.chunks(5).enumerate() {
+            edges.push(daemon(index, vm, *store_addr));
+        }
+        let world = Rc::new(Self { edges, ..world });
+        monoio::spawn(keep_telling(Rc::clone(&world)));
+        world.placed().await;
+        world
+    }
+
+    /// Writes a configuration of the next version, with the keys of these teams.
+    fn configure(&self, teams: &[&str], post: &str) {
+        self.version.set(self.version.get() + 3);
+        let site = site(self.version.get(), teams, post);
+        let bytes = serde_json::to_vec(&site).expect("json");
+        self.store.put("operator", "site", &bytes);
+    }
+
+    /// Writes the endpoints' entries that changed.
+    fn tell(&self) {
+        for endpoint in self.endpoints.list() {
+            let entry = &endpoint.entry;
+            let bytes = serde_json::to_vec(entry).expect("json");
+            self.store.put("endpoints", &entry.endpoint, &bytes);
+        }
+    }
+
+    async fn placed(&self) {
+        let mut left = PLACE_SPAN;
+        while left > Millis(0) {
+            let list = self.endpoints.list();
+            let engines = list.iter().filter(|endpoint| endpoint.entry.kind.is_some());
+            if engines
+                .clone()
+                .all(|endpoint| endpoint.entry.span.is_some())
+            {
+                sleep(Millis(600)).await;
+                return;
+            }
+            sleep(Millis(50)).await;
+            left = left - Millis(50);
+        }
+        panic!("the layers are not placed");
+    }
+
+    fn request(&self, path: &str, key: &str) -> Request {
+        self.next.set(self.next.get() + 1);
+        let uri = Uri::try_from(path).expect("a path");
+        let mut request = Request::new(Method::POST, uri);
+        let id = format!("r{}", self.next.get());
+        for (name, value) in [
+            ("host", "yard.example"),
+            ("request-id", &id),
+            ("key", key),
+            ("deadline", "6000"),
+        ] {
+            request.headers.insert(
+                HeaderName::from_static(name),
+                value.parse().expect("a value"),
+            );
+        }
+        request.body = "{}".into();
+        request
+    }
+
+    async fn call(&self, vm: usize, path: &str, key: &str) -> Answer {
+        let request = self.request(path, key);
+        let mut conn = Conn::dial(self.fronts[vm]).await.expect("a connection");
+        conn.writer.request(&request).await.expect("sent");
+        let head = conn.reader.response_head(false).await.expect("a head");
+        let mut body = BytesMut::new();
+        let whole = loop {
+            match conn.reader.chunk().await {
+                Ok(Some(part)) => body.extend_from_slice(&part),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Answer {
+            status: head.status,
+            body: String::from_utf8(body.to_vec()).expect("text"),
+            whole,
+        }
+    }
+
+    async fn streams(&self) {
+        for vm in 0..self.fronts.len() {
+            let answer = self.call(vm, "/draft/1", "red-key").await;
+            assert_stream(&answer);
+        }
+        assert_eq!(self.endpoints.wrong(), Vec::<String>::new());
+    }
+
+    fn ran(&self) -> usize {
+        self.endpoints
+            .list()
+            .iter()
+            .map(|endpoint| endpoint.ran.len())
+            .sum()
+    }
+
+    /// Returns an engine that runs layers of most streams and is not the first of their paths.
+    async fn middle(&self) -> SocketAddr {
+        let held = self.endpoints.list();
+        let later = held.iter().find(|endpoint| {
+            endpoint.entry.span.is_some_and(|span| span.from > 0) && endpoint.entry.kind.is_some()
+        });
+        later.expect("an engine").entry.addr
+    }
+}
+
+async fn keep_telling(world: Rc<World>) {
+    let mut told: BTreeMap<SocketAddr, Entry> = BTreeMap::new();
+    loop {
+        for endpoint in world.endpoints.list() {
+            let entry = endpoint.entry;
+            if !endpoint.silent && !endpoint.broken && told.get(&entry.addr) != Some(&entry) {
+                let bytes = serde_json::to_vec(&entry).expect("json");
+                world.store.put("endpoints", &entry.endpoint, &bytes);
+                told.insert(entry.addr, entry);
+            }
+        }
+        sleep(Millis(100)).await;
+    }
+}
+
+fn daemon(index: usize, vm: &[SocketAddr], store: SocketAddr) -> Edge {
+    let text = format!(
+        "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
+         contacts: []\nstore: {store}\nbounds:\n  grace: 8\n  stall: 2500\n  ratio: 0.2\n  \
+         extra: 100\n  apply: 2000\n  window: 10\n  keep: 5\n",
+        if index % 2 == 0 { "north" } else { "south" },
+        vm[0],
+        vm[1],
+        vm[2],
+        vm[3],
+        vm[4],
+    );
+    let settings = Settings::parse(&text).expect("settings");
+    let edge = Edge::new(settings, words(), Clock::start(), 7 + index as u64);
+    edge::start(&edge).expect("a daemon");
+    edge
+}
+
+fn site(version: u64, teams: &[&str], post: &str) -> Site {
+    let route = |name: &str, prefix: &str, kind, service: &str| Route {
+        name: name.into(),
+        host: "yard.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Millis::seconds(6),
+        target: Millis(500),
+        gap: Some(Millis(200)),
+        attempts: 2,
+        priority: 1,
+        public: false,
+        resume: kind == RouteKind::Stream,
+        split: vec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    let model = Model {
+        layers: LAYERS,
+        weight: 1000.0,
+        token: 1000.0,
+        slots: 64,
+        load: Millis(100),
+        step: 1.0,
+        sequence: 0.01,
+        context: 0.01,
+        reading: 100.0,
+        activation: 1000.0,
+        pipe: 1000.0,
+        delay: 0.1,
+        usual: (10.0, 40.0),
+        cards: BTreeMap::from([(
+            "card".into(),
+            Card {
+                memory: 4200.0,
+                pace: 1.0,
+                read: 1.0,
+            },
+        )]),
+    };
+    let service = |model| Service {
+        connections: 100,
+        model,
+    };
+    let holder = |team: &&str| {
+        let holder = Holder {
+            team: (*team).into(),
+            priority: None,
+        };
+        (format!("{team}-key"), holder)
+    };
+    Site {
+        version,
+        routes: vec![
+            route("draft", "/draft/", RouteKind::Stream, "pool"),
+            route("post", post, RouteKind::Once, "ledger"),
+        ],
+        services: BTreeMap::from([
+            ("pool".into(), service(Some(model))),
+            ("ledger".into(), service(None)),
+        ]),
+        keys: Some(teams.iter().map(holder).collect()),
+        limits: Limits {
+            head: 16_384,
+            body: 4_194_304,
+            arrival: Millis(3000),
+            idle: Millis(15_000),
+        },
+    }
+}
+
+fn assert_stream(answer: &Answer) {
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.whole, "{}", answer.body);
+    let want: String = (1..=EVENTS)
+        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
+        .collect();
+    assert_eq!(answer.body, want);
+}
+
+fn run<F, T>(test: F)
+where
+    F: FnOnce(Rc<World>) -> T,
+    T: Future<Output = ()>,
+{
+    runtime::run(async {
+        let world = World::start().await;
+        test(world).await;
+    })
+    .expect("a loop");
+}
+
+#[test]
+fn streams_and_plain_requests_are_served_and_others_refused() {
+    run(async |world: Rc<World>| {
+        world.streams().await;
+        let before = world.ran();
+        let answer = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (StatusCode::OK, "/post/a")
+        );
+        assert_eq!(world.ran(), before + 1);
+        let refused = world.call(1, "/post/a", "blue-key").await;
+        assert_eq!(refused.status, StatusCode::UNAUTHORIZED);
+        let unknown = world.call(2, "/nothing/", "red-key").await;
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+        assert_eq!(world.ran(), before + 1);
+    });
+}
+
+#[test]
+fn a_stream_goes_on_when_an_engine_of_its_path_stands_still() {
+    run(async |world: Rc<World>| {
+        let addr = world.middle().await;
+        let other = Rc::clone(&world);
+        let switch = monoio::spawn(async move {
+            sleep(Millis(150)).await;
+            other.endpoints.at(addr, |endpoint| endpoint.silent = true);
+        });
+        world.streams().await;
+        switch.await;
+    });
+}
+
+#[test]
+fn a_stream_goes_on_when_its_first_engine_breaks_off() {
+    run(async |world: Rc<World>| {
+        let list = world.endpoints.list();
+        let first = list
+            .iter()
+            .filter(|endpoint| endpoint.entry.span.is_some_and(|span: Span| span.from == 0));
+        let addr = first.clone().next().expect("an engine").entry.addr;
+        let other = Rc::clone(&world);
+        let switch = monoio::spawn(async move {
+            sleep(Millis(150)).await;
+            other.endpoints.at(addr, |endpoint| endpoint.broken = true);
+        });
+        world.streams().await;
+        switch.await;
+    });
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work_after_its_bound() {
+    run(async |world: Rc<World>| {
+        let list = world.endpoints.list();
+        let ledger = list.iter().find(|endpoint| endpoint.entry.kind.is_none());
+        let addr = ledger.expect("a ledger").entry.addr;
+        world
+            .endpoints
+            .at(addr, |endpoint| endpoint.entry.leaving = true);
+        world.tell();
+        sleep(DRAIN_SPAN).await;
+        let before = world.endpoints.at(addr, |endpoint| endpoint.ran.len());
+        for turn in 0..12 {
+            let answer = world.call(turn % 3, "/post/a", "red-key").await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        assert_eq!(
+            world.endpoints.at(addr, |endpoint| endpoint.ran.len()),
+            before
+        );
+    });
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_its_bound() {
+    run(async |world: Rc<World>| {
+        world.configure(&["blue"], "/book/");
+        sleep(APPLY_SPAN).await;
+        for vm in 0..3 {
+            let old = world.call(vm, "/post/a", "blue-key").await;
+            assert_eq!(old.status, StatusCode::NOT_FOUND, "vm {vm}");
+            let revoked = world.call(vm, "/book/a", "red-key").await;
+            assert_eq!(revoked.status, StatusCode::UNAUTHORIZED, "vm {vm}");
+            let new = world.call(vm, "/book/a", "blue-key").await;
+            assert_eq!(new.status, StatusCode::OK, "vm {vm}");
+        }
+    });
+}
+
+#[test]
+fn service_goes_on_while_the_store_is_away() {
+    run(async |world: Rc<World>| {
+        world.store.set_away(true);
+        sleep(Millis::seconds(3)).await;
+        world.streams().await;
+        world.store.set_away(false);
+        world.configure(&["red"], "/book/");
+        sleep(APPLY_SPAN).await;
+        for vm in 0..3 {
+            let answer = world.call(vm, "/book/a", "red-key").await;
+            assert_eq!(answer.status, StatusCode::OK, "vm {vm}");
+        }
+    });
+}
+
+#[test]
+fn a_stopping_daemon_cuts_nobody_off() {
+    run(async |world: Rc<World>| {
+        let other = Rc::clone(&world);
+        let stream = monoio::spawn(async move { other.call(0, "/draft/1", "red-key").await });
+        sleep(Millis(100)).await;
+        world.edges[0].stop();
+        assert_stream(&stream.await);
+        let late = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(late.status, StatusCode::OK);
+        assert!(!world.edges[0].ready());
+    });
+}
