--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -43,12 +43,15 @@
     pub ran: Vec<String>,
 }
 
+/// The engines that a request passes through, each with the layers that it runs.
+type Route = Vec<(SocketAddr, Span)>;
+
 /// All endpoints, by address.
 #[derive(Clone, Debug)]
 pub struct Endpoints {
     layers: u32,
     all: Rc<RefCell<BTreeMap<SocketAddr, Endpoint>>>,
-    paths: Rc<RefCell<BTreeMap<String, Vec<(SocketAddr, Span)>>>>,
+    paths: Rc<RefCell<BTreeMap<String, Route>>>,
     wrong: Rc<RefCell<Vec<String>>>,
 }
 
@@ -285,7 +288,7 @@
     value.unwrap_or_default().to_owned()
 }
 
-fn parse(path: &str) -> Vec<(SocketAddr, Span)> {
+fn parse(path: &str) -> Route {
     let part = |part: &str| {
         let (addr, span) = part.split_once('=')?;
         let (from, to) = span.split_once('-')?;
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -215,7 +216,7 @@
     }
 
     /// Returns an engine that runs layers of most streams and is not the first of their paths.
-    async fn middle(&self) -> SocketAddr {
+    fn middle(&self) -> SocketAddr {
         let held = self.endpoints.list();
         let later = held.iter().find(|endpoint| {
             endpoint.entry.span.is_some_and(|span| span.from > 0) && endpoint.entry.kind.is_some()
@@ -244,7 +245,7 @@
         "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
          contacts: []\nstore: {store}\nbounds:\n  grace: 8\n  stall: 2500\n  ratio: 0.2\n  \
          extra: 100\n  apply: 2000\n  window: 10\n  keep: 5\n",
-        if index % 2 == 0 { "north" } else { "south" },
+        if index.is_multiple_of(2) { "north" } else { "south" },
         vm[0],
         vm[1],
         vm[2],
@@ -332,9 +333,10 @@
 fn assert_stream(answer: &Answer) {
     assert_eq!(answer.status, StatusCode::OK);
     assert!(answer.whole, "{}", answer.body);
-    let want: String = (1..=EVENTS)
-        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
-        .collect();
+    let mut want = String::new();
+    for id in 1..=EVENTS {
+        write!(want, "id: {id}\ndata: token {id}\n\n").expect("a string grows");
+    }
     assert_eq!(answer.body, want);
 }
 
@@ -372,7 +374,7 @@
 #[test]
 fn a_stream_goes_on_when_an_engine_of_its_path_stands_still() {
     run(async |world: Rc<World>| {
-        let addr = world.middle().await;
+        let addr = world.middle();
         let other = Rc::clone(&world);
         let switch = monoio::spawn(async move {
             sleep(Millis(150)).await;
