Tell removals that a whole list hides; go round single engines of a path; use nine tenths of the retry budget

Tests: a_vm_that_read_only_a_whole_list_hides_no_removal_from_others, a_detour_keeps_every_engine_that_works.

--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 
 /// The part of a VM's share that it uses, so that shares counted with a lag stay within the whole.
-const CAUTION: f64 = 0.7;
+const CAUTION: f64 = 0.9;
 /// The time that one count covers.
 const SLOT_SPAN: Millis = Millis(500);
 
--- /dev/null
+++ b/src/core/pipe/detour.rs
@@ -0,0 +1,50 @@
+//! The change of a path while its request runs.
+
+use std::net::SocketAddr;
+
+use super::Demand;
+use super::Part;
+use super::Span;
+use super::Stage;
+use super::between;
+use crate::core::site::Model;
+
+/// Replaces the parts of a path whose engines are bad, and keeps the others with what they have
+/// read of the request. The first engine drives the path and cannot be replaced.
+pub fn detour(
+    stages: &[Stage],
+    model: &Model,
+    demand: Demand,
+    path: &[Part],
+    bad: &[SocketAddr],
+) -> Option<Vec<Part>> {
+    let is_bad = |part: &Part| bad.contains(&part.addr);
+    if path.first().is_none_or(is_bad) {
+        return None;
+    }
+    let mut free: Vec<Stage> = stages.to_vec();
+    free.retain(|stage| {
+        !bad.contains(&stage.addr) && !path.iter().any(|part| part.addr == stage.addr)
+    });
+    let mut other: Vec<Part> = Vec::new();
+    let mut index = 0;
+    while index < path.len() {
+        if !is_bad(&path[index]) {
+            other.push(path[index].clone());
+            index += 1;
+            continue;
+        }
+        let from = path[index].span.from;
+        while index < path.len() && is_bad(&path[index]) {
+            index += 1;
+        }
+        let to = path[index - 1].span.to;
+        let before = other.last()?.addr;
+        let home = stages.iter().find(|stage| stage.addr == before);
+        let home = home.or(stages.first())?.domain.clone();
+        let parts = between(&free, model, &home, demand, Span { from, to })?;
+        free.retain(|stage| !parts.iter().any(|part| part.addr == stage.addr));
+        other.extend(parts);
+    }
+    Some(other)
+}
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -1,12 +1,15 @@
 //! Chains of engines that hold ranges of a model's layers: which engine holds what, and which
 //! engines a request passes through (docs/PLATFORM.md).
 
+mod detour;
 mod path;
 mod place;
 
+pub use self::detour::detour;
 pub use self::path::Demand;
 pub use self::path::Part;
 pub use self::path::Stage;
+pub use self::path::between;
 pub use self::path::choose;
 pub use self::place::Seat;
 pub use self::place::place;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -94,20 +94,40 @@
 /// The answer to ordinary load: the time of a path is what its engines take for the prompt and for
 /// each token at their present load, and the crossings between domains.
 pub fn choose(stages: &[Stage], model: &Model, home: &Domain, demand: Demand) -> Option<Vec<Part>> {
+    let all = Span {
+        from: 0,
+        to: model.layers,
+    };
+    between(stages, model, home, demand, all)
+}
+
+/// Chooses a path through a range of layers only; `home` is where the range is entered from.
+///
+/// The answer to an engine that stands still in the middle of a request: the other engines keep
+/// what they have read of it, so as few layers as possible are read anew.
+pub fn between(
+    stages: &[Stage],
+    model: &Model,
+    home: &Domain,
+    demand: Demand,
+    range: Span,
+) -> Option<Vec<Part>> {
     let mut best: BTreeMap<(u32, usize), f64> = BTreeMap::new();
     let mut back: BTreeMap<(u32, usize), (u32, usize)> = BTreeMap::new();
     let mut open = BinaryHeap::new();
     for (index, stage) in stages.iter().enumerate() {
-        if stage.span.holds(0) && stage.first {
+        if stage.span.holds(range.from) && (stage.first || range.from > 0) {
             let cost = if stage.domain == *home {
                 0.0
+            } else if range.from > 0 {
+                transfer(model, demand)
             } else {
                 model.delay * demand.answer
             };
-            best.insert((0, index), cost);
+            best.insert((range.from, index), cost);
             open.push(Open {
                 cost,
-                at: 0,
+                at: range.from,
                 stage: index,
             });
         }
@@ -116,7 +136,7 @@
         if best.get(&(at, stage)).is_some_and(|known| *known < cost) {
             continue;
         }
-        if at >= model.layers {
+        if at >= range.to {
             return Some(parts(stages, &back, (at, stage)));
         }
         let own = &stages[stage];
@@ -133,8 +153,8 @@
                 });
             }
         };
-        if own.span.to >= model.layers {
-            step(model.layers, stage, 0.0);
+        if own.span.to >= range.to {
+            step(range.to, stage, 0.0);
             continue;
         }
         for (index, next) in stages.iter().enumerate() {
@@ -145,7 +165,7 @@
             if next.span.holds(own.span.to) {
                 step(own.span.to, index, crossing);
             }
-            if next.span.from > at && next.span.from < own.span.to {
+            if next.span.from > at && next.span.from < own.span.to.min(range.to) {
                 step(next.span.from, index, crossing);
             }
         }
@@ -169,14 +189,19 @@
 }
 
 fn crossing(from: &Stage, to: &Stage, model: &Model, demand: Demand) -> f64 {
-    /// Megabits a second as bytes a millisecond.
-    const BYTES_PER_MS: f64 = 125.0;
     if from.domain == to.domain {
         return 0.0;
     }
+    transfer(model, demand)
+}
+
+/// Returns the time that a request's transfers between two domains take and wait.
+fn transfer(model: &Model, demand: Demand) -> f64 {
+    /// Megabits a second as bytes a millisecond.
+    const BYTES_PER_MS: f64 = 125.0;
     let tokens = demand.prompt + demand.answer;
-    let transfer = model.activation / (model.pipe * BYTES_PER_MS);
-    tokens * transfer + (model.delay + PIPE_WAIT) * demand.answer
+    let each = model.activation / (model.pipe * BYTES_PER_MS);
+    tokens * each + (model.delay + PIPE_WAIT) * demand.answer
 }
 
 fn parts(
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -10,6 +10,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 pub use self::entry::Change;
 pub use self::entry::Entry;
 pub use self::health::Health;
@@ -45,11 +48,23 @@
     work: Work,
 }
 
+/// What one VM tells another of the endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// Whether every endpoint that is not named is gone.
+    pub whole: bool,
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// Up to which offset all changes are told.
+    pub end: u64,
+}
+
 /// The endpoints by name.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     known: BTreeMap<EndpointName, Known>,
     end: u64,
+    base: u64,
     newest: Millis,
     regained: Option<Millis>,
 }
@@ -150,19 +165,58 @@
         })
     }
 
+    /// Says that a whole list up to `end` was read. Such a list does not tell which endpoints were
+    /// removed, so from here on only later removals can be told to others.
+    pub fn rebase(&mut self, end: u64) {
+        self.base = self.base.max(end);
+    }
+
     /// Forgets what was removed long ago.
     pub fn sweep(&mut self, now: Millis) {
-        self.known
-            .retain(|_, known| known.change.entry.is_some() || now.since(known.at) < TOMB_SPAN);
+        let base = &mut self.base;
+        self.known.retain(|_, known| {
+            let keep = known.change.entry.is_some() || now.since(known.at) < TOMB_SPAN;
+            if !keep {
+                *base = (*base).max(known.change.offset + 1);
+            }
+            keep
+        });
     }
 
-    /// Returns the changes from an offset on, for a VM that the store does not answer.
-    pub fn changes(&self, from: u64) -> Vec<Change> {
-        let fresh = self
+    /// Returns what a VM lacks that knows everything before `from`.
+    pub fn update(&self, from: u64) -> Update {
+        let whole = from < self.base;
+        let lacks = |known: &&Known| whole || known.change.offset >= from;
+        let changes = self
             .known
             .values()
-            .filter(|known| known.change.offset >= from);
-        fresh.map(|known| known.change.clone()).collect()
+            .filter(lacks)
+            .map(|known| known.change.clone());
+        Update {
+            whole,
+            changes: changes.collect(),
+            end: self.end,
+        }
+    }
+
+    /// Returns the changes that an update stands for: those in it, and the removal of every
+    /// endpoint that a whole one does not name.
+    pub fn expand(&self, update: Update) -> Vec<Change> {
+        let mut changes = update.changes;
+        if update.whole {
+            let held = changes.iter().filter(|change| change.entry.is_some());
+            let listed: Vec<EndpointName> = held.map(|change| change.endpoint.clone()).collect();
+            let gone = self.missing(&listed, update.end);
+            let known: Vec<EndpointName> = changes
+                .iter()
+                .map(|change| change.endpoint.clone())
+                .collect();
+            changes.extend(
+                gone.into_iter()
+                    .filter(|change| !known.contains(&change.endpoint)),
+            );
+        }
+        changes
     }
 
     /// Returns the entry of an endpoint that may get new work now.
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -14,6 +14,7 @@
 use super::store::StoreError;
 use crate::clock::Millis;
 use crate::core::roster::Change;
+use crate::core::roster::Update;
 use crate::core::site::Offer;
 use crate::core::site::Site;
 use crate::io::http::Request;
@@ -44,10 +45,8 @@
 pub struct News {
     /// The configuration, if the asker's is older.
     pub site: Option<Site>,
-    /// The endpoints that changed.
-    pub changes: Vec<Change>,
-    /// Up to which offset all changes are told.
-    pub end: u64,
+    /// The endpoints.
+    pub endpoints: Update,
 }
 
 /// Follows the configuration.
@@ -182,6 +181,9 @@
         }
     }
     edge.roster(|roster| {
+        if whole {
+            roster.rebase(end);
+        }
         roster.advance(end);
         roster.sweep(now);
     });
@@ -259,11 +261,19 @@
     if let Some(site) = news.site {
         accept(edge, site, "peer", 0);
     }
-    for change in news.changes {
+    let end = news.endpoints.end;
+    let whole = news.endpoints.whole;
+    let changes = edge.roster(|roster| roster.expand(news.endpoints));
+    for change in changes {
         apply(edge, now, change);
     }
-    edge.roster(|roster| roster.advance(news.end));
-    edge.fleet(|fleet| fleet.me().known = news.end);
+    edge.roster(|roster| {
+        if whole {
+            roster.rebase(end);
+        }
+        roster.advance(end);
+    });
+    edge.fleet(|fleet| fleet.me().known = end);
     edge.nudge();
 }
 
@@ -272,7 +282,6 @@
     let site = edge.site().filter(|site| site.version > version);
     News {
         site: site.map(|site| Site::clone(&site)),
-        changes: edge.roster(|roster| roster.changes(from)),
-        end: edge.roster(|roster| roster.end()),
+        endpoints: edge.roster(|roster| roster.update(from)),
     }
 }
--- a/src/edge/mend.rs
+++ b/src/edge/mend.rs
@@ -11,6 +11,7 @@
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::choose;
+use crate::core::pipe::detour;
 use crate::core::roster::Health;
 use crate::core::site::Model;
 use crate::names::EndpointName;
@@ -139,7 +140,8 @@
         for addr in &stalled {
             self.stand_still(*addr);
         }
-        let Some(other) = self.detour(&first) else {
+        let stages = self.stages();
+        let Some(other) = detour(&stages, self.model, self.demand(), path, &self.bad) else {
             log::info!(id, stalled:? = stalled, reason = "no_path"; "path_given_up");
             return false;
         };
@@ -152,26 +154,6 @@
         }
         false
     }
-
-    /// Chooses a path that begins with the same part, so that the first engine can go on.
-    fn detour(&self, first: &Part) -> Option<Vec<Part>> {
-        if self.bad.contains(&first.addr) {
-            return None;
-        }
-        let mut stages = self.stages();
-        let own = stages.iter().position(|stage| stage.addr == first.addr)?;
-        for (index, stage) in stages.iter_mut().enumerate() {
-            stage.first = index == own;
-        }
-        stages[own].span = first.span;
-        let path = choose(
-            &stages,
-            self.model,
-            &self.edge.settings().domain,
-            self.demand(),
-        )?;
-        (path.first() == Some(first)).then_some(path)
-    }
 }
 
 /// Probes the engines that stand still, for ever, so that they get work again once they answer.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -44,6 +44,12 @@
 const OFFERS: u32 = 4;
 /// Without an event for this long, the first engine is asked what holds it up.
 const QUIET_SPAN: Millis = Millis(350);
+/// How long to wait before it is asked again: its report is as of some 200 ms ago.
+const AGAIN_SPAN: Millis = Millis(150);
+/// The times that it is asked so soon; a path that is slow and not dead is asked more seldom.
+const AGAIN_MOST: u32 = 4;
+/// How long to wait before it is asked after that.
+const SLOW_SPAN: Millis = Millis(800);
 
 type Next<T> = Pin<Box<dyn Future<Output = T>>>;
 type Piece = (Reader, Result<Option<Bytes>, HttpError>);
@@ -280,8 +286,9 @@
     reader: Reader,
 ) -> Result<(Reader, Response), Ended> {
     let mut next: Next<Head> = Box::pin(read_head(reader));
+    let mut asked = 0;
     loop {
-        match wait(trip, &mut next).await {
+        match wait(trip, &mut next, asked).await {
             Waited::Got((reader, Ok(response))) => return Ok((reader, response)),
             Waited::Got((_, Err(error))) => {
                 let id = &trip.job.id;
@@ -292,6 +299,7 @@
             }
             Waited::Late => return Err(Ended::Late),
             Waited::Quiet => {
+                asked += 1;
                 if !trip.mend(path).await {
                     return Err(Ended::Broke);
                 }
@@ -347,9 +355,11 @@
     let edge = trip.edge;
     let job = trip.job;
     let mut next: Next<Piece> = Box::pin(read_piece(reader));
+    let mut asked = 0;
     loop {
-        match wait(trip, &mut next).await {
+        match wait(trip, &mut next, asked).await {
             Waited::Got((reader, Ok(Some(part)))) => {
+                asked = 0;
                 if !progress.events.add(&part) {
                     log::warn!(id = job.id, endpoint:% = path[0].endpoint; "event_too_long");
                     return Err(Ended::Broke);
@@ -382,6 +392,7 @@
             }
             Waited::Late => return Err(Ended::Late),
             Waited::Quiet => {
+                asked += 1;
                 if !trip.mend(path).await {
                     return Err(Ended::Broke);
                 }
@@ -410,12 +421,17 @@
     Late,
 }
 
-async fn wait<T>(trip: &Trip<'_>, next: &mut Next<T>) -> Waited<T> {
+async fn wait<T>(trip: &Trip<'_>, next: &mut Next<T>, asked: u32) -> Waited<T> {
     let left = trip.job.left(trip.edge.now());
     if left == Millis(0) {
         return Waited::Late;
     }
-    let span = left.min(QUIET_SPAN);
+    let quiet = match asked {
+        0 => QUIET_SPAN,
+        1..=AGAIN_MOST => AGAIN_SPAN,
+        _ => SLOW_SPAN,
+    };
+    let span = left.min(quiet);
     match within(span, next).await {
         Ok(got) => Waited::Got(got),
         Err(_) if span == left => Waited::Late,
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -11,6 +11,7 @@
 use cornelwharf::core::pipe::Span;
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::choose;
+use cornelwharf::core::pipe::detour;
 use cornelwharf::core::pipe::place;
 use cornelwharf::core::pipe::repair;
 use cornelwharf::core::site::Card;
@@ -276,6 +277,36 @@
     assert_eq!(choose(&stages, &model(), &Domain::from("a"), DEMAND), None);
 }
 
+#[test]
+fn a_detour_keeps_every_engine_that_works() {
+    let seats = placed(fleet());
+    let stages = stages(&seats);
+    let path = choose(&stages, &model(), &Domain::from("a"), DEMAND).expect("a path");
+    for index in 1..path.len() {
+        let bad = [path[index].addr];
+        let other = detour(&stages, &model(), DEMAND, &path, &bad).expect("a detour");
+        assert!(is_whole(&other), "{other:?}");
+        for part in path.iter().filter(|part| part.addr != bad[0]) {
+            assert!(other.contains(part), "{part:?} in {other:?}");
+        }
+        assert!(other.iter().all(|part| part.addr != bad[0]));
+    }
+    assert_eq!(
+        detour(&stages, &model(), DEMAND, &path, &[path[0].addr]),
+        None
+    );
+}
+
+#[test]
+fn a_detour_goes_round_two_engines_side_by_side() {
+    let seats = placed(fleet());
+    let stages = stages(&seats);
+    let path = choose(&stages, &model(), &Domain::from("c"), DEMAND).expect("a path");
+    let bad = [path[1].addr, path[2].addr];
+    let other = detour(&stages, &model(), DEMAND, &path, &bad).expect("a detour");
+    assert!(is_whole(&other), "{other:?}");
+}
+
 fn spans() -> impl Strategy<Value = Vec<Span>> {
     let span = (0..LAYERS).prop_flat_map(|from| {
         (Just(from), from + 1..=LAYERS).prop_map(|(from, to)| Span { from, to })
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -119,19 +119,59 @@
     assert_eq!(serving(&roster, NOW), ["b"]);
 }
 
+/// Lets a VM that knows everything before its end take in what another tells it.
+fn tell(from: &Roster, to: &mut Roster) {
+    let update = from.update(to.end());
+    let end = update.end;
+    for change in to.expand(update) {
+        to.apply(NOW, change);
+    }
+    to.advance(end);
+}
+
 #[test]
 fn a_peer_learns_of_removals_too() {
     let mut roster = Roster::default();
     roster.apply(NOW, change(1, entry("a", 1)));
     roster.apply(NOW, removal(2, "a"));
+    roster.advance(3);
     let mut peer = Roster::default();
     peer.apply(NOW, change(1, entry("a", 1)));
-    for news in roster.changes(2) {
-        peer.apply(NOW, news);
-    }
+    peer.advance(2);
+    tell(&roster, &mut peer);
     assert!(serving(&peer, NOW).is_empty());
 }
 
+#[test]
+fn a_vm_that_read_only_a_whole_list_hides_no_removal_from_others() {
+    let mut fresh = Roster::default();
+    fresh.apply(NOW, change(2, entry("b", 1)));
+    fresh.rebase(4);
+    fresh.advance(4);
+    let mut peer = Roster::default();
+    peer.apply(NOW, change(1, entry("a", 1)));
+    peer.apply(NOW, change(2, entry("b", 1)));
+    peer.advance(3);
+    tell(&fresh, &mut peer);
+    assert_eq!(serving(&peer, NOW), ["b"]);
+}
+
+#[test]
+fn a_removal_that_was_forgotten_is_told_as_a_whole_list() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.apply(NOW, change(2, entry("b", 1)));
+    roster.apply(NOW, removal(3, "a"));
+    roster.advance(4);
+    roster.sweep(NOW + Millis::seconds(600));
+    let mut peer = Roster::default();
+    peer.apply(NOW, change(1, entry("a", 1)));
+    peer.apply(NOW, change(2, entry("b", 1)));
+    peer.advance(3);
+    tell(&roster, &mut peer);
+    assert_eq!(serving(&peer, NOW), ["b"]);
+}
+
 #[test]
 fn an_endpoint_that_stands_still_waits_for_a_probe() {
     let mut health = Health::default();
