Tell other VMs of engines that are slow or stand still

Cause: each VM found out for itself, by streams of its own that paused; at 144 VMs most had not before the trouble was over.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
+use crate::core::roster::Mark;
 use crate::names::Domain;
 use crate::names::Vm;
 
@@ -86,6 +87,8 @@
     pub digests: Vec<Digest>,
     /// How long ago the store answered any VM that the sender knows of.
     pub age: Millis,
+    /// Endpoints that are slow or stand still.
+    pub marks: Vec<Mark>,
 }
 
 /// A sign of life of a VM that the receiver knows already.
@@ -166,8 +169,8 @@
         self.others.insert(seen.member.vm.clone(), seen);
     }
 
-    /// Returns the next message and the addresses that it goes to.
-    pub fn beat(&mut self, now: Millis) -> (Message, Vec<SocketAddr>) {
+    /// Returns the next message, which carries `marks`, and the addresses that it goes to.
+    pub fn beat(&mut self, now: Millis, marks: Vec<Mark>) -> (Message, Vec<SocketAddr>) {
         self.me.beat += 1;
         self.others
             .retain(|_, seen| now.since(seen.at.max(seen.learned)) < FORGET_SPAN);
@@ -205,6 +208,7 @@
             others,
             digests,
             age: now.since(self.fresh),
+            marks,
         };
         (message, to)
     }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -26,6 +26,14 @@
 /// How long an endpoint whose entry lapsed in an outage of the store is still used: entries of
 /// endpoints that live are back within two seconds of the store's return.
 pub const LAPSE_SPAN: Millis = Millis(2000);
+/// How long a mark is believed unless it is made anew.
+const MARK_SPAN: Millis = Millis(1500);
+/// The least time between two questions for the pace of an endpoint.
+const LOOK_SPAN: Millis = Millis(1000);
+/// The most marks that one message carries.
+const MARKS: usize = 16;
+/// The pace of an endpoint that stands still: it is used only where no other can be.
+const STILL_PACE: f64 = 50.0;
 /// How long the removal of an entry is remembered for VMs that have not heard of it.
 const TOMB_SPAN: Millis = Millis::seconds(60);
 
@@ -46,6 +54,20 @@
     held: Option<Entry>,
     health: Health,
     work: Work,
+    pace: Option<(f64, Millis)>,
+    looked: Millis,
+    watched: bool,
+}
+
+/// A word between VMs that an endpoint is slow or stands still.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// How many times longer than usual it takes.
+    pub pace: f64,
+    /// For how long this is still believed.
+    pub left: Millis,
 }
 
 /// What one VM tells another of the endpoints.
@@ -80,9 +102,13 @@
         self.newest
     }
 
-    /// Returns the endpoints that failed and are left alone until a probe says that they answer.
+    /// Returns the endpoints to probe: those that are left alone until they answer, and those that
+    /// this VM found slow.
     pub fn doubtful(&self) -> Vec<(EndpointName, SocketAddr)> {
-        let held = self.known.values().filter(|known| known.health.is_down());
+        let held = self
+            .known
+            .values()
+            .filter(|known| known.health.is_down() || known.watched);
         held.filter_map(|known| known.change.entry.as_ref())
             .filter(|entry| !entry.leaving)
             .map(|entry| (entry.endpoint.clone(), entry.addr))
@@ -133,6 +159,9 @@
             held,
             health: kept.map(|old| old.health.clone()).unwrap_or_default(),
             work: kept.map(|old| old.work).unwrap_or_default(),
+            pace: kept.and_then(|old| old.pace),
+            looked: kept.map(|old| old.looked).unwrap_or_default(),
+            watched: kept.is_some_and(|old| old.watched),
             change,
         };
         self.known.insert(known.change.endpoint.clone(), known);
@@ -252,6 +281,8 @@
     ) -> Vec<Stage> {
         let mut stages = Vec::new();
         for (entry, health, work) in self.serving(service, now) {
+            let known = self.known.get(&entry.endpoint);
+            let pace = known.and_then(|known| known.pace.filter(|(_, until)| now < *until));
             let (Some(span), Some(kind)) = (entry.span, entry.kind.as_ref()) else {
                 continue;
             };
@@ -273,13 +304,74 @@
                 card: *card,
                 running,
                 room: work.cells * vms / cells,
-                penalty: health.penalty(),
+                penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
                 first: running < f64::from(model.slots),
             });
         }
         stages
     }
 
+    /// Marks an endpoint as slow, for a while; `None` stands for one that stands still. Returns
+    /// whether that is news.
+    pub fn mark(&mut self, now: Millis, endpoint: &EndpointName, pace: Option<f64>) -> bool {
+        let mark = Mark {
+            endpoint: endpoint.clone(),
+            pace: pace.unwrap_or(STILL_PACE),
+            left: MARK_SPAN,
+        };
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.watched = true;
+        }
+        self.believe(now, &mark)
+    }
+
+    /// Stops the probes of an endpoint that this VM had marked: it works as usual again.
+    pub fn unwatch(&mut self, endpoint: &EndpointName) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.watched = false;
+            known.pace = None;
+        }
+    }
+
+    /// Says whether an endpoint of a slow path should be asked for its pace, and counts it as asked.
+    pub fn wants_look(&mut self, now: Millis, endpoint: &EndpointName) -> bool {
+        let Some(known) = self.known.get_mut(endpoint) else {
+            return false;
+        };
+        let wanted = now.since(known.looked) >= LOOK_SPAN;
+        if wanted {
+            known.looked = now;
+        }
+        wanted
+    }
+
+    /// Takes in what another VM says of an endpoint. Returns whether that is news.
+    pub fn believe(&mut self, now: Millis, mark: &Mark) -> bool {
+        let Some(known) = self.known.get_mut(&mark.endpoint) else {
+            return false;
+        };
+        let until = now + mark.left.min(MARK_SPAN);
+        let old = known.pace.filter(|(_, old)| now < *old);
+        if old.is_some_and(|(_, old)| old >= until) {
+            return false;
+        }
+        known.pace = Some((mark.pace.clamp(1.0, STILL_PACE), until));
+        old.is_none()
+    }
+
+    /// Returns the marks that are believed now, for other VMs.
+    pub fn marks(&self, now: Millis) -> Vec<Mark> {
+        let fresh = self.known.iter().filter_map(|(endpoint, known)| {
+            let (pace, until) = known.pace.filter(|(_, until)| now < *until)?;
+            Some(Mark {
+                endpoint: endpoint.clone(),
+                pace,
+                left: until.since(now),
+            })
+        });
+        fresh.take(MARKS).collect()
+    }
+
     /// Returns the health of an endpoint that is known.
     pub fn health(&mut self, endpoint: &EndpointName) -> Option<&mut Health> {
         self.known.get_mut(endpoint).map(|known| &mut known.health)
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -148,8 +148,10 @@
 }
 
 /// What an engine says of itself and of the engines behind it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
+    /// How many times longer than usual its work takes.
+    pub pace: f64,
     /// The addresses of engines that hold up its work.
     pub stalled: Vec<SocketAddr>,
     /// The orders that it has accepted since its start.
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -235,12 +235,11 @@
         let Some(peer) = edge.fleet(|fleet| fleet.ahead(now, &skip)) else {
             continue;
         };
-        match within(PEER_CALL, ask(&edge, peer)).await {
-            Ok(Some(news)) => take_news(&edge, news),
-            _ => {
-                log::debug!(peer:% = peer; "peer_silent");
-                failed.push((peer, now));
-            }
+        if let Ok(Some(news)) = within(PEER_CALL, ask(&edge, peer)).await {
+            take_news(&edge, news);
+        } else {
+            log::debug!(peer:% = peer; "peer_silent");
+            failed.push((peer, now));
         }
     }
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -42,19 +42,32 @@
             continue;
         };
         match postcard::from_bytes::<Message>(&buf[..size]) {
-            Ok(message) => edge.fleet(|fleet| fleet.receive(edge.now(), message)),
+            Ok(message) => receive(&edge, message),
             Err(error) => log::debug!(from:% = from, error:% = error; "message_dropped"),
         }
     }
 }
 
+fn receive(edge: &Edge, message: Message) {
+    let now = edge.now();
+    for mark in &message.marks {
+        if edge.roster(|roster| roster.believe(now, mark)) {
+            let source = &message.from.vm;
+            log::info!(endpoint:% = mark.endpoint, pace = mark.pace, source:% = source; "endpoint_marked");
+            edge.nudge();
+        }
+    }
+    edge.fleet(|fleet| fleet.receive(now, message));
+}
+
 async fn beat(edge: Edge, socket: Rc<UdpSocket>) {
     loop {
         let now = edge.now();
         let ready = edge.ready();
+        let marks = edge.roster(|roster| roster.marks(now));
         let (message, to) = edge.fleet(|fleet| {
             fleet.me().ready = ready;
-            fleet.beat(now)
+            fleet.beat(now, marks)
         });
         match postcard::to_stdvec(&message) {
             Ok(bytes) => {
--- a/src/edge/mend.rs
+++ b/src/edge/mend.rs
@@ -19,6 +19,8 @@
 /// The largest random part of an engine's cost, so that VMs with the same view choose differently.
 const SPREAD: f64 = 0.15;
 
+/// The pace from which an engine counts as slow.
+const SLOW_PACE: f64 = 2.0;
 /// The interval between two probes of an engine that stands still.
 const PROBE_SPAN: Millis = Millis(600);
 
@@ -129,17 +131,25 @@
             Err(error) => {
                 log::info!(id, endpoint:% = first.endpoint, error:% = error; "path_given_up");
                 self.stand_still(first.addr);
+                mark(self.edge, &first.endpoint, None);
                 return false;
             }
         };
         let addrs = path.iter().map(|part| part.addr);
         let stalled: Vec<SocketAddr> = addrs.filter(|addr| report.stalled.contains(addr)).collect();
         if stalled.is_empty() {
+            note_pace(self.edge, &first.endpoint, report.pace);
+            for part in path.iter().skip(1) {
+                look(self.edge, part);
+            }
             return true;
         }
         for addr in &stalled {
             self.stand_still(*addr);
         }
+        for part in path.iter().filter(|part| stalled.contains(&part.addr)) {
+            mark(self.edge, &part.endpoint, None);
+        }
         let stages = self.stages();
         let Some(other) = detour(&stages, self.model, self.demand(), path, &self.bad) else {
             log::info!(id, stalled:? = stalled, reason = "no_path"; "path_given_up");
@@ -156,18 +166,56 @@
     }
 }
 
-/// Probes the engines that stand still, for ever, so that they get work again once they answer.
+/// Asks an engine of a slow path for its pace, unless that is known.
+fn look(edge: &Edge, part: &Part) {
+    let now = edge.now();
+    if !edge.roster(|roster| roster.wants_look(now, &part.endpoint)) {
+        return;
+    }
+    let edge = edge.clone();
+    let part = part.clone();
+    monoio::spawn(async move {
+        if let Ok(report) = engine::report(&edge, part.addr).await {
+            note_pace(&edge, &part.endpoint, report.pace);
+        }
+    });
+}
+
+fn note_pace(edge: &Edge, endpoint: &EndpointName, pace: f64) {
+    if pace >= SLOW_PACE {
+        mark(edge, endpoint, Some(pace));
+    } else {
+        edge.roster(|roster| roster.unwatch(endpoint));
+    }
+}
+
+/// Tells this VM and the others that an engine is slow, or stands still.
+fn mark(edge: &Edge, endpoint: &EndpointName, pace: Option<f64>) {
+    let now = edge.now();
+    if edge.roster(|roster| roster.mark(now, endpoint, pace)) {
+        let pace = pace.unwrap_or(f64::INFINITY);
+        log::info!(endpoint:% = endpoint, pace, source = "self"; "endpoint_marked");
+        edge.nudge();
+    }
+}
+
+/// Probes the engines that stand still, and those that this VM found slow, for ever, so that they get work again once they answer.
 pub async fn probe(edge: Edge) {
     loop {
         monoio::time::sleep(PROBE_SPAN.duration()).await;
         for (endpoint, addr) in edge.roster(|roster| roster.doubtful()) {
-            let answered = engine::report(&edge, addr).await.is_ok();
-            edge.roster(|roster| {
-                if let Some(health) = roster.health(&endpoint).filter(|_| answered) {
-                    health.answer_probe();
-                }
+            let report = engine::report(&edge, addr).await;
+            let answered = report.is_ok();
+            match report {
+                Ok(report) => note_pace(&edge, &endpoint, report.pace),
+                Err(_) => mark(&edge, &endpoint, None),
+            }
+            let back = edge.roster(|roster| {
+                let health = roster.health(&endpoint).filter(|health| health.is_down());
+                let back = health.filter(|_| answered);
+                back.map(Health::answer_probe).is_some()
             });
-            if answered {
+            if back {
                 log::info!(endpoint:% = endpoint; "endpoint_answers");
             }
         }
--- a/src/standin/fleet/words.rs
+++ b/src/standin/fleet/words.rs
@@ -175,6 +175,7 @@
 fn report(response: &Response) -> Result<Report, DialectError> {
     let text: ReportText = response.parse()?;
     Ok(Report {
+        pace: 1.0,
         stalled: text.stalled,
         orders: text.orders,
         busy: false,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -78,7 +78,7 @@
             let mut mail = Vec::new();
             for (addr, fleet) in &mut self.fleets {
                 if !self.down.contains(addr) {
-                    let (message, to) = fleet.beat(self.now);
+                    let (message, to) = fleet.beat(self.now, Vec::new());
                     let bytes = postcard::to_stdvec(&message).expect("a message").len();
                     self.sent += bytes * to.len();
                     mail.extend(to.into_iter().map(|to| (to, message.clone())));
@@ -216,7 +216,7 @@
         .insert(addr(1, 90), Fleet::new(again, vec![addr(0, 90)], rng));
     world.run(Millis::seconds(2));
     let now = world.now;
-    let (stale, _) = old.clone().beat(now);
+    let (stale, _) = old.clone().beat(now, Vec::new());
     let fleet = world.fleets.get_mut(&addr(2, 90)).expect("known");
     fleet.receive(now, stale);
     assert!(!fleet.addresses(now).contains(&addr(1, 80)));
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -184,6 +184,27 @@
     assert!(health.penalty() <= 1.0);
 }
 
+#[test]
+fn a_mark_is_passed_on_and_believed_no_longer_than_it_was_made_for() {
+    let mut one = Roster::default();
+    let mut two = Roster::default();
+    let mut three = Roster::default();
+    for roster in [&mut one, &mut two, &mut three] {
+        roster.apply(NOW, change(1, entry("a", 1)));
+    }
+    assert!(one.mark(NOW, &"a".into(), Some(8.0)));
+    let later = NOW + Millis(600);
+    for mark in one.marks(later) {
+        assert!(two.believe(later, &mark));
+    }
+    for mark in two.marks(later) {
+        assert!(three.believe(later, &mark));
+        assert!(!three.believe(later, &mark));
+    }
+    assert_eq!(three.marks(later).len(), 1);
+    assert!(three.marks(NOW + Millis(1500)).is_empty());
+}
+
 #[test]
 fn each_further_failure_doubles_the_pause_up_to_a_bound() {
     let mut health = Health::default();
