--- a/src/core/roster/health.rs
+++ b/src/core/roster/health.rs
@@ -37,6 +37,12 @@
         self.until = now + Millis(doubled.min(AVOID_MOST.0));
     }
 
+    /// Takes in that the endpoint may be gone: it gets work only where no other can, and after one
+    /// failure none.
+    pub fn doubt(&mut self) {
+        self.fails = DOUBT_MOST;
+    }
+
     /// Takes in that the endpoint stands still: it gets no work until a probe is answered.
     pub fn stand_still(&mut self, now: Millis) {
         self.fail(now);
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -153,11 +153,19 @@
             .entry
             .clone()
             .or_else(|| kept.and_then(|old| old.held.clone()));
+        let back = old.as_ref().is_some_and(|old| old.lapsed.is_some());
+        let mut health = kept
+            .filter(|_| !back)
+            .map(|old| old.health.clone())
+            .unwrap_or_default();
+        if lapsed.is_some() {
+            health.doubt();
+        }
         let known = Known {
             at: now,
             lapsed,
             held,
-            health: kept.map(|old| old.health.clone()).unwrap_or_default(),
+            health,
             work: kept.map(|old| old.work).unwrap_or_default(),
             pace: kept.and_then(|old| old.pace),
             looked: kept.map(|old| old.looked).unwrap_or_default(),
--- a/src/edge/mend.rs
+++ b/src/edge/mend.rs
@@ -21,6 +21,8 @@
 
 /// The pace from which an engine counts as slow.
 const SLOW_PACE: f64 = 2.0;
+/// The pace that an engine is marked with which turned a request away, until it is probed.
+const TURNED_PACE: f64 = 8.0;
 /// The interval between two probes of an engine that stands still.
 const PROBE_SPAN: Millis = Millis(600);
 
@@ -96,6 +98,18 @@
         self.note(addr, Health::fail);
     }
 
+    /// Notes that a path could not be taken because of an engine: it is gone, leaves, gives up its
+    /// layers or has no room. The other VMs are told, since they would be turned away too.
+    pub fn turn_away(&mut self, addr: SocketAddr) {
+        self.fail(addr);
+        let endpoint = self
+            .edge
+            .roster(|roster| roster.at(addr).map(|entry| entry.endpoint.clone()));
+        if let Some(endpoint) = endpoint {
+            mark(self.edge, &endpoint, Some(TURNED_PACE));
+        }
+    }
+
     /// Notes that an engine stands still.
     fn stand_still(&mut self, addr: SocketAddr) {
         self.note(addr, Health::stand_still);
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -333,7 +333,7 @@
             let addr = fault.unwrap_or(first.addr);
             let endpoint = &first.endpoint;
             log::info!(id = job.id, endpoint:% = endpoint, status, fault:% = addr; "turned_away");
-            trip.fail(addr);
+            trip.turn_away(addr);
             Some(Ended::NotRun)
         }
         Ending::Unknown => {
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -82,6 +82,21 @@
     assert!(serving(&roster, NOW + LAPSE_SPAN).is_empty());
 }
 
+#[test]
+fn what_lapsed_gets_work_only_where_no_other_can_and_after_a_failure_none() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    roster.regain(NOW);
+    roster.apply(NOW, removal(2, "a"));
+    let health = roster.health(&"a".into()).expect("known");
+    assert!(health.penalty() >= 10.0);
+    health.fail(NOW);
+    assert!(health.avoids(NOW + LAPSE_SPAN));
+    roster.apply(NOW, change(3, entry("a", 1)));
+    let health = roster.health(&"a".into()).expect("known");
+    assert!(!health.avoids(NOW) && health.penalty() <= 1.0);
+}
+
 #[test]
 fn a_new_start_under_an_old_name_inherits_nothing() {
     let mut roster = Roster::default();
