Find a VM again that starts anew with its clock set back

Cause: a start was believed only if its time was later, so after a step back a VM was named to no caller for 20 s.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -243,7 +243,8 @@
         }
         if let Some(seen) = self.others.get(&member.vm) {
             let old = (seen.member.boot, seen.member.beat);
-            if (member.boot, member.beat) <= old {
+            let restarted = member.boot != seen.member.boot && now.since(seen.at) > ALIVE_SPAN;
+            if (member.boot, member.beat) <= old && !restarted {
                 return;
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -222,6 +222,24 @@
     assert!(!fleet.addresses(now).contains(&addr(1, 80)));
 }
 
+#[test]
+fn a_vm_that_starts_anew_with_its_clock_set_back_is_found_again() {
+    let mut world = World::new(4);
+    world.run(Millis::seconds(3));
+    world.fleets.remove(&addr(1, 90));
+    world.run(Millis::seconds(2));
+    let mut again = member(1);
+    again.boot = 0;
+    let rng = ChaCha8Rng::seed_from_u64(78);
+    world
+        .fleets
+        .insert(addr(1, 90), Fleet::new(again, vec![addr(0, 90)], rng));
+    world.run(Millis::seconds(2));
+    let now = world.now;
+    let fleet = world.fleets.get_mut(&addr(2, 90)).expect("known");
+    assert!(fleet.addresses(now).contains(&addr(1, 80)));
+}
+
 #[test]
 fn messages_do_not_grow_with_the_fleet() {
     let mut rates = Vec::new();
