Keep the retry budget over restarts; a soak of real processes

A VM uses a quarter of its share in its first window and three quarters later, and shares with every VM that it knows, dead or alive, and with 50 before it has read the list. Ruled out: retries that were not counted. Tests: vms_that_all_start_anew_stay_within_the_budget_..., a_vm_that_knows_no_other_yet_... tests/soak: three daemons, a proxy before the store, signals, engines that stand still or break off; not yet played at length.

--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -3,7 +3,9 @@
 use clap::Parser;
 use cornelwharf::cli::Stand;
 use cornelwharf::cli::Standin;
+use cornelwharf::edge;
 use cornelwharf::io::runtime;
+use cornelwharf::standin::fleet::words;
 use cornelwharf::standin::site::Site;
 
 fn main() -> eyre::Result<()> {
@@ -18,5 +20,9 @@
                 Ok(())
             })?
         }
+        Stand::Edge { file } => {
+            edge::run(edge::settings::Settings::load(&file)?, words())?;
+            Ok(())
+        }
     }
 }
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -23,4 +23,10 @@
         #[arg(value_name = "FILE")]
         file: PathBuf,
     },
+    /// An edge daemon that speaks as the stand-ins of its platform do.
+    Edge {
+        /// The settings, in YAML.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
 }
--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -4,8 +4,11 @@
 
 use crate::clock::Millis;
 
-/// The part of a VM's share that it uses, so that shares counted with a lag stay within the whole.
-const CAUTION: f64 = 0.9;
+/// The part of its share that a VM uses once it has run for a whole window.
+const USED: f64 = 0.75;
+/// The part that it uses before: it does not know what it used before its start, and the two
+/// parts together must stay within the share.
+const USED_FIRST: f64 = 0.25;
 /// The time that one count covers.
 const SLOT_SPAN: Millis = Millis(500);
 
@@ -16,16 +19,19 @@
     ratio: f64,
     extra: f64,
     window: Millis,
+    start: Millis,
     slots: VecDeque<(Millis, u32, u32)>,
 }
 
 impl Budget {
-    /// Starts a budget of `ratio` retries a request and `extra` more in each window.
-    pub fn new(ratio: f64, extra: f64, window: Millis) -> Self {
+    /// Starts a budget of `ratio` retries a request and `extra` more in each window, on a VM that
+    /// starts now.
+    pub fn new(ratio: f64, extra: f64, window: Millis, now: Millis) -> Self {
         Self {
             ratio,
             extra,
             window,
+            start: now,
             slots: VecDeque::new(),
         }
     }
@@ -41,7 +47,9 @@
         let requests = self.slots.iter().map(|slot| f64::from(slot.1)).sum::<f64>();
         let retries = self.slots.iter().map(|slot| f64::from(slot.2)).sum::<f64>();
         let share = self.ratio * requests + self.extra / vms.max(1) as f64;
-        if retries + 1.0 > share * CAUTION {
+        let first = now.since(self.start) < self.window;
+        let part = if first { USED_FIRST } else { USED };
+        if retries + 1.0 > share * part {
             return false;
         }
         self.slot(now).2 += 1;
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -41,6 +41,8 @@
 /// The VMs of each domain that read the store for the others: one more than must be lost at once
 /// before nobody of a domain reads.
 const READERS: usize = 2;
+/// The VMs that are assumed to share something before the store's list of them was read.
+const SHARERS: usize = 50;
 /// How long a VM that is gone is remembered, so that stale rumours do not bring it back.
 const FORGET_SPAN: Millis = Millis::seconds(20);
 
@@ -126,6 +128,7 @@
     starts: BTreeMap<u32, Vm>,
     contacts: Vec<SocketAddr>,
     fresh: Millis,
+    listed: bool,
     rng: ChaCha8Rng,
 }
 
@@ -138,6 +141,7 @@
             starts: BTreeMap::new(),
             contacts,
             fresh: Millis(0),
+            listed: false,
             rng,
         }
     }
@@ -156,6 +160,7 @@
 
     /// Takes in a VM from the store's list: whether it lives is not known yet.
     pub fn learn(&mut self, now: Millis, member: Member) {
+        self.listed = true;
         self.add_contact(member.peer);
         if member.vm == self.me.vm || self.others.contains_key(&member.vm) {
             return;
@@ -272,6 +277,19 @@
         1 + self.alive(now).filter(|member| member.ready).count()
     }
 
+    /// Returns the number of VMs that may share something, this one counted: those that are known,
+    /// alive or not, and many as long as the store's list was not read.
+    ///
+    /// The answer to a restart of all VMs, where each sees itself alone at first.
+    pub fn sharers(&self) -> usize {
+        let known = 1 + self.others.len();
+        if self.listed {
+            known
+        } else {
+            known.max(SHARERS)
+        }
+    }
+
     /// Returns the addresses that a caller may connect to.
     pub fn addresses(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut rng = self.rng.clone();
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -80,7 +80,7 @@
         let timely = job.left(edge.now()) > RETRY_LEAST;
         let allowed = sent < job.route.attempts && tried.len() < OFFERS && timely;
         let other = allowed && pick(edge, job, &tried).is_some();
-        let vms = edge.fleet(|fleet| fleet.serving(now));
+        let vms = edge.fleet(|fleet| fleet.sharers());
         let paid = other && (!outcome.sent || edge.budget(|budget| budget.retry(now, vms)));
         let left = Left {
             repeat: job.route.may_repeat(),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -25,16 +25,63 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGTERM;
+
+use self::dialect::Dialect;
+use self::settings::Settings;
 pub use self::state::Edge;
 pub use self::store::StoreError;
+use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::consts::TICK_SPAN;
+use crate::io::log as io_log;
+use crate::io::log::LogError;
+use crate::io::runtime;
 
 /// How long a stopping daemon goes on accepting: callers keep its address for a while.
 pub const ACCEPT_SPAN: Millis = Millis(3500);
 /// How much of the time to the kill is left over for the exit.
 const EXIT_SPAN: Millis = Millis(700);
 
+/// A daemon that cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// An address cannot be bound, a signal not be handled, or the loop not be made.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// Logging cannot be started.
+    #[display("{_0}")]
+    Log(LogError),
+    /// The system gives no random seed.
+    #[display("no random seed: {_0}")]
+    Seed(getrandom::Error),
+}
+
+/// Runs a daemon until it is told to stop by SIGTERM.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or the process cannot be set up.
+pub fn run(settings: Settings, dialect: Dialect) -> Result<(), RunError> {
+    let clock = Clock::start();
+    io_log::start(clock, log::LevelFilter::Info)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let reload = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
+    signal_hook::flag::register(SIGHUP, Arc::clone(&reload))?;
+    let seed = getrandom::u64()?;
+    runtime::run(async {
+        let edge = Edge::new(settings, dialect, clock, seed);
+        start(&edge)?;
+        wait(&edge, stop, reload).await;
+        Ok(())
+    })?
+}
+
 /// Starts a daemon on the running loop.
 ///
 /// # Errors
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -179,7 +179,7 @@
         if !more || job.left(now) < RETRY_LEAST {
             return ended;
         }
-        let vms = edge.fleet(|fleet| fleet.serving(now));
+        let vms = edge.fleet(|fleet| fleet.sharers());
         if !edge.budget(|budget| budget.retry(now, vms)) {
             log::info!(id = job.id, reason = "budget"; "not_retried");
             return ended;
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -70,7 +70,8 @@
         let peers = settings.peers().filter(|addr| *addr != settings.peer);
         let fleet = Fleet::new(me, peers.collect(), ChaCha8Rng::seed_from_u64(rng.random()));
         let bounds = settings.bounds;
-        let budget = Budget::new(bounds.ratio, bounds.extra, Millis::seconds(bounds.window));
+        let window = Millis::seconds(bounds.window);
+        let budget = Budget::new(bounds.ratio, bounds.extra, window, clock.now());
         let inner = Inner {
             clock,
             dialect,
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -13,6 +13,8 @@
 use proptest::proptest;
 
 const WINDOW: Millis = Millis::seconds(10);
+/// Long before the times of the tests, so that the first window is over.
+const START: Millis = Millis(0);
 
 fn lefts() -> impl Iterator<Item = Left> {
     (0..8).map(|bits| Left {
@@ -61,7 +63,7 @@
 #[test]
 fn all_vms_together_stay_within_the_budget() {
     const VMS: usize = 13;
-    let mut budgets = vec![Budget::new(0.2, 425.0, WINDOW); VMS];
+    let mut budgets = vec![Budget::new(0.2, 425.0, WINDOW, START); VMS];
     let mut taken = 0;
     for step in 0..100 {
         let now = Millis::seconds(100) + Millis(step * 100);
@@ -78,10 +80,35 @@
     assert!(f64::from(taken) > 0.5 * allowed, "{taken} of {allowed}");
 }
 
+#[test]
+fn vms_that_all_start_anew_stay_within_the_budget_with_what_they_used_before() {
+    const VMS: usize = 144;
+    const EXTRA: f64 = 582.0;
+    let end = Millis::seconds(100);
+    let mut before: Vec<_> = (0..VMS)
+        .map(|_| Budget::new(0.2, EXTRA, WINDOW, START))
+        .collect();
+    let mut after: Vec<_> = (0..VMS)
+        .map(|_| Budget::new(0.2, EXTRA, WINDOW, end))
+        .collect();
+    let mut taken = 0;
+    for budget in &mut before {
+        while budget.retry(end - Millis(500), VMS) {
+            taken += 1;
+        }
+    }
+    for budget in &mut after {
+        while budget.retry(end + Millis::seconds(2), VMS) {
+            taken += 1;
+        }
+    }
+    assert!(f64::from(taken) <= EXTRA, "{taken}");
+}
+
 #[test]
 fn the_budget_comes_back_with_the_window() {
-    let mut budget = Budget::new(0.0, 10.0, WINDOW);
-    let start = Millis::seconds(1);
+    let mut budget = Budget::new(0.0, 10.0, WINDOW, START);
+    let start = Millis::seconds(50);
     while budget.retry(start, 1) {}
     assert!(!budget.retry(start + Millis::seconds(5), 1));
     assert!(budget.retry(start + Millis::seconds(11), 1));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -240,6 +240,14 @@
     assert!(fleet.addresses(now).contains(&addr(1, 80)));
 }
 
+#[test]
+fn a_vm_that_knows_no_other_yet_does_not_take_itself_for_the_fleet() {
+    let world = World::new(13);
+    assert!(world.fleets.values().all(|fleet| fleet.sharers() >= 13));
+    let world = world.list();
+    assert!(world.fleets.values().all(|fleet| fleet.sharers() == 13));
+}
+
 #[test]
 fn messages_do_not_grow_with_the_fleet() {
     let mut rates = Vec::new();
--- /dev/null
+++ b/tests/soak/proxy.rs
@@ -0,0 +1,87 @@
+//! A loopback proxy that harms what passes through it.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cornelwharf::clock::Millis;
+use monoio::io::AsyncReadRent;
+use monoio::io::AsyncWriteRentExt;
+use monoio::io::OwnedReadHalf;
+use monoio::io::OwnedWriteHalf;
+use monoio::io::Splitable;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+
+/// What becomes of the bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    /// They pass.
+    #[default]
+    None,
+    /// They pass later.
+    Delay(Millis),
+    /// Connections are closed, open ones at their next bytes.
+    Reset,
+    /// Nothing passes, and nothing is closed.
+    Silence,
+    /// Only what the client sends passes.
+    OneWay,
+}
+
+/// A proxy before one address.
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    harm: Rc<Cell<Harm>>,
+}
+
+impl Proxy {
+    /// Listens at `addr` and passes connections on to `target`.
+    pub fn listen(&self, addr: SocketAddr, target: SocketAddr) {
+        let listener = TcpListener::bind(addr).expect("a port");
+        let proxy = self.clone();
+        monoio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                if proxy.harm.get() == Harm::Reset {
+                    continue;
+                }
+                if let Ok(server) = TcpStream::connect(target).await {
+                    let (from_client, to_client) = client.into_split();
+                    let (from_server, to_server) = server.into_split();
+                    monoio::spawn(proxy.clone().pass(from_client, to_server, true));
+                    monoio::spawn(proxy.clone().pass(from_server, to_client, false));
+                }
+            }
+        });
+    }
+
+    /// Changes what becomes of the bytes from now on.
+    pub fn set(&self, harm: Harm) {
+        self.harm.set(harm);
+    }
+
+    async fn pass(
+        self,
+        mut from: OwnedReadHalf<TcpStream>,
+        mut to: OwnedWriteHalf<TcpStream>,
+        up: bool,
+    ) {
+        loop {
+            let (read, buf) = from.read(vec![0; 8192]).await;
+            let Ok(size @ 1..) = read else {
+                return;
+            };
+            match self.harm.get() {
+                Harm::None => {}
+                Harm::Delay(span) => monoio::time::sleep(span.duration()).await,
+                Harm::Reset => return,
+                Harm::OneWay if up => {}
+                Harm::Silence | Harm::OneWay => std::future::pending().await,
+            }
+            let (written, _) = to.write_all(buf[..size].to_vec()).await;
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,514 @@
+//! The processes, what surrounds them, the faults and the checks of one seed.
+#![expect(
+    clippy::disallowed_types,
+    reason = "the soak runs the real programs as processes"
+)]
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+#[expect(
+    clippy::disallowed_types,
+    reason = "the soak runs the real programs as processes"
+)]
+use std::process::Command;
+use std::process::Stdio;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use cornelwharf::clock::Millis;
+use cornelwharf::core::pipe::Span;
+use cornelwharf::core::roster::Entry;
+use cornelwharf::io::http::Conn;
+use cornelwharf::io::http::Request;
+use cornelwharf::io::runtime;
+use cornelwharf::standin::fleet::EVENTS;
+use cornelwharf::standin::fleet::Endpoints;
+use cornelwharf::standin::fleet::Store;
+use http::HeaderName;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use monoio::time::timeout;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::proxy::Harm;
+use crate::proxy::Proxy;
+
+const LAYERS: u32 = 8;
+const VMS: usize = 3;
+const CALLERS: usize = 6;
+/// How long faults are injected.
+const FAULT_SPAN: Millis = Millis::seconds(8);
+/// Within this span after the last fault service must be back (the users' bound).
+const RECOVER_SPAN: Millis = Millis::seconds(12);
+/// How long a caller waits for an answer.
+const CALL_SPAN: Millis = Millis::seconds(9);
+
+struct Vm {
+    front: SocketAddr,
+    settings: PathBuf,
+    child: Option<std::process::Child>,
+}
+
+/// What a caller saw.
+struct Seen {
+    id: String,
+    stream: bool,
+    status: Option<StatusCode>,
+    body: String,
+    whole: bool,
+}
+
+struct World {
+    rng: RefCell<ChaCha8Rng>,
+    store: Store,
+    endpoints: Endpoints,
+    proxies: Vec<Proxy>,
+    vms: RefCell<Vec<Vm>>,
+    seen: RefCell<Vec<Seen>>,
+    next: Cell<u64>,
+    over: Cell<bool>,
+}
+
+async fn sleep(span: Millis) {
+    monoio::time::sleep(span.duration()).await;
+}
+
+/// Plays one seed and returns a line about it.
+///
+/// # Panics
+///
+/// Panics if a promise is broken.
+pub fn play(seed: u64) -> String {
+    let planned = seed.is_multiple_of(3);
+    runtime::run(async {
+        let world = Rc::new(World::new(seed));
+        monoio::spawn(keep_telling(Rc::clone(&world)));
+        for vm in 0..VMS {
+            world.launch(vm);
+        }
+        world.recover().await;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| monoio::spawn(call_often(Rc::clone(&world))))
+            .collect();
+        let mut left = FAULT_SPAN;
+        let mut faults = Vec::new();
+        while left > Millis(0) {
+            let pause = Millis(world.draw(300, 1200));
+            sleep(pause).await;
+            left = left - pause;
+            faults.push(world.harm(planned));
+        }
+        sleep(Millis::seconds(1)).await;
+        world.over.set(true);
+        for caller in callers {
+            caller.await;
+        }
+        world.calm().await;
+        world.recover().await;
+        world.check(planned, &faults)
+    })
+    .expect("a loop")
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let run = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, run[2].max(1), run[3], 200 + (seed % 50) as u8);
+        let addr = |port: u16| SocketAddr::from((ip, 30_000 + port));
+        let store = Store::default();
+        store.listen(addr(0)).expect("a store");
+        store.put("operator", "site", include_bytes!("site.json"));
+        let endpoints = Endpoints::new(LAYERS);
+        for index in 0..9_u16 {
+            endpoints
+                .start(entry(index, addr(10 + index)))
+                .expect("an endpoint");
+        }
+        let vm = |index: u16| {
+            let proxy = Proxy::default();
+            proxy.listen(addr(20 + index), addr(0));
+            let text = settings(index, addr(20 + index), |port| {
+                addr(100 + 10 * index + port)
+            });
+            let name = format!(
+                "cornelwharf-soak-{}-{seed}-{index}.yaml",
+                std::process::id()
+            );
+            let path = std::env::temp_dir().join(name);
+            std::fs::write(&path, text).expect("settings");
+            let vm = Vm {
+                front: addr(100 + 10 * index),
+                settings: path,
+                child: None,
+            };
+            (proxy, vm)
+        };
+        let (proxies, vms) = (0..VMS as u16).map(vm).unzip();
+        Self {
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            store,
+            endpoints,
+            proxies,
+            vms: RefCell::new(vms),
+            seen: RefCell::default(),
+            next: Cell::new(0),
+            over: Cell::new(false),
+        }
+    }
+
+    fn draw(&self, from: u64, to: u64) -> u64 {
+        self.rng.borrow_mut().random_range(from..to)
+    }
+
+    fn launch(&self, vm: usize) {
+        let mut vms = self.vms.borrow_mut();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin"));
+        command
+            .arg("edge")
+            .arg(&vms[vm].settings)
+            .stdout(Stdio::null());
+        vms[vm].child = Some(command.spawn().expect("a daemon"));
+    }
+
+    /// Sends a signal to a daemon that this soak started.
+    fn signal(&self, vm: usize, name: &str) {
+        if let Some(child) = &self.vms.borrow()[vm].child {
+            let pid = child.id().to_string();
+            let sent = Command::new("kill")
+                .arg(name)
+                .arg(pid)
+                .stderr(Stdio::null())
+                .status();
+            sent.expect("a signal");
+        }
+    }
+
+    /// Starts a daemon anew once its process has ended.
+    async fn restart(self: Rc<Self>, vm: usize) {
+        loop {
+            sleep(Millis(100)).await;
+            let ended = match &mut self.vms.borrow_mut()[vm].child {
+                Some(child) => child.try_wait().expect("a child").is_some(),
+                None => return,
+            };
+            if ended {
+                return self.launch(vm);
+            }
+        }
+    }
+
+    fn addrs(&self, engines: bool) -> Vec<SocketAddr> {
+        let list = self.endpoints.list();
+        let wanted = list
+            .iter()
+            .filter(|endpoint| endpoint.entry.kind.is_some() == engines);
+        wanted.map(|endpoint| endpoint.entry.addr).collect()
+    }
+
+    /// Brings about one fault and returns its name.
+    fn harm(self: &Rc<Self>, planned: bool) -> &'static str {
+        let vm = self.draw(0, VMS as u64) as usize;
+        let engines = self.addrs(true);
+        let engine = engines[self.draw(0, engines.len() as u64) as usize];
+        let span = Millis(self.draw(500, 2000));
+        let kind = if planned {
+            self.draw(0, 2)
+        } else {
+            self.draw(0, 12)
+        };
+        let world = Rc::clone(self);
+        match kind {
+            0 => {
+                self.signal(vm, "-TERM");
+                monoio::spawn(world.restart(vm));
+                return "stop";
+            }
+            1 => {
+                self.store
+                    .put("operator", "site", include_bytes!("site.json"));
+                return "config";
+            }
+            2 | 3 => {
+                self.signal(vm, "-KILL");
+                monoio::spawn(world.restart(vm));
+                return "kill";
+            }
+            4 => {
+                self.signal(vm, "-STOP");
+                monoio::spawn(async move {
+                    sleep(span).await;
+                    world.signal(vm, "-CONT");
+                });
+                return "pause";
+            }
+            5 | 6 => {
+                let silent = kind == 5;
+                self.endpoints.at(engine, |endpoint| {
+                    endpoint.silent |= silent;
+                    endpoint.broken |= !silent;
+                });
+                monoio::spawn(async move {
+                    sleep(span).await;
+                    world.endpoints.at(engine, |endpoint| {
+                        endpoint.silent = false;
+                        endpoint.broken = false;
+                    });
+                });
+                return if silent {
+                    "engine still"
+                } else {
+                    "engine broken"
+                };
+            }
+            7 => {
+                self.store.set_away(true);
+                monoio::spawn(async move {
+                    sleep(span).await;
+                    world.store.set_away(false);
+                });
+                return "store away";
+            }
+            _ => {}
+        }
+        let (harm, name) = match kind {
+            8 => (Harm::Delay(Millis(150)), "delay"),
+            9 => (Harm::Reset, "reset"),
+            10 => (Harm::OneWay, "one way"),
+            _ => (Harm::Silence, "silence"),
+        };
+        self.proxies[vm].set(harm);
+        monoio::spawn(async move {
+            sleep(span).await;
+            world.proxies[vm].set(Harm::None);
+        });
+        name
+    }
+
+    /// Ends every fault.
+    async fn calm(self: &Rc<Self>) {
+        sleep(Millis::seconds(2)).await;
+        for proxy in &self.proxies {
+            proxy.set(Harm::None);
+        }
+        self.store.set_away(false);
+        for vm in 0..VMS {
+            self.signal(vm, "-CONT");
+        }
+    }
+
+    /// Waits until every daemon serves a stream and a plain request.
+    async fn recover(&self) {
+        let mut left = RECOVER_SPAN;
+        loop {
+            let mut served = true;
+            for vm in 0..VMS {
+                for path in ["/draft/1", "/post/a"] {
+                    let seen = self.call(vm, path).await;
+                    served &= seen.status == Some(StatusCode::OK) && seen.whole;
+                    self.seen.borrow_mut().push(seen);
+                }
+            }
+            if served {
+                return;
+            }
+            assert!(
+                left > Millis(0),
+                "not every daemon serves again after {RECOVER_SPAN} ms"
+            );
+            sleep(Millis(500)).await;
+            left = left - Millis(500);
+        }
+    }
+
+    async fn call(&self, vm: usize, path: &str) -> Seen {
+        self.next.set(self.next.get() + 1);
+        let id = format!("r{}", self.next.get());
+        let mut request = Request::new(Method::POST, Uri::try_from(path).expect("a path"));
+        for (name, value) in [
+            ("host", "yard.example"),
+            ("request-id", &id),
+            ("key", "red-key"),
+            ("deadline", "8000"),
+        ] {
+            request.headers.insert(
+                HeaderName::from_static(name),
+                value.parse().expect("a value"),
+            );
+        }
+        request.body = "{}".into();
+        let mut seen = Seen {
+            id,
+            stream: path.starts_with("/draft/"),
+            status: None,
+            body: String::new(),
+            whole: false,
+        };
+        let front = self.vms.borrow()[vm].front;
+        // A time-out is seen by the fields that were not filled in.
+        let _ = timeout(CALL_SPAN.duration(), exchange(front, &request, &mut seen)).await;
+        seen
+    }
+
+    fn check(&self, planned: bool, faults: &[&str]) -> String {
+        assert_eq!(
+            self.endpoints.wrong(),
+            Vec::<String>::new(),
+            "layers out of order"
+        );
+        let list = self.endpoints.list();
+        let mut want = String::new();
+        for id in 1..=EVENTS {
+            write!(want, "id: {id}\ndata: token {id}\n\n").expect("a string grows");
+        }
+        let mut served = 0;
+        let seen = self.seen.borrow();
+        for seen in seen.iter() {
+            let id = &seen.id;
+            let runs = |endpoint: &&_| {
+                let endpoint: &cornelwharf::standin::fleet::Endpoint = endpoint;
+                endpoint.ran.contains(id)
+            };
+            let ran: usize = list
+                .iter()
+                .map(|endpoint| endpoint.ran.iter().filter(|ran| *ran == id).count())
+                .sum();
+            let by = list.iter().filter(runs).count();
+            assert!(
+                seen.stream || ran <= 1,
+                "{id} ran {ran} times at {by} endpoints"
+            );
+            if seen.status == Some(StatusCode::SERVICE_UNAVAILABLE) {
+                assert_eq!(ran, 0, "{id} was said not to have run");
+            }
+            if seen.status == Some(StatusCode::OK) && seen.stream {
+                assert!(want.starts_with(&seen.body), "{id}: {}", seen.body);
+                assert!(
+                    !seen.whole || seen.body == want,
+                    "{id} ended early as if whole"
+                );
+            }
+            if planned && seen.status.is_some() {
+                assert!(seen.whole, "{id} was cut off by planned work");
+            }
+            served += usize::from(seen.status == Some(StatusCode::OK) && seen.whole);
+        }
+        format!("{served} of {} served, {faults:?}", seen.len())
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for vm in self.vms.borrow_mut().iter_mut() {
+            if let Some(child) = &mut vm.child {
+                child.kill().expect("a child that this soak started");
+                child.wait().expect("its end");
+            }
+            std::fs::remove_file(&vm.settings).expect("settings that this soak wrote");
+        }
+    }
+}
+
+async fn exchange(front: SocketAddr, request: &Request, seen: &mut Seen) {
+    let Ok(mut conn) = Conn::dial(front).await else {
+        return;
+    };
+    if conn.writer.request(request).await.is_err() {
+        return;
+    }
+    let Ok(head) = conn.reader.response_head(false).await else {
+        return;
+    };
+    seen.status = Some(head.status);
+    let mut body = BytesMut::new();
+    loop {
+        match conn.reader.chunk().await {
+            Ok(Some(part)) => body.extend_from_slice(&part),
+            Ok(None) => {
+                seen.whole = true;
+                break;
+            }
+            Err(_) => break,
+        }
+        seen.body = String::from_utf8_lossy(&body).into_owned();
+    }
+    seen.body = String::from_utf8_lossy(&body).into_owned();
+}
+
+async fn call_often(world: Rc<World>) {
+    while !world.over.get() {
+        let vm = world.draw(0, VMS as u64) as usize;
+        let path = if world.draw(0, 3) == 0 {
+            "/post/a"
+        } else {
+            "/draft/1"
+        };
+        let seen = world.call(vm, path).await;
+        world.seen.borrow_mut().push(seen);
+        sleep(Millis(world.draw(5, 60))).await;
+    }
+}
+
+/// Writes the entries of endpoints that live and have changed to the store.
+async fn keep_telling(world: Rc<World>) {
+    let mut told: Vec<Entry> = Vec::new();
+    loop {
+        for endpoint in world.endpoints.list() {
+            let entry = endpoint.entry;
+            if !endpoint.silent && !endpoint.broken && !told.contains(&entry) {
+                let bytes = serde_json::to_vec(&entry).expect("json");
+                world.store.put("endpoints", &entry.endpoint, &bytes);
+                told.retain(|old| old.addr != entry.addr);
+                told.push(entry);
+            }
+        }
+        sleep(Millis(100)).await;
+    }
+}
+
+fn entry(index: u16, addr: SocketAddr) -> Entry {
+    let plain = index >= 7;
+    Entry {
+        endpoint: format!("e{index}").as_str().into(),
+        born: 1,
+        service: if plain { "ledger" } else { "pool" }.into(),
+        addr,
+        domain: if index.is_multiple_of(2) {
+            "north"
+        } else {
+            "south"
+        }
+        .into(),
+        leaving: false,
+        slots: 16,
+        kind: (!plain).then(|| "card".into()),
+        span: None::<Span>,
+    }
+}
+
+fn settings<A>(index: u16, store: SocketAddr, addr: A) -> String
+where
+    A: Fn(u16) -> SocketAddr,
+{
+    format!(
+        "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
+         store: {store}\nbounds:\n  grace: 8\n  stall: 2500\n  ratio: 0.2\n  extra: 300\n  \
+         apply: 2000\n  window: 10\n  keep: 5\n",
+        if index.is_multiple_of(2) {
+            "north"
+        } else {
+            "south"
+        },
+        addr(0),
+        addr(1),
+        addr(2),
+        addr(3),
+        addr(4),
+    )
+}
