--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -401,11 +401,6 @@
         }
     }
 
-    /// Returns the entry of an endpoint, whether or not it may get new work.
-    pub fn entry(&self, endpoint: &EndpointName) -> Option<&Entry> {
-        self.known.get(endpoint)?.held.as_ref()
-    }
-
     /// Returns the endpoint at an address that was heard of last.
     pub fn at(&self, addr: SocketAddr) -> Option<&Entry> {
         let held = self
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -43,8 +43,6 @@
 pub struct Bounds {
     /// How long a process may run on after it was told to stop, in seconds.
     pub grace: u64,
-    /// How long work waits for a dead engine before it is cut off, in milliseconds.
-    pub stall: u64,
     /// Retries that are allowed for each request.
     pub ratio: f64,
     /// Retries that are allowed in a window besides.
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -243,7 +243,7 @@
 fn daemon(index: usize, vm: &[SocketAddr], store: SocketAddr) -> Edge {
     let text = format!(
         "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
-         contacts: []\nstore: {store}\nbounds:\n  grace: 8\n  stall: 2500\n  ratio: 0.2\n  \
+         contacts: []\nstore: {store}\nbounds:\n  grace: 8\n  ratio: 0.2\n  \
          extra: 100\n  apply: 2000\n  window: 10\n  keep: 5\n",
         if index.is_multiple_of(2) {
             "north"
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -498,7 +498,7 @@
 {
     format!(
         "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
-         store: {store}\nbounds:\n  grace: 8\n  stall: 2500\n  ratio: 0.2\n  extra: 300\n  \
+         store: {store}\nbounds:\n  grace: 8\n  ratio: 0.2\n  extra: 300\n  \
          apply: 2000\n  window: 10\n  keep: 5\n",
         if index.is_multiple_of(2) {
             "north"
