Close holes that stop all service first, and those of one domain only in calm

Ruled out: the paths (each offer named an engine that gave up its part), the budget (it ran out as a consequence). Tests: a_layer_that_nobody_holds_comes_before_the_holes_of_domains, holes_of_domains_wait_for_calm.

--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -54,10 +54,13 @@
     plan
 }
 
-/// Plans the next order that makes up for engines that came or went: an empty engine gets the
-/// layers that are held least often, and a layer that nobody holds any more, anywhere or in a
-/// domain that can hold a whole copy, goes to the engine of the most room beside it.
-pub fn repair(seats: &[Seat], model: &Model) -> Option<(EndpointName, Span)> {
+/// Plans the next order that makes up for engines that came or went.
+///
+/// A layer that nobody holds stops all service and comes first. Then an empty engine gets the
+/// layers that are held least often. A hole in a domain's copy costs crossings only, and an engine
+/// that is missing is mostly back within seconds, so it is closed only once the fleet is `calm`:
+/// each move takes an engine out of service for the time of its load.
+pub fn repair(seats: &[Seat], model: &Model, calm: bool) -> Option<(EndpointName, Span)> {
     let held = counts(seats, model.layers);
     if let Some(seat) = seats.iter().find(|seat| seat.span.is_none()) {
         let size = seat.layers(model, FILL).max(1);
@@ -78,8 +81,11 @@
         };
         return Some((seat.endpoint.clone(), span));
     }
-    let whole = groups(seats, model);
-    let near = whole.iter().find_map(|group| {
+    let all: Vec<&Seat> = seats.iter().collect();
+    if held.contains(&0) || !calm {
+        return close(&all, model);
+    }
+    groups(seats, model).iter().find_map(|group| {
         let layers = group
             .iter()
             .map(|seat| seat.layers(model, FILL))
@@ -87,8 +93,7 @@
         (layers >= model.layers)
             .then(|| close(group, model))
             .flatten()
-    });
-    near.or_else(|| close(&seats.iter().collect::<Vec<_>>(), model))
+    })
 }
 
 /// Weighs a layer that is held `count` times: the first copies matter most.
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -88,6 +88,7 @@
     end: u64,
     base: u64,
     newest: Millis,
+    removed: Millis,
     regained: Option<Millis>,
 }
 
@@ -102,6 +103,11 @@
         self.newest
     }
 
+    /// Returns when an entry was removed last.
+    pub fn removed(&self) -> Millis {
+        self.removed
+    }
+
     /// Returns the endpoints to probe: those that are left alone until they answer, and those that
     /// this VM found slow.
     pub fn doubtful(&self) -> Vec<(EndpointName, SocketAddr)> {
@@ -145,6 +151,9 @@
         if kept.is_none() && change.entry.is_some() {
             self.newest = now;
         }
+        if change.entry.is_none() {
+            self.removed = now;
+        }
         let lapsed = self
             .regained
             .filter(|at| change.entry.is_none() && now.since(*at) < LAPSE_SPAN)
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -29,6 +29,9 @@
 const SETTLE_SPAN: Millis = Millis(1500);
 /// How long no endpoint must have been heard of for the first time: entries come one by one.
 const QUIET_SPAN: Millis = Millis(1000);
+/// How long no entry must have been removed before a domain's hole is closed: an engine that crashed
+/// or was cut off from the store is mostly back in that time.
+const CALM_SPAN: Millis = Millis(6000);
 /// How long an order counts as carried out although no entry shows it yet.
 const PENDING_SPAN: Millis = Millis(6000);
 
@@ -87,7 +90,8 @@
     } else if seats.iter().all(|seat| seat.span.is_none()) {
         place(&seats, model).into_iter().collect()
     } else {
-        repair(&seats, model).into_iter().collect()
+        let calm = now.since(edge.roster(|roster| roster.removed())) >= CALM_SPAN;
+        repair(&seats, model, calm).into_iter().collect()
     };
     if plan.is_empty() {
         return;
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -185,7 +185,7 @@
         .position(|seat| *seat.domain == *"b" && seat.memory > 30_000.0);
     let lost = lost.expect("a large engine");
     let span = seats[lost].span.take().expect("placed");
-    let (endpoint, again) = repair(&seats, &model()).expect("an order");
+    let (endpoint, again) = repair(&seats, &model(), true).expect("an order");
     assert_eq!(endpoint, seats[lost].endpoint);
     assert!(
         again.from < span.to && span.from < again.to,
@@ -212,7 +212,7 @@
         .expect("one without a double");
     let domain = seats.remove(lost).domain;
     for _ in 0..8 {
-        let Some((endpoint, span)) = repair(&seats, &model()) else {
+        let Some((endpoint, span)) = repair(&seats, &model(), true) else {
             break;
         };
         let seat = seats
@@ -233,6 +233,37 @@
     }
 }
 
+#[test]
+fn a_layer_that_nobody_holds_comes_before_the_holes_of_domains() {
+    let mut seats = placed(fleet());
+    seats.retain(|seat| !seat.span.is_some_and(|span| span.holds(41)));
+    for calm in [false, true] {
+        let mut seats = seats.clone();
+        let mut orders = 0;
+        while holders(&seats, 41).is_empty() {
+            let (endpoint, span) = repair(&seats, &model(), calm).expect("an order");
+            let seat = seats
+                .iter_mut()
+                .find(|seat| seat.endpoint == endpoint)
+                .expect("known");
+            seat.span = Some(span);
+            orders += 1;
+            assert!(orders <= 4, "the hole is not closed first");
+        }
+    }
+}
+
+#[test]
+fn holes_of_domains_wait_for_calm() {
+    let mut seats = placed(fleet());
+    let lost = seats
+        .iter()
+        .position(|seat| seat.memory > 30_000.0)
+        .expect("a large engine");
+    seats.remove(lost);
+    assert_eq!(repair(&seats, &model(), false), None);
+}
+
 #[test]
 fn a_calm_path_stays_in_one_domain() {
     let seats = placed(fleet());
