Take no request more than 2.8 s after the order to stop

Ruled out: a stream that stood still (it made events to the end). A request on a kept connection is refused at once after that, unrun. Test: a_daemon_that_is_about_to_exit_takes_no_more_requests.

--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -30,6 +30,9 @@
 /// When a caller whose VM knows no configuration yet may come back.
 const UNREADY_BACK: Millis = Millis(500);
 
+/// When a caller whose VM is about to exit may come back; it does so at another VM.
+const STOPPING_BACK: Millis = Millis(0);
+
 /// Whether a connection may carry another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum After {
@@ -123,6 +126,10 @@
     let bodiless = request.method == Method::HEAD;
     let names = &edge.dialect().headers;
     let id = request.header(&names.request).unwrap_or("-").to_owned();
+    if edge.stopping().is_some_and(|span| span > ACCEPT_SPAN) {
+        log::info!(id, status = 503, reason = "stopping"; "refused");
+        return respond(edge, conn, forward::refusal(STOPPING_BACK), bodiless, start).await;
+    }
     let Some(site) = edge.site() else {
         log::info!(id, status = 503, reason = "no_config"; "refused");
         return respond(edge, conn, forward::refusal(UNREADY_BACK), bodiless, start).await;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -42,8 +42,9 @@
 use crate::io::log::LogError;
 use crate::io::runtime;
 
-/// How long a stopping daemon goes on accepting: callers keep its address for a while.
-pub const ACCEPT_SPAN: Millis = Millis(3500);
+/// How long a stopping daemon goes on taking requests: callers keep its address for a while, and what
+/// it took after 3 s it must finish however long that takes (the users' rule for planned stops).
+pub const ACCEPT_SPAN: Millis = Millis(2800);
 /// How much of the time to the kill is left over for the exit.
 const EXIT_SPAN: Millis = Millis(700);
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -475,3 +475,24 @@
         assert!(!world.edges[0].ready());
     });
 }
+
+#[test]
+fn a_daemon_that_is_about_to_exit_takes_no_more_requests() {
+    run(async |world: Rc<World>| {
+        let mut conn = Conn::dial(world.fronts[0]).await.expect("a connection");
+        let first = conn
+            .call(&world.request("/post/a", "red-key"), Millis::seconds(2))
+            .await;
+        assert_eq!(first.expect("an answer").status, StatusCode::OK);
+        let before = world.ran();
+        world.edges[0].stop();
+        sleep(Millis::seconds(3)).await;
+        let late = conn
+            .call(&world.request("/draft/1", "red-key"), Millis::seconds(2))
+            .await;
+        let late = late.expect("an answer");
+        assert_eq!(late.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(late.headers.contains_key(http::header::RETRY_AFTER));
+        assert_eq!(world.ran(), before);
+    });
+}
