Log retries with the inputs of the budget, and the content of requests

retried and not_retried now carry the requests and retries of the window, the limit and the number of VMs that divide it; stream and request carry the first 64 bits of a digest of team, method, path and body; edge_retries counts both outcomes. No decision changes.

--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -12,6 +12,17 @@
 /// The period that one slot counts.
 const SLOT_DURATION: Millis = Millis(500);
 
+/// What one VM has used of its share of the retry budget in the current window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// The requests that the VM received.
+    pub requests: f64,
+    /// The retries that it took.
+    pub retries: f64,
+    /// The retries that it may take in all.
+    pub limit: f64,
+}
+
 /// One VM's share of the retry budget: in any window, a ratio of its own requests plus an equal
 /// part of a fixed number of retries.
 #[derive(Clone, Debug)]
@@ -43,6 +54,16 @@
 
     /// Takes a retry from the budget, which `vms` VMs share; returns `false` if none is left.
     pub fn try_retry(&mut self, now: Millis, vms: usize) -> bool {
+        let usage = self.usage(now, vms);
+        if usage.retries + 1.0 > usage.limit {
+            return false;
+        }
+        self.current_slot(now).2 += 1;
+        true
+    }
+
+    /// Returns what this VM has used of the budget, which `vms` VMs share.
+    pub fn usage(&mut self, now: Millis, vms: usize) -> BudgetUsage {
         self.current_slot(now);
         let requests = self.slots.iter().map(|slot| f64::from(slot.1)).sum::<f64>();
         let retries = self.slots.iter().map(|slot| f64::from(slot.2)).sum::<f64>();
@@ -53,11 +74,11 @@
         } else {
             STEADY_FRACTION
         };
-        if retries + 1.0 > share * usable {
-            return false;
+        BudgetUsage {
+            requests,
+            retries,
+            limit: share * usable,
         }
-        self.current_slot(now).2 += 1;
-        true
     }
 
     /// Removes slots older than the window, and returns the newest: its start, requests and
--- a/src/core/attempt/mod.rs
+++ b/src/core/attempt/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod events;
 
+pub use self::budget::BudgetUsage;
 pub use self::budget::RetryBudget;
 pub use self::events::EventBuffer;
 pub use self::events::MAX_EVENT_BYTES;
--- a/src/core/poison/digest.rs
+++ b/src/core/poison/digest.rs
@@ -17,16 +17,16 @@
 /// The length of a SHA-256 digest, in bytes.
 const DIGEST_BYTES: usize = 32;
 
-/// The SHA-256 digest of a request's model and prompt.
-///
-/// The team, the VM and the idempotency key are not part of it, so that a repeated request is
-/// recognized even if these change.
+/// The SHA-256 digest of a request's content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct RequestDigest([u8; DIGEST_BYTES]);
 
 impl RequestDigest {
     /// Returns the digest of a request with this model and these prompt tokens.
+    ///
+    /// The team, the VM and the idempotency key are not part of it, so that a repeated request is
+    /// recognized even if these change.
     pub fn of(model: &ServiceName, prompt: &[u32]) -> Self {
         let mut hash = Sha256::new();
         hash.update((model.len() as u64).to_be_bytes());
@@ -37,6 +37,24 @@
         Self(hash.finalize().into())
     }
 
+    /// Returns the digest of a call as its team sent it: method, path with query, and body.
+    ///
+    /// The names of the VM and of the caller's attempt are not part of it, so that a call which is
+    /// sent again is recognized.
+    pub fn of_call(team: &str, method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [team.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.finalize().into())
+    }
+
+    /// Returns the first 64 bits of the digest as hexadecimal digits, for logs.
+    pub fn short(&self) -> String {
+        format!("{:016x}", self.key())
+    }
+
     /// Returns the first 64 bits of the digest, as the key for rendezvous hashing.
     pub fn key(&self) -> u64 {
         let first = self.0.iter().take(size_of::<u64>());
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -9,6 +9,7 @@
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
 use super::front::RequestContext;
+use super::retry;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::attempt::Ending;
@@ -59,7 +60,6 @@
     let mut sent = 0;
     let mut ran = false;
     loop {
-        let now = edge.now();
         let Some(entry) = pick_endpoint(edge, ctx, &tried) else {
             return finish(
                 edge,
@@ -84,9 +84,7 @@
         let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
         let allowed = sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time;
         let has_other = allowed && pick_endpoint(edge, ctx, &tried).is_some();
-        let vms = edge.fleet(|fleet| fleet.assumed_size());
-        let may_retry =
-            has_other && (!outcome.sent || edge.budget(|budget| budget.try_retry(now, vms)));
+        let may_retry = has_other && (!outcome.sent || retry::take_retry(edge, ctx));
         let left = RetryState {
             can_repeat: ctx.route.may_repeat(),
             can_retry: may_retry,
@@ -251,6 +249,7 @@
     };
     log::info!(
         id = ctx.id,
+        content = ctx.content.short(),
         version = ctx.site.version,
         route = ctx.route.name,
         team = ctx.team.as_ref().map_or("-", |team| team.as_str()),
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use http::StatusCode;
 use http::header;
+use http::uri::PathAndQuery;
 
 use super::ACCEPT_AFTER_STOP;
 use super::call;
@@ -15,6 +16,7 @@
 use super::relay;
 use super::state::Edge;
 use crate::clock::Millis;
+use crate::core::poison::RequestDigest;
 use crate::core::site::Route;
 use crate::core::site::RouteError;
 use crate::core::site::RouteKind;
@@ -60,6 +62,8 @@
     pub request: Request,
     /// The id of the caller's attempt, or `-` if it sent none.
     pub id: String,
+    /// Identifies the request's content, in whichever attempt and on whichever VM.
+    pub content: RequestDigest,
     /// The configuration that was in force when the request arrived.
     pub site: Rc<SiteConfig>,
     /// The route that matches the request.
@@ -214,6 +218,7 @@
     let timeout = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
     let ctx = RequestContext {
         id,
+        content: content_digest(&request, team.as_ref()),
         service,
         team,
         priority,
@@ -233,6 +238,15 @@
     }
 }
 
+fn content_digest(request: &Request, team: Option<&Team>) -> RequestDigest {
+    let team = team.map_or("", Team::as_str);
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("", PathAndQuery::as_str);
+    RequestDigest::of_call(team, request.method.as_str(), path, &request.body)
+}
+
 /// Sends a complete response and records it in the metrics.
 pub async fn respond(
     edge: &Edge,
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -21,6 +21,7 @@
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     attempts: Counter<u64>,
+    retries: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
@@ -38,6 +39,7 @@
         Self {
             answers: counter("edge_answers", "Answers to callers, by HTTP status."),
             attempts: counter("edge_attempts", "Attempts at endpoints, by outcome."),
+            retries: counter("edge_retries", "Retries asked of the budget, by outcome."),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -63,6 +65,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a retry that was asked of the budget, by outcome.
+    pub fn count_retry(&self, outcome: &'static str) {
+        self.retries.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod probe;
 mod registry;
 mod relay;
+mod retry;
 pub mod settings;
 mod state;
 mod store;
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -6,6 +6,7 @@
 use super::engine;
 use super::front::RequestContext;
 use super::probe;
+use super::retry;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
@@ -250,13 +251,7 @@
         if std::mem::take(&mut self.is_retry_taken) {
             return true;
         }
-        let now = self.edge.now();
-        let vms = self.edge.fleet(|fleet| fleet.assumed_size());
-        let is_granted = self.edge.budget(|budget| budget.try_retry(now, vms));
-        if !is_granted {
-            log::info!(id = self.ctx.id, reason = "budget"; "not_retried");
-        }
-        is_granted
+        retry::take_retry(self.edge, self.ctx)
     }
 }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -141,6 +141,7 @@
 fn log_end(edge: &Edge, ctx: &RequestContext, progress: &Progress, ended: StreamEnd) {
     log::info!(
         id = ctx.id,
+        content = ctx.content.short(),
         version = ctx.site.version,
         route = ctx.route.name,
         team = ctx.team.as_ref().map_or("-", |team| team.as_str()),
