Failing tests: a request that crashes endpoints runs again after the third

The stand-in endpoints can now crash: a request of a given path ends the process of the endpoint that begins to run it (the first or the last engine of its path, or a plain endpoint), which refuses connections for 0.6 s and starts again without layers.

Three new tests send such a request to three VMs in turn, wait until three endpoints have ended and 3 s more, and send nine more copies. None may run.

--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -10,6 +10,7 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use monoio::net::TcpListener;
 
 use super::dialect::EVENT_INTERVAL;
 use super::dialect::Order;
@@ -19,6 +20,8 @@
 use crate::core::roster::Entry;
 use crate::io::http::Request;
 use crate::io::http::Response;
+use crate::io::listen;
+use crate::io::mailbox::Mailbox;
 use crate::standin::serve;
 use crate::standin::serve::BoxedConn;
 use crate::standin::serve::Reply;
@@ -26,6 +29,9 @@
 /// The number of events in a complete stream.
 pub const EVENTS: u64 = 40;
 
+/// How long a crashed endpoint refuses connections.
+const RESTART_DELAY: Millis = Millis(600);
+
 /// A fault that the reports of an endpoint do not show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HiddenFault {
@@ -35,6 +41,15 @@
     AnswersErrors,
 }
 
+/// Which endpoint a request crashes that crashes those that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashTarget {
+    /// The one that it is sent to: a plain endpoint, or the first engine of the path.
+    First,
+    /// The last engine of the path.
+    Last,
+}
+
 /// The state of an endpoint, which tests read and change.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -52,6 +67,10 @@
     pub fence: u64,
     /// The ids of the requests that it ran, one entry per run.
     pub ran: Vec<String>,
+    /// How often it crashed.
+    pub crashes: u32,
+    /// Ends its process when something is sent.
+    stop: Mailbox<()>,
 }
 
 /// The engines of a request's path, in order, each with the layers that it runs.
@@ -63,6 +82,8 @@
     layers: u32,
     all: Rc<RefCell<BTreeMap<SocketAddr, Endpoint>>>,
     paths: Rc<RefCell<BTreeMap<String, Route>>>,
+    /// The paths of requests that crash the endpoints that run them.
+    crashing: Rc<RefCell<BTreeMap<String, CrashTarget>>>,
     violations: Rc<RefCell<Vec<String>>>,
 }
 
@@ -74,6 +95,7 @@
             layers,
             all: Rc::default(),
             paths: Rc::default(),
+            crashing: Rc::default(),
             violations: Rc::default(),
         }
     }
@@ -85,6 +107,8 @@
     /// Fails if the address cannot be bound.
     pub fn start(&self, entry: Entry) -> std::io::Result<()> {
         let addr = entry.addr;
+        let stop = Mailbox::new(1);
+        let listener = listen::bind(addr)?;
         let endpoint = Endpoint {
             entry,
             silent: false,
@@ -93,13 +117,64 @@
             orders: 0,
             fence: 0,
             ran: Vec::new(),
+            crashes: 0,
+            stop: stop.clone(),
         };
         self.all.borrow_mut().insert(addr, endpoint);
-        let endpoints = self.clone();
-        serve::listen(addr, move |request, conn| {
-            let endpoints = endpoints.clone();
-            async move { endpoints.answer(addr, request, conn).await }
-        })
+        monoio::spawn(self.clone().run(addr, listener, stop));
+        Ok(())
+    }
+
+    /// Serves an endpoint. After a crash it refuses connections for a while and then starts again,
+    /// without layers.
+    async fn run(self, addr: SocketAddr, mut listener: TcpListener, stop: Mailbox<()>) {
+        loop {
+            let endpoints = self.clone();
+            let handle = move |request, conn| {
+                let endpoints = endpoints.clone();
+                async move { endpoints.answer(addr, request, conn).await }
+            };
+            monoio::select! {
+                () = serve::accept(listener, handle) => return,
+                () = stop.receive() => {}
+            }
+            monoio::time::sleep(RESTART_DELAY.duration()).await;
+            let Ok(bound) = listen::bind(addr) else {
+                log::error!(addr:% = addr; "endpoint_not_restarted");
+                return;
+            };
+            listener = bound;
+            self.with_endpoint(addr, |endpoint| {
+                endpoint.broken = false;
+                endpoint.entry.born += 1;
+                endpoint.entry.span = None;
+                endpoint.orders = 0;
+                endpoint.fence = 0;
+            });
+        }
+    }
+
+    /// Has every request with this path crash an endpoint that begins to run it.
+    pub fn crash_on(&self, path: &str, target: CrashTarget) {
+        self.crashing.borrow_mut().insert(path.to_owned(), target);
+    }
+
+    /// Crashes an endpoint, unless it is down.
+    pub fn crash(&self, addr: SocketAddr) {
+        self.with_endpoint(addr, |endpoint| {
+            if !endpoint.broken {
+                endpoint.broken = true;
+                endpoint.crashes += 1;
+                // A full mailbox means that the endpoint is already stopping.
+                let _ = endpoint.stop.send(());
+            }
+        });
+    }
+
+    /// Returns the number of crashes of all endpoints.
+    pub fn crash_count(&self) -> u32 {
+        let all = self.all.borrow();
+        all.values().map(|endpoint| endpoint.crashes).sum()
     }
 
     /// Calls `work` with the endpoint at `addr`, or returns `None` if there is none.
@@ -136,6 +211,11 @@
             (&Method::GET, "/report") => (conn, Reply::Response(self.report(addr))),
             (&Method::POST, "/order") => (conn, Reply::Response(self.order(addr, &request))),
             _ if request.headers.contains_key("path") => self.stream(addr, &request, conn).await,
+            _ if self.crashing.borrow().contains_key(request.uri.path()) => {
+                self.answer_plain(addr, &request);
+                self.crash(addr);
+                (conn, Reply::Close)
+            }
             _ => (conn, Reply::Response(self.answer_plain(addr, &request))),
         }
     }
@@ -251,6 +331,7 @@
             sign(&mut response.headers, &id);
             return (conn, Reply::Response(response));
         }
+        let target = self.crashing.borrow().get(request.uri.path()).copied();
         let mut headers = HeaderMap::new();
         sign(&mut headers, &id);
         let from = header_text(&request.headers, "last-event-id")
@@ -261,7 +342,7 @@
         }
         for event in from + 1..=EVENTS {
             monoio::time::sleep(EVENT_INTERVAL.duration()).await;
-            if !self.wait_for_token(addr, &id).await {
+            if !self.wait_for_token(addr, &id, target).await {
                 return (conn, Reply::Close);
             }
             let line = format!("id: {event}\ndata: token {event}\n\n");
@@ -277,8 +358,14 @@
     }
 
     /// Waits until no engine of the path is stalled, then records whether the token ran each layer
-    /// once. Returns `false` if the first engine of the path is broken.
-    async fn wait_for_token(&self, addr: SocketAddr, id: &str) -> bool {
+    /// once. Returns `false` if the first engine of the path is broken. A request with a `target`
+    /// crashes that engine instead, also after the path was changed.
+    async fn wait_for_token(
+        &self,
+        addr: SocketAddr,
+        id: &str,
+        target: Option<CrashTarget>,
+    ) -> bool {
         /// How often a stalled path is checked.
         const POLL_INTERVAL: Millis = Millis(5);
         loop {
@@ -286,7 +373,13 @@
                 return false;
             }
             let path = self.paths.borrow().get(id).cloned().unwrap_or_default();
-            if !self.is_stalled(&path) {
+            let crashed = target.and_then(|target| match target {
+                CrashTarget::First => path.first(),
+                CrashTarget::Last => path.last(),
+            });
+            if let Some((crashed, _)) = crashed {
+                self.crash(*crashed);
+            } else if !self.is_stalled(&path) {
                 let mut position = 0;
                 let in_order = path.iter().all(|(_, span)| {
                     let next = span.from == position;
--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod store;
 
 pub use self::dialect::dialect;
+pub use self::endpoint::CrashTarget;
 pub use self::endpoint::EVENTS;
 pub use self::endpoint::Endpoint;
 pub use self::endpoint::Endpoints;
--- a/src/standin/serve.rs
+++ b/src/standin/serve.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use monoio::net::TcpListener;
+
 use crate::io::http::Conn;
 use crate::io::http::HttpError;
 use crate::io::http::Request;
@@ -32,12 +34,20 @@
     F: Future<Output = (BoxedConn, Reply)> + 'static,
 {
     let listener = listen::bind(addr)?;
-    monoio::spawn(listen::accept(listener, move |conn, _| {
-        serve(conn, handle.clone())
-    }));
+    monoio::spawn(accept(listener, handle));
     Ok(())
 }
 
+/// Calls `handle` for each request on the connections of a listener, which stays open until this
+/// is dropped.
+pub async fn accept<H, F>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request, BoxedConn) -> F + Clone + 'static,
+    F: Future<Output = (BoxedConn, Reply)> + 'static,
+{
+    listen::accept(listener, move |conn, _| serve(conn, handle.clone())).await;
+}
+
 /// A connection that is passed to the handler and returned by it, so that it can stream its answer.
 pub type BoxedConn = Box<Conn>;
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -28,6 +28,7 @@
 use cornelwharf::io::http::Conn;
 use cornelwharf::io::http::Request;
 use cornelwharf::io::runtime;
+use cornelwharf::standin::fleet::CrashTarget;
 use cornelwharf::standin::fleet::EVENTS;
 use cornelwharf::standin::fleet::Endpoint;
 use cornelwharf::standin::fleet::Endpoints;
@@ -44,6 +45,11 @@
 const APPLY_BOUND: Millis = Millis(2000);
 /// The longest time until a leaving endpoint gets no new work (the users' bound).
 const DRAIN_BOUND: Millis = Millis(2000);
+/// The number of endpoints under one request after whose end it may not run again (the users'
+/// rule on repeats).
+const CRASH_LIMIT: u32 = 3;
+/// The time after which that rule holds on every VM (the users' bound).
+const CONTACT_SPAN: Millis = Millis::seconds(3);
 /// How long the tests wait for the layers to be placed.
 const PLACE_TIMEOUT: Millis = Millis::seconds(8);
 
@@ -639,3 +645,55 @@
         assert_eq!(world.run_count(), before);
     });
 }
+
+/// Sends a request that crashes endpoints, until three have crashed and the VMs have had time to
+/// tell each other; then sends it to every VM several times.
+async fn check_crashing_request(world: Rc<World>, path: &str, target: CrashTarget) {
+    world.endpoints.crash_on(path, target);
+    for turn in 0..12 {
+        if world.endpoints.crash_count() >= CRASH_LIMIT {
+            break;
+        }
+        let answer = world.call(turn % 3, path, "red-key").await;
+        assert!(answer.status != StatusCode::OK || !answer.whole);
+        sleep(Millis(800)).await;
+    }
+    sleep(CONTACT_SPAN).await;
+    let (crashes, runs) = (world.endpoints.crash_count(), world.run_count());
+    let mut statuses = Vec::new();
+    for turn in 0..9 {
+        let answer = world.call(turn % 3, path, "red-key").await;
+        statuses.push(answer.status);
+        sleep(Millis(100)).await;
+    }
+    let crashes = world.endpoints.crash_count() - crashes;
+    let runs = world.run_count() - runs;
+    assert_eq!((crashes, runs), (0, 0), "crashes and runs after the third");
+    let refused = StatusCode::SERVICE_UNAVAILABLE;
+    assert!(
+        statuses.iter().all(|status| *status == refused),
+        "{statuses:?}"
+    );
+    world.check_streams().await;
+}
+
+#[test]
+fn a_stream_that_crashes_the_first_engine_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        check_crashing_request(world, "/draft/crash", CrashTarget::First).await;
+    });
+}
+
+#[test]
+fn a_stream_that_crashes_the_last_engine_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        check_crashing_request(world, "/draft/crash", CrashTarget::Last).await;
+    });
+}
+
+#[test]
+fn a_plain_request_that_crashes_endpoints_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        check_crashing_request(world, "/post/crash", CrashTarget::First).await;
+    });
+}
