Bar requests that crash endpoints on the edge daemon

What callers saw: a request under which three endpoints had ended was sent to endpoints again, at each of its copies and on every VM, and more of them ended (BUDGET); everything else on these endpoints was cut off with them.

Cause: the edge limited repeats per attempt (maxAttempts) and per time (the budget), and kept nothing about a request's content. core/poison, which does, was used by cornelwharfd alone. Within one attempt it was worse: each replacement of an engine in the path is no new attempt, so a request that crashes a later engine went through one after the other until its time was up (23 crashes in one attempt, in the stand-in as it was then).

The stand-in is mended here, since an engine that had restarted went on with the request it had lost, and the tests wait until the layers are placed again.

Change: a run whose connection broke or whose engine fell silent, early in its stream, has the endpoint dialed; if it refuses connections, it crashed under the request. The records of core/poison follow the messages between VMs, new ones at once, a barred one in turn, so that a VM that starts later learns it too (test). Three crashes with no completed run after them bar the content (a digest of team, method, path and body) on every VM: 503 at once, not run, with the time when the bar ends. VMs of earlier releases read the message and ignore what follows it (test).

Why it works: the decision no longer depends on the attempt or the VM but on the content, and each crash is seen by the VM whose run it ended.

Ruled out: counting silence as a crash (an engine that is cut off would bar what it ran), counting each engine of a path (a failed domain would), two crashes (waves of failures do that to a long stream).

--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -185,12 +185,17 @@
         endpoint: &EndpointName,
         outcome: RunOutcome,
     ) {
-        let Some((digest, start)) = self.active.leave(now, id, endpoint, outcome) else {
-            return;
-        };
-        if let Some(entry) = self.entries.get_mut(&digest) {
+        if let Some((digest, start)) = self.active.leave(now, id, endpoint, outcome) {
+            self.record_completion(&digest, start);
+        }
+    }
+
+    /// Records that a run which started at `start` completed, which clears a suspect of the crashes
+    /// before that run, except those that happened while it was alone.
+    pub fn record_completion(&mut self, digest: &RequestDigest, start: Millis) {
+        if let Some(entry) = self.entries.get_mut(digest) {
             entry.clear(start);
-            self.unsent.insert(digest);
+            self.unsent.insert(*digest);
         }
     }
 
@@ -204,13 +209,17 @@
                 endpoint: endpoint.clone(),
                 boot,
             };
-            let mut entry = CrashHistory::default();
-            entry.add(incident);
-            let digest = suspect.digest;
-            self.merge_record(now, SuspectRecord { digest, entry });
+            self.record_crash(now, suspect.digest, incident);
         }
     }
 
+    /// Records that an endpoint crashed while it ran a request.
+    pub fn record_crash(&mut self, now: Millis, digest: RequestDigest, incident: Incident) {
+        let mut entry = CrashHistory::default();
+        entry.add(incident);
+        self.merge_record(now, SuspectRecord { digest, entry });
+    }
+
     /// Merges a peer's records; those that changed this table are passed on by
     /// [`Self::next_news`].
     pub fn merge(&mut self, now: Millis, gossip: SuspectGossip) {
@@ -247,6 +256,39 @@
         (!records.is_empty()).then_some(SuspectGossip { records })
     }
 
+    /// Returns whether records changed that [`Self::next_records`] has not returned yet.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Returns up to `limit` changed records and then the next barred request in turn, to make up
+    /// for lost messages and for VMs that started meanwhile.
+    pub fn next_records(&mut self, now: Millis, limit: usize) -> SuspectGossip {
+        let mut digests: Vec<RequestDigest> = Vec::new();
+        while let Some(digest) = self.unsent.pop_first() {
+            digests.push(digest);
+            if digests.len() >= limit {
+                break;
+            }
+        }
+        self.cursor = self.next_barred(now, self.cursor);
+        digests.extend(self.cursor.filter(|digest| !digests.contains(digest)));
+        let records = digests.iter().map(|digest| self.record(digest));
+        SuspectGossip {
+            records: records.collect(),
+        }
+    }
+
+    /// Returns the first barred request after another one, or else the first of all.
+    fn next_barred(&self, now: Millis, last: Option<RequestDigest>) -> Option<RequestDigest> {
+        let from = last.map_or(Bound::Unbounded, Bound::Excluded);
+        let later = self.entries.range((from, Bound::Unbounded));
+        let mut turn = later.chain(&self.entries);
+        let barred = turn.find(|(_, entry)| matches!(entry.status(now), SuspectStatus::Barred(_)));
+        barred.map(|(digest, _)| *digest)
+    }
+
     /// Removes expired histories and permits.
     pub fn expire(&mut self, now: Millis) {
         self.entries
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -484,6 +484,12 @@
         }
     }
 
+    /// Returns when an endpoint started, by its latest entry; `None` if it is unknown.
+    pub fn born(&self, endpoint: &EndpointName) -> Option<u64> {
+        let state = self.endpoints.get(endpoint)?;
+        state.last_entry.as_ref().map(|entry| entry.born)
+    }
+
     /// Returns the name of the endpoint at an address, chosen as by [`Self::entry_at`].
     pub fn name_at(&self, addr: SocketAddr) -> Option<EndpointName> {
         self.entry_at(addr).map(|entry| entry.endpoint.clone())
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -11,6 +11,7 @@
 use super::front::RequestContext;
 use super::retry;
 use super::state::Edge;
+use super::suspect;
 use crate::clock::Millis;
 use crate::core::attempt::Ending;
 use crate::core::attempt::NextStep;
@@ -76,13 +77,19 @@
         tried.push(entry.endpoint.clone());
         let new_conn = ctx.route.kind == RouteKind::Once;
         edge.roster(|roster| roster.begin_request(&entry.endpoint, 0.0));
+        let run_start = edge.now();
         let outcome = attempt(edge, ctx, &entry, new_conn).await;
         edge.roster(|roster| roster.end_request(&entry.endpoint, 0.0));
         record_outcome(edge, &entry, &outcome);
+        if matches!(outcome.ending, Ending::Answered(_)) {
+            suspect::record_completion(edge, ctx, run_start);
+        }
         sent += u32::from(outcome.sent);
         ran |= outcome.ending == Ending::Unknown;
         let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
-        let allowed = sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time;
+        let is_barred = suspect::barred_for(edge, &ctx.content).is_some();
+        let allowed =
+            sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
         let has_other = allowed && pick_endpoint(edge, ctx, &tried).is_some();
         let may_retry = has_other && (!outcome.sent || retry::take_retry(edge, ctx));
         let left = RetryState {
@@ -153,6 +160,8 @@
         Ok(Err(error)) => {
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "attempt_broke");
             edge.pool().clear(entry.addr);
+            let endpoint = (entry.endpoint.clone(), entry.addr);
+            suspect::check_endpoints(edge, ctx, &[endpoint]).await;
             return outcome;
         }
         Err(_) => {
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -84,7 +84,7 @@
 }
 
 /// Returns whether nothing listens at the address, so that a retry would not help.
-fn is_refusal(error: &HttpError) -> bool {
+pub fn is_refusal(error: &HttpError) -> bool {
     matches!(error, HttpError::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -15,6 +15,7 @@
 use super::forward;
 use super::relay;
 use super::state::Edge;
+use super::suspect;
 use crate::clock::Millis;
 use crate::core::poison::RequestDigest;
 use crate::core::site::Route;
@@ -229,6 +230,11 @@
         route,
     };
     edge.budget(|budget| budget.record_request(start));
+    if let Some(wait) = suspect::barred_for(edge, &ctx.content) {
+        let content = ctx.content.short();
+        log::info!(id = ctx.id, content, version = ctx.site.version, route = ctx.route.name, retry_ms = wait.0, reason = "barred"; "refused");
+        return respond(edge, conn, forward::refusal(wait), bodiless, start).await;
+    }
     match ctx.route.kind {
         RouteKind::Stream => relay::serve(edge, conn, &ctx).await,
         RouteKind::Once | RouteKind::Idempotent => match call::run(edge, conn, &ctx).await {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -6,10 +6,12 @@
 use monoio::net::udp::UdpSocket;
 
 use super::state::Edge;
+use super::suspect;
 use crate::clock::Millis;
 use crate::core::fleet::HEARTBEAT_INTERVAL;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
+use crate::core::poison::SuspectGossip;
 use crate::io::timeout::within;
 
 /// The size of the receive buffer; a message fits one packet of an ordinary network with room to
@@ -42,8 +44,11 @@
             buf = vec![0; MAX_MESSAGE_BYTES];
             continue;
         };
-        match postcard::from_bytes::<Message>(&buf[..size]) {
-            Ok(message) => receive(&edge, message),
+        match postcard::take_from_bytes::<Message>(&buf[..size]) {
+            Ok((message, rest)) => {
+                receive(&edge, message);
+                receive_suspects(&edge, rest);
+            }
             Err(error) => log::debug!(from:% = from, error:% = error; "message_dropped"),
         }
     }
@@ -61,6 +66,27 @@
     edge.fleet(|fleet| fleet.receive(now, message));
 }
 
+/// Merges the records that follow a message, if there are any.
+fn receive_suspects(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::from_bytes(bytes) {
+        Ok(gossip) => suspect::receive(edge, gossip),
+        Err(error) => log::debug!(error:% = error; "suspects_dropped"),
+    }
+}
+
+/// Encodes a message. Requests that crashed endpoints follow it: VMs of earlier releases ignore what
+/// follows a message.
+fn encode(message: &Message, suspects: &SuspectGossip) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(message)?;
+    if suspects.records.is_empty() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(suspects, bytes)
+}
+
 async fn send_messages(edge: Edge, socket: Rc<UdpSocket>) {
     loop {
         let now = edge.now();
@@ -70,7 +96,7 @@
             fleet.me().ready = ready;
             fleet.next_message(now, marks)
         });
-        match postcard::to_stdvec(&message) {
+        match encode(&message, &suspect::next_records(&edge)) {
             Ok(bytes) => {
                 for addr in to {
                     let (result, _) = socket.send_to(bytes.clone(), addr).await;
@@ -81,6 +107,9 @@
             }
             Err(error) => log::error!(error:% = error; "message_not_encoded"),
         }
+        if edge.suspects(|suspects| suspects.has_news()) {
+            edge.trigger_gossip();
+        }
         monoio::time::sleep(MIN_INTERVAL.duration()).await;
         // Triggered or timed out, the next message is due.
         let _ = within(HEARTBEAT_INTERVAL - MIN_INTERVAL, edge.gossip_triggered()).await;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -22,6 +22,7 @@
     answers: Counter<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    crashes: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
@@ -40,6 +41,7 @@
             answers: counter("edge_answers", "Answers to callers, by HTTP status."),
             attempts: counter("edge_attempts", "Attempts at endpoints, by outcome."),
             retries: counter("edge_retries", "Retries asked of the budget, by outcome."),
+            crashes: counter("edge_crashes", "Endpoints that crashed under a request."),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -70,6 +72,11 @@
         self.retries.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an endpoint that crashed under a request.
+    pub fn count_crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 mod state;
 mod store;
+mod suspect;
 
 use std::io;
 use std::sync::Arc;
@@ -103,6 +104,7 @@
     monoio::spawn(feed::poll_peers(edge.clone()));
     monoio::spawn(placement::run(edge.clone()));
     monoio::spawn(probe::run(edge.clone()));
+    monoio::spawn(suspect::expire(edge.clone()));
     log::info!(vm:% = settings.vm, domain:% = settings.domain, front:% = settings.front; "started");
     Ok(())
 }
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -8,6 +8,7 @@
 use super::probe;
 use super::retry;
 use super::state::Edge;
+use super::suspect;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
 use crate::core::admit::Occupancy;
@@ -31,6 +32,10 @@
 /// The pace that an engine is marked with after it refused a request, until it is probed.
 const REFUSED_PACE: f64 = 8.0;
 
+/// The number of events after which a request cannot have crashed the engines of its path by its
+/// start. The first events may still arrive although an engine crashes at the first token.
+const SURVIVED_EVENTS: u32 = 3;
+
 /// Selects the paths of one request, without the engines that failed it.
 #[derive(Debug)]
 pub struct PathSelector<'a> {
@@ -42,6 +47,17 @@
     excluded: Vec<SocketAddr>,
     may_retry: bool,
     is_retry_taken: bool,
+    run: Run,
+}
+
+/// The request's run on its current path.
+#[derive(Clone, Copy, Debug, Default)]
+struct Run {
+    start: Millis,
+    /// The events that the path has produced.
+    events: u32,
+    /// Whether the path's engines were checked for a crash.
+    is_checked: bool,
 }
 
 impl<'a> PathSelector<'a> {
@@ -54,6 +70,55 @@
             excluded: Vec::new(),
             may_retry: false,
             is_retry_taken: false,
+            run: Run::default(),
+        }
+    }
+
+    /// Records that the request starts to run on a new or changed path.
+    pub fn begin_run(&mut self) {
+        self.run = Run {
+            start: self.edge.now(),
+            ..Run::default()
+        };
+    }
+
+    /// Records that the path produced an event.
+    pub fn record_event(&mut self) {
+        self.run.events += 1;
+    }
+
+    /// Records that the request's run ended without a crash of an engine.
+    pub fn record_completion(&self) {
+        suspect::record_completion(self.edge, self.ctx, self.run.start);
+    }
+
+    /// Returns whether requests of this content crashed so many endpoints that it may not run
+    /// again.
+    pub fn is_barred(&self) -> bool {
+        suspect::barred_for(self.edge, &self.ctx.content).is_some()
+    }
+
+    /// Returns whether the current run may have crashed an engine of its path that has failed, and
+    /// was not checked yet. A path that has produced several events outlived the request's start.
+    fn begin_check(&mut self) -> bool {
+        let is_due = self.run.events < SURVIVED_EVENTS && !self.run.is_checked;
+        self.run.is_checked |= is_due;
+        is_due
+    }
+
+    /// Checks whether the first engine of a path crashed after its connection broke.
+    pub async fn check_first(&mut self, path: &[Part]) {
+        if let Some(first) = path.first().filter(|_| self.begin_check()) {
+            let first = (first.endpoint.clone(), first.addr);
+            suspect::check_endpoints(self.edge, self.ctx, &[first]).await;
+        }
+    }
+
+    /// Starts a check whether one of the silent engines of a path crashed.
+    fn spawn_check(&mut self, silent: Vec<(EndpointName, SocketAddr)>) {
+        if self.begin_check() {
+            let (edge, ctx) = (self.edge.clone(), self.ctx.clone());
+            monoio::spawn(async move { suspect::check_endpoints(&edge, &ctx, &silent).await });
         }
     }
 
@@ -188,13 +253,19 @@
         if is_down(&&first) {
             let quiet = self.edge.now().since(since).0;
             log::info!(id, endpoint:% = first.endpoint, quiet; "path_silent");
+            self.spawn_check(vec![(first.endpoint, first.addr)]);
             return false;
         }
-        let silent: Vec<SocketAddr> = path.iter().filter(is_down).map(|part| part.addr).collect();
+        let down = path.iter().filter(is_down);
+        let down: Vec<_> = down
+            .map(|part| (part.endpoint.clone(), part.addr))
+            .collect();
+        let silent: Vec<SocketAddr> = down.iter().map(|(_, addr)| *addr).collect();
         if silent.is_empty() {
             self.probe_engines(path, watch);
             return true;
         }
+        self.spawn_check(down);
         for addr in &silent {
             self.exclude(*addr);
         }
@@ -209,6 +280,7 @@
         match answer {
             Ok(OrderAnswer::Begun | OrderAnswer::Done) => {
                 *path = other;
+                self.begin_run();
                 true
             }
             // The engine no longer has the request: it ended just now.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -165,7 +165,8 @@
     let ctx = selector.ctx;
     loop {
         let Some(path) = selector.pick_path() else {
-            if progress.is_started && ctx.remaining(edge.now()) >= MIN_RETRY_TIME {
+            let has_time = ctx.remaining(edge.now()) >= MIN_RETRY_TIME;
+            if progress.is_started && has_time && !selector.is_barred() {
                 monoio::time::sleep(PATH_POLL.duration()).await;
                 selector.clear_excluded();
                 continue;
@@ -191,7 +192,7 @@
         if !more || ctx.remaining(now) < MIN_RETRY_TIME {
             return ended;
         }
-        if !selector.take_retry() {
+        if selector.is_barred() || !selector.take_retry() {
             return ended;
         }
     }
@@ -224,6 +225,9 @@
     if let Some(ended) = check_head(selector, progress, &first, &response) {
         return ended;
     }
+    if !response.status.is_success() {
+        selector.record_completion();
+    }
     if response.status.is_server_error() {
         log::info!(id = selector.ctx.id, endpoint:% = first.endpoint, status = response.status.as_u16(); "engine_failed");
         selector.record_refusal(first.addr);
@@ -245,6 +249,7 @@
     match relay_events(selector, writer, progress, &mut path, reader, &mut watch).await {
         Ok(reader) => {
             paths::record_success(edge, &path);
+            selector.record_completion();
             if !closes_connection(&response) {
                 let conn = Conn {
                     reader,
@@ -287,6 +292,7 @@
     let request = forward_request(edge, &ctx.request, &info);
     progress.paths += 1;
     selector.set_attempts(progress.paths);
+    selector.begin_run();
     let from = progress.events.last_id().unwrap_or(0);
     log::info!(id = ctx.id, path:% = paths::format_path(path), last = from; "path");
     match conn.writer.request(&request).await {
@@ -294,6 +300,7 @@
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_sent");
             edge.pool().clear(first.addr);
+            selector.check_first(path).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -314,6 +321,7 @@
             log::info!(id, endpoint:% = path[0].endpoint, error:% = error; "head_broke");
             selector.edge.pool().clear(path[0].addr);
             selector.record_failure(path[0].addr);
+            selector.check_first(path).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -383,6 +391,7 @@
                 progress.record_event(edge, ctx);
                 watch.record_event(edge.now());
                 paths::record_progress(edge, path);
+                selector.record_event();
                 if writer.chunk(&whole).await.is_err() {
                     return Err(StreamEnd::Left);
                 }
@@ -397,12 +406,14 @@
             }
             Ok(None) => {
                 log::info!(id = ctx.id, endpoint:% = path[0].endpoint; "stream_torn");
+                selector.check_first(path).await;
                 return Err(StreamEnd::Broke);
             }
             Err(error) => {
                 let endpoint = &path[0].endpoint;
                 log::info!(id = ctx.id, endpoint:% = endpoint, error:% = error; "stream_broke");
                 selector.record_failure(path[0].addr);
+                selector.check_first(path).await;
                 return Err(StreamEnd::Broke);
             }
         }
@@ -441,7 +452,8 @@
             return Err(StreamEnd::Late);
         }
         watch.record_check();
-        if !selector.repair(path, watch).await && selector.try_leave() {
+        let is_repaired = selector.repair(path, watch).await;
+        if selector.is_barred() || (!is_repaired && selector.try_leave()) {
             return Err(StreamEnd::Broke);
         }
     }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -19,6 +19,7 @@
 use crate::core::attempt::RetryBudget;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
+use crate::core::poison::SuspectTable;
 use crate::core::roster::Roster;
 use crate::core::site::ActiveConfig;
 use crate::core::site::SiteConfig;
@@ -44,6 +45,7 @@
     fleet: RefCell<Fleet>,
     budget: RefCell<RetryBudget>,
     admission: RefCell<AdmissionController>,
+    suspects: RefCell<SuspectTable>,
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
     store_contact: Cell<Millis>,
@@ -88,6 +90,7 @@
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
             budget: RefCell::new(budget),
+            suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
@@ -177,6 +180,14 @@
         work(&mut self.inner.admission.borrow_mut())
     }
 
+    /// Runs `work` on the requests that crashed endpoints.
+    pub fn suspects<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut SuspectTable) -> T,
+    {
+        work(&mut self.inner.suspects.borrow_mut())
+    }
+
     /// Returns a random number from 0 up to, but not including, 1.
     pub fn random(&self) -> f64 {
         self.inner.rng.borrow_mut().random()
--- /dev/null
+++ b/src/edge/suspect.rs
@@ -0,0 +1,115 @@
+//! Requests that crash the endpoints that run them: the crashes that this VM sees, what it tells
+//! other VMs, and whether a request may still run (docs/operators/barred-requests.md).
+
+use std::net::SocketAddr;
+
+use super::engine::is_refusal;
+use super::front::RequestContext;
+use super::state::Edge;
+use crate::clock::Millis;
+use crate::core::poison::Incident;
+use crate::core::poison::RequestDigest;
+use crate::core::poison::SuspectGossip;
+use crate::core::poison::SuspectStatus;
+use crate::io::http::Conn;
+use crate::io::timeout::within;
+use crate::names::EndpointName;
+
+/// The most changed records in one message, which keeps it within one packet.
+const MAX_NEWS: usize = 4;
+/// How long the check of an endpoint whose connection broke may take. A refusal arrives within
+/// milliseconds, and the request waits for the result.
+const CHECK_TIMEOUT: Millis = Millis(100);
+/// The interval at which expired records are removed.
+const EXPIRY_INTERVAL: Millis = Millis::seconds(60);
+
+/// Returns how long a request's content is still barred; `None` if it may run.
+pub fn barred_for(edge: &Edge, content: &RequestDigest) -> Option<Millis> {
+    let now = edge.now();
+    match edge.suspects(|suspects| suspects.status(now, content)) {
+        SuspectStatus::Barred(until) => Some(until.since(now)),
+        SuspectStatus::Suspect | SuspectStatus::Clear => None,
+    }
+}
+
+/// Checks the endpoints whose connections broke or that fell silent under a request, and records
+/// the first that refuses connections as crashed.
+///
+/// Only a refusal shows that the process ended. A connection may also be reset on the way, and an
+/// endpoint that is cut off does not answer. One run counts as one crash, however many endpoints
+/// of its path ended, since they may have ended for the same other reason.
+pub async fn check_endpoints(
+    edge: &Edge,
+    ctx: &RequestContext,
+    endpoints: &[(EndpointName, SocketAddr)],
+) {
+    for (endpoint, addr) in endpoints {
+        match within(CHECK_TIMEOUT, Conn::dial(*addr)).await {
+            Ok(Ok(conn)) => edge.pool().put(*addr, conn),
+            Ok(Err(error)) if is_refusal(&error) => return record_crash(edge, ctx, endpoint),
+            Ok(Err(_)) | Err(_) => {}
+        }
+    }
+}
+
+fn record_crash(edge: &Edge, ctx: &RequestContext, endpoint: &EndpointName) {
+    let now = edge.now();
+    let boot = edge.roster(|roster| roster.born(endpoint)).unwrap_or(0);
+    let incident = Incident {
+        alone: false,
+        at: now,
+        endpoint: endpoint.clone(),
+        boot,
+    };
+    edge.suspects(|suspects| suspects.record_crash(now, ctx.content, incident));
+    let content = ctx.content.short();
+    log::info!(id = ctx.id, content, endpoint:% = endpoint, boot; "endpoint_crashed");
+    edge.metrics().count_crash();
+    if let Some(wait) = barred_for(edge, &ctx.content) {
+        log::warn!(content, source = "self", ms = wait.0; "request_barred");
+    }
+    edge.trigger_gossip();
+}
+
+/// Records that a run of a request which started at `start` ended without a crash.
+pub fn record_completion(edge: &Edge, ctx: &RequestContext, start: Millis) {
+    let now = edge.now();
+    edge.suspects(|suspects| {
+        // Without a crash there is nothing to clear, and nothing to tell other VMs.
+        if suspects.status(now, &ctx.content) != SuspectStatus::Clear {
+            suspects.record_completion(&ctx.content, start);
+        }
+    });
+}
+
+/// Returns the records for the next message to other VMs.
+pub fn next_records(edge: &Edge) -> SuspectGossip {
+    let now = edge.now();
+    edge.suspects(|suspects| suspects.next_records(now, MAX_NEWS))
+}
+
+/// Merges the records of another VM.
+pub fn receive(edge: &Edge, gossip: SuspectGossip) {
+    let now = edge.now();
+    for record in gossip.records {
+        let content = record.digest;
+        let was_barred = barred_for(edge, &content).is_some();
+        let records = vec![record];
+        edge.suspects(|suspects| suspects.merge(now, SuspectGossip { records }));
+        if let Some(wait) = barred_for(edge, &content).filter(|_| !was_barred) {
+            log::warn!(content = content.short(), source = "peer", ms = wait.0; "request_barred");
+        }
+    }
+    if edge.suspects(|suspects| suspects.has_news()) {
+        edge.trigger_gossip();
+    }
+}
+
+/// Removes expired records, forever.
+pub async fn expire(edge: Edge) {
+    loop {
+        monoio::time::sleep(EXPIRY_INTERVAL.duration()).await;
+        let now = edge.now();
+        edge.suspects(|suspects| suspects.expire(now));
+    }
+}
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -32,6 +32,9 @@
 /// How long a crashed endpoint refuses connections.
 const RESTART_DELAY: Millis = Millis(600);
 
+/// How long a path may stall before its first engine ends the request.
+const STALL_TIMEOUT: Millis = Millis(2500);
+
 /// A fault that the reports of an endpoint do not show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HiddenFault {
@@ -76,12 +79,21 @@
 /// The engines of a request's path, in order, each with the layers that it runs.
 type Route = Vec<(SocketAddr, Span)>;
 
+/// A request in progress.
+#[derive(Clone, Debug, Default)]
+struct Running {
+    path: Route,
+    /// The start of each engine of the path. An engine that crashed and started again has lost the
+    /// request.
+    births: Vec<u64>,
+}
+
 /// All endpoints by address; clones share their state.
 #[derive(Clone, Debug)]
 pub struct Endpoints {
     layers: u32,
     all: Rc<RefCell<BTreeMap<SocketAddr, Endpoint>>>,
-    paths: Rc<RefCell<BTreeMap<String, Route>>>,
+    running: Rc<RefCell<BTreeMap<String, Running>>>,
     /// The paths of requests that crash the endpoints that run them.
     crashing: Rc<RefCell<BTreeMap<String, CrashTarget>>>,
     violations: Rc<RefCell<Vec<String>>>,
@@ -94,7 +106,7 @@
         Self {
             layers,
             all: Rc::default(),
-            paths: Rc::default(),
+            running: Rc::default(),
             crashing: Rc::default(),
             violations: Rc::default(),
         }
@@ -254,10 +266,10 @@
             }),
             Ok(Order::Repath { request, path }) => {
                 let path = parse_path(&path);
-                let is_running = self.paths.borrow().contains_key(&request);
+                let is_running = self.running.borrow().contains_key(&request);
                 let is_valid = is_running && self.find_missing_part(&path).is_none();
                 is_valid.then(|| {
-                    self.paths.borrow_mut().insert(request, path);
+                    self.set_path(request, path);
                     StatusCode::ACCEPTED
                 })
             }
@@ -281,13 +293,25 @@
             .map(|(addr, _)| *addr)
     }
 
-    fn is_stalled(&self, path: &[(SocketAddr, Span)]) -> bool {
+    fn set_path(&self, id: String, path: Route) {
         let all = self.all.borrow();
-        let stalled = |addr| {
+        let born = |addr: &SocketAddr| all.get(addr).map_or(0, |endpoint| endpoint.entry.born);
+        let births = path.iter().map(|(addr, _)| born(addr)).collect();
+        self.running
+            .borrow_mut()
+            .insert(id, Running { path, births });
+    }
+
+    fn is_stalled(&self, running: &Running) -> bool {
+        let all = self.all.borrow();
+        let stalled = |addr, born| {
             let endpoint: Option<&Endpoint> = all.get(addr);
-            endpoint.is_none_or(|endpoint| endpoint.silent || endpoint.broken)
+            endpoint.is_none_or(|endpoint| {
+                endpoint.silent || endpoint.broken || endpoint.entry.born != born
+            })
         };
-        path.iter().any(|(addr, _)| stalled(addr))
+        let mut parts = running.path.iter().zip(&running.births);
+        parts.any(|((addr, _), born)| stalled(addr, *born))
     }
 
     fn answer_plain(&self, addr: SocketAddr, request: &Request) -> Response {
@@ -321,7 +345,7 @@
             let response = refusal(StatusCode::SERVICE_UNAVAILABLE, fault);
             return (conn, Reply::Response(response));
         }
-        self.paths.borrow_mut().insert(id.clone(), path);
+        self.set_path(id.clone(), path);
         self.with_endpoint(addr, |endpoint| endpoint.ran.push(id.clone()));
         if self.with_endpoint(addr, |endpoint| {
             endpoint.hidden_faults.contains(&HiddenFault::AnswersErrors)
@@ -358,8 +382,9 @@
     }
 
     /// Waits until no engine of the path is stalled, then records whether the token ran each layer
-    /// once. Returns `false` if the first engine of the path is broken. A request with a `target`
-    /// crashes that engine instead, also after the path was changed.
+    /// once. Returns `false` if the first engine of the path is broken, or if the path stalls for
+    /// [`STALL_TIMEOUT`]. A request with a `target` crashes that engine instead, also after the
+    /// path was changed.
     async fn wait_for_token(
         &self,
         addr: SocketAddr,
@@ -368,31 +393,39 @@
     ) -> bool {
         /// How often a stalled path is checked.
         const POLL_INTERVAL: Millis = Millis(5);
-        loop {
+        for _ in 0..STALL_TIMEOUT.0 / POLL_INTERVAL.0 {
             if self.with_endpoint(addr, |endpoint| endpoint.broken) != Some(false) {
                 return false;
             }
-            let path = self.paths.borrow().get(id).cloned().unwrap_or_default();
-            let crashed = target.and_then(|target| match target {
-                CrashTarget::First => path.first(),
-                CrashTarget::Last => path.last(),
-            });
-            if let Some((crashed, _)) = crashed {
-                self.crash(*crashed);
-            } else if !self.is_stalled(&path) {
-                let mut position = 0;
-                let in_order = path.iter().all(|(_, span)| {
-                    let next = span.from == position;
-                    position = span.to;
-                    next
-                });
-                if !in_order || position != self.layers {
-                    self.violations.borrow_mut().push(format!("{id}: {path:?}"));
+            let running = self.running.borrow().get(id).cloned().unwrap_or_default();
+            if !self.is_stalled(&running) {
+                let Some(target) = target else {
+                    self.check_path(id, &running.path);
+                    return true;
+                };
+                let crashed = match target {
+                    CrashTarget::First => running.path.first(),
+                    CrashTarget::Last => running.path.last(),
+                };
+                if let Some((crashed, _)) = crashed {
+                    self.crash(*crashed);
                 }
-                return true;
             }
             monoio::time::sleep(POLL_INTERVAL.duration()).await;
         }
+        false
+    }
+
+    fn check_path(&self, id: &str, path: &[(SocketAddr, Span)]) {
+        let mut position = 0;
+        let in_order = path.iter().all(|(_, span)| {
+            let next = span.from == position;
+            position = span.to;
+            next
+        });
+        if !in_order || position != self.layers {
+            self.violations.borrow_mut().push(format!("{id}: {path:?}"));
+        }
     }
 }
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -659,6 +659,7 @@
         sleep(Millis(800)).await;
     }
     sleep(CONTACT_SPAN).await;
+    world.wait_for_placement().await;
     let (crashes, runs) = (world.endpoints.crash_count(), world.run_count());
     let mut statuses = Vec::new();
     for turn in 0..9 {
@@ -677,6 +678,45 @@
     world.check_streams().await;
 }
 
+#[test]
+fn a_stream_that_completes_is_not_refused_for_crashes_beside_it() {
+    run(async |world: Rc<World>| {
+        for _ in 0..CRASH_LIMIT {
+            let id = format!("r{}", world.next_id.get() + 1);
+            let other = Rc::clone(&world);
+            let crash = monoio::spawn(async move {
+                sleep(Millis(15)).await;
+                let list = other.endpoints.list();
+                let first = list.iter().find(|endpoint| endpoint.ran.contains(&id));
+                other.endpoints.crash(first.expect("an engine").entry.addr);
+            });
+            assert_stream(&world.call(0, "/draft/1", "red-key").await);
+            crash.await;
+            world.wait_for_placement().await;
+        }
+        assert_eq!(world.endpoints.crash_count(), CRASH_LIMIT);
+        world.check_streams().await;
+    });
+}
+
+#[test]
+fn a_daemon_that_starts_later_refuses_a_request_that_crashed_endpoints() {
+    run(async |world: Rc<World>| {
+        let path = "/post/crash";
+        world.endpoints.crash_on(path, CrashTarget::First);
+        while world.endpoints.crash_count() < CRASH_LIMIT {
+            world.call(0, path, "red-key").await;
+            sleep(Millis(800)).await;
+        }
+        daemon(3, &world.spare, world.store_addr);
+        sleep(CONTACT_SPAN).await;
+        let runs = world.run_count();
+        let answer = world.call_at(world.spare[0], path, "red-key").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(world.run_count(), runs);
+    });
+}
+
 #[test]
 fn a_stream_that_crashes_the_first_engine_is_refused_on_every_vm() {
     run(async |world: Rc<World>| {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -8,6 +8,7 @@
 use cornelwharf::core::fleet::Fleet;
 use cornelwharf::core::fleet::HEARTBEAT_INTERVAL;
 use cornelwharf::core::fleet::Member;
+use cornelwharf::core::fleet::Message;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -107,6 +108,18 @@
     }
 }
 
+#[test]
+fn a_message_is_read_although_something_unknown_follows_it() {
+    let mut world = World::new(3);
+    world.run(Millis::seconds(2));
+    let fleet = world.fleets.values_mut().next().expect("a VM");
+    let (message, _) = fleet.next_message(world.now, Vec::new());
+    let mut bytes = postcard::to_stdvec(&message).expect("a message");
+    bytes.extend([1, 2, 3]);
+    let read: Message = postcard::from_bytes(&bytes).expect("a message");
+    assert_eq!(read, message);
+}
+
 #[test]
 fn every_vm_knows_all_within_two_seconds() {
     let mut world = World::new(13);
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -478,6 +478,53 @@
     ));
 }
 
+#[test]
+fn a_message_repeats_one_barred_request_after_the_news() {
+    let mut table = SuspectTable::new(Vm::from("vm0"));
+    let now = Millis(300);
+    for content in 0..10 {
+        let crashes = if content < 2 { 3 } else { 1 };
+        for boot in 0..crashes {
+            table.record_crash(now, digest(content), incident(0, boot, 200 + boot, false));
+        }
+    }
+    let barred = [digest(0), digest(1)];
+    let mut news = Vec::new();
+    while table.has_news() {
+        let records = table.next_records(now, 4).records;
+        assert!(records.len() <= 5, "{}", records.len());
+        let bytes = postcard::to_stdvec(&records).expect("encoded").len();
+        assert!(bytes <= 1000, "{bytes} bytes");
+        news.extend(records.into_iter().map(|record| record.digest));
+    }
+    assert!((0..10).all(|content| news.contains(&digest(content))));
+    let repeated: Vec<RequestDigest> = (0..4)
+        .map(|_| table.next_records(now, 4).records)
+        .inspect(|records| assert_eq!(records.len(), 1))
+        .map(|records| records[0].digest)
+        .collect();
+    assert!(repeated.iter().all(|digest| barred.contains(digest)));
+    assert!(repeated[0] != repeated[1] && repeated[..2] == repeated[2..]);
+}
+
+#[test]
+fn a_call_is_recognized_by_team_method_path_and_body_alone() {
+    let call = RequestDigest::of_call("red", "POST", "/draft/1?a=b", b"{}");
+    assert_eq!(
+        call,
+        RequestDigest::of_call("red", "POST", "/draft/1?a=b", b"{}")
+    );
+    for other in [
+        RequestDigest::of_call("blue", "POST", "/draft/1?a=b", b"{}"),
+        RequestDigest::of_call("red", "GET", "/draft/1?a=b", b"{}"),
+        RequestDigest::of_call("red", "POST", "/draft/1", b"{}"),
+        RequestDigest::of_call("red", "POST", "/draft/1?a=b", b"{ }"),
+        RequestDigest::of_call("redP", "OST", "/draft/1?a=b", b"{}"),
+    ] {
+        assert_ne!(call, other);
+    }
+}
+
 #[test]
 fn a_completed_run_clears_earlier_crashes_except_those_alone() {
     let endpoint = EndpointName::from("e0");
