Take a retry from the budget only for a repeat

Cause: the edge asked the budget before it decided about the answer, so each first success of a plain request with an attempt left took a retry.

Why it works: the decision comes first, and the budget is asked only if it is a retry of something that was sent; without one left, the decision is made again for a request that can't be retried.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -91,15 +91,21 @@
         let allowed =
             sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
         let has_other = allowed && pick_endpoint(edge, ctx, &tried).is_some();
-        let may_retry = has_other && (!outcome.sent || retry::take_retry(edge, ctx));
-        let left = RetryState {
+        let state = RetryState {
             can_repeat: ctx.route.may_repeat(),
-            can_retry: may_retry,
+            can_retry: has_other,
             may_have_run: ran,
         };
-        match next_step(outcome.ending, left) {
-            NextStep::Retry => {}
-            step => return finish(edge, ctx, &tried, step, outcome.response),
+        let mut step = next_step(outcome.ending, state);
+        if step == NextStep::Retry && outcome.sent && !retry::take_retry(edge, ctx) {
+            let state = RetryState {
+                can_retry: false,
+                ..state
+            };
+            step = next_step(outcome.ending, state);
+        }
+        if step != NextStep::Retry {
+            return finish(edge, ctx, &tried, step, outcome.response);
         }
     }
 }
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -678,6 +678,19 @@
     world.check_streams().await;
 }
 
+#[test]
+fn a_plain_request_that_succeeds_takes_no_retry() {
+    run(async |world: Rc<World>| {
+        for _ in 0..5 {
+            let answer = world.call(0, "/post/a", "red-key").await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        let now = world.edges[0].now();
+        let usage = world.edges[0].budget(|budget| budget.usage(now, 1));
+        assert_eq!((usage.requests, usage.retries), (5.0, 0.0));
+    });
+}
+
 #[test]
 fn a_stream_that_completes_is_not_refused_for_crashes_beside_it() {
     run(async |world: Rc<World>| {
