Give each service a retry budget of its own

The rule on repeats (BUDGET) counts the requests of each service for itself, and a VM counted them all together.

Cause: one budget for all services. Requests to a busy service allowed retries at a small one: with 620 requests to the model in 10 s and a burst of 2.5, a VM granted retries at the plain service for all of them, beyond the ratio of the 83 requests to it plus the extra of the fleet.

Evidence: requests_to_one_service_allow_no_retries_at_another counted a stream for the plain service before, and counts none now.

Change: RetryBudgets holds a budget for each service, with the same start, so that a restarted VM stays within the smaller fraction for each. The inputs of the decision are counts now.

--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -1,8 +1,10 @@
-//! The budget of retries, which all VMs share.
+//! The budget of retries of each service, which all VMs share.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
 use crate::clock::Millis;
+use crate::names::ServiceName;
 
 /// The fraction of its share that a VM uses once it has run for a whole window.
 const STEADY_FRACTION: f64 = 0.75;
@@ -16,14 +18,39 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetUsage {
     /// The requests that the VM received.
-    pub requests: f64,
+    pub requests: u32,
     /// The retries that it took.
-    pub retries: f64,
+    pub retries: u32,
     /// The retries that it may take in all.
     pub limit: f64,
 }
 
-/// One VM's share of the retry budget: in any window, a ratio of its own requests plus an equal
+/// One VM's shares of the retry budgets of all services. The requests to one service do not allow
+/// retries at another, which may be far smaller.
+#[derive(Clone, Debug)]
+pub struct RetryBudgets {
+    new: RetryBudget,
+    services: BTreeMap<ServiceName, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Creates the budgets of a VM that starts at `now`, with the parameters of
+    /// [`RetryBudget::new`].
+    pub fn new(ratio: f64, extra: f64, window: Millis, now: Millis) -> Self {
+        Self {
+            new: RetryBudget::new(ratio, extra, window, now),
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the budget of a service.
+    pub fn service(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let budget = self.services.entry(service.clone());
+        budget.or_insert_with(|| self.new.clone())
+    }
+}
+
+/// One VM's share of the retry budget of a service: in any window, a ratio of its own requests plus an equal
 /// part of a fixed number of retries.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -55,7 +82,7 @@
     /// Takes a retry from the budget, which `vms` VMs share; returns `false` if none is left.
     pub fn try_retry(&mut self, now: Millis, vms: usize) -> bool {
         let usage = self.usage(now, vms);
-        if usage.retries + 1.0 > usage.limit {
+        if f64::from(usage.retries + 1) > usage.limit {
             return false;
         }
         self.current_slot(now).2 += 1;
@@ -65,9 +92,9 @@
     /// Returns what this VM has used of the budget, which `vms` VMs share.
     pub fn usage(&mut self, now: Millis, vms: usize) -> BudgetUsage {
         self.current_slot(now);
-        let requests = self.slots.iter().map(|slot| f64::from(slot.1)).sum::<f64>();
-        let retries = self.slots.iter().map(|slot| f64::from(slot.2)).sum::<f64>();
-        let share = self.ratio * requests + self.extra / vms.max(1) as f64;
+        let requests = self.slots.iter().map(|slot| slot.1).sum();
+        let retries = self.slots.iter().map(|slot| slot.2).sum();
+        let share = self.ratio * f64::from(requests) + self.extra / vms.max(1) as f64;
         let is_starting = now.since(self.start) < self.window;
         let usable = if is_starting {
             STARTUP_FRACTION
--- a/src/core/attempt/mod.rs
+++ b/src/core/attempt/mod.rs
@@ -5,6 +5,7 @@
 
 pub use self::budget::BudgetUsage;
 pub use self::budget::RetryBudget;
+pub use self::budget::RetryBudgets;
 pub use self::events::EventBuffer;
 pub use self::events::MAX_EVENT_BYTES;
 
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -229,7 +229,7 @@
         request,
         route,
     };
-    edge.budget(|budget| budget.record_request(start));
+    edge.budget(&ctx.service, |budget| budget.record_request(start));
     if let Some(wait) = suspect::barred_for(edge, &ctx.content) {
         let content = ctx.content.short();
         log::info!(id = ctx.id, content, version = ctx.site.version, route = ctx.route.name, retry_ms = wait.0, reason = "barred"; "refused");
--- a/src/edge/retry.rs
+++ b/src/edge/retry.rs
@@ -8,8 +8,8 @@
 pub fn take_retry(edge: &Edge, ctx: &RequestContext) -> bool {
     let now = edge.now();
     let vms = edge.fleet(|fleet| fleet.assumed_size());
-    let usage = edge.budget(|budget| budget.usage(now, vms));
-    let is_granted = edge.budget(|budget| budget.try_retry(now, vms));
+    let usage = edge.budget(&ctx.service, |budget| budget.usage(now, vms));
+    let is_granted = edge.budget(&ctx.service, |budget| budget.try_retry(now, vms));
     let (requests, retries, limit) = (usage.requests, usage.retries, usage.limit);
     let (id, service) = (&ctx.id, ctx.service.as_str());
     if is_granted {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -17,6 +17,7 @@
 use crate::core::admit::AdmissionController;
 use crate::core::admit::Policy;
 use crate::core::attempt::RetryBudget;
+use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
 use crate::core::poison::SuspectTable;
@@ -25,6 +26,7 @@
 use crate::core::site::SiteConfig;
 use crate::io::mailbox::Mailbox;
 use crate::io::pool::Pool;
+use crate::names::ServiceName;
 
 /// The state of an edge daemon; clones share it.
 #[derive(Clone, Debug)]
@@ -43,7 +45,7 @@
     accepted: RefCell<ActiveConfig>,
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
-    budget: RefCell<RetryBudget>,
+    budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
     suspects: RefCell<SuspectTable>,
     rng: RefCell<ChaCha8Rng>,
@@ -79,7 +81,7 @@
         let fleet = Fleet::new(me, peers.collect(), ChaCha8Rng::seed_from_u64(rng.random()));
         let bounds = settings.bounds;
         let window = Millis::seconds(bounds.window);
-        let budget = RetryBudget::new(bounds.ratio, bounds.extra, window, clock.now());
+        let budgets = RetryBudgets::new(bounds.ratio, bounds.extra, window, clock.now());
         let inner = Inner {
             clock,
             start: clock.now(),
@@ -89,7 +91,7 @@
             accepted: RefCell::default(),
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
-            budget: RefCell::new(budget),
+            budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
             rng: RefCell::new(rng),
@@ -164,12 +166,12 @@
         work(&mut self.inner.fleet.borrow_mut())
     }
 
-    /// Runs `work` on the retry budget.
-    pub fn budget<T, F>(&self, work: F) -> T
+    /// Runs `work` on the retry budget of a service.
+    pub fn budget<T, F>(&self, service: &ServiceName, work: F) -> T
     where
         F: FnOnce(&mut RetryBudget) -> T,
     {
-        work(&mut self.inner.budget.borrow_mut())
+        work(self.inner.budgets.borrow_mut().service(service))
     }
 
     /// Runs `work` on the admission controller of streams.
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -28,6 +28,7 @@
 use cornelwharf::io::http::Conn;
 use cornelwharf::io::http::Request;
 use cornelwharf::io::runtime;
+use cornelwharf::names::ServiceName;
 use cornelwharf::standin::fleet::CrashTarget;
 use cornelwharf::standin::fleet::EVENTS;
 use cornelwharf::standin::fleet::Endpoint;
@@ -686,8 +687,20 @@
             assert_eq!(answer.status, StatusCode::OK);
         }
         let now = world.edges[0].now();
-        let usage = world.edges[0].budget(|budget| budget.usage(now, 1));
-        assert_eq!((usage.requests, usage.retries), (5.0, 0.0));
+        let ledger = ServiceName::from("ledger");
+        let usage = world.edges[0].budget(&ledger, |budget| budget.usage(now, 1));
+        assert_eq!((usage.requests, usage.retries), (5, 0));
+    });
+}
+
+#[test]
+fn requests_to_one_service_allow_no_retries_at_another() {
+    run(async |world: Rc<World>| {
+        world.check_streams().await;
+        let now = world.edges[0].now();
+        let ledger = ServiceName::from("ledger");
+        let usage = world.edges[0].budget(&ledger, |budget| budget.usage(now, 1));
+        assert_eq!(usage.requests, 0, "requests that the plain service got");
     });
 }
 
