Keep the retry budget over restarts in a row

Cause: a VM that starts took a quarter of its share at once, since it may have used three quarters just before. That holds for one restart in a window; each further one took a quarter more.

Change: the fixed part that a starting VM may use grows with the time since its start, to the same quarter at the end of the window. The part that its own requests allow is theirs alone and isn't reduced.

Why it works: the times between restarts within a window add up to a window at most, so all starts together use a quarter of the fixed part.

a_started_stream_waits_while_no_path_exists needs several retries of a daemon that started 3 s before; it now waits for a window first, and checks the same.

Ruled out: no fixed part in the first window (a VM with little traffic could retry nothing for 10 s); reading the own previous start from the store first (the store may be away just then).

--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -6,10 +6,13 @@
 use crate::clock::Millis;
 use crate::names::ServiceName;
 
-/// The fraction of its share that a VM uses once it has run for a whole window.
+/// The fraction of its share that a VM uses once it has run for a whole window, and of the part that
+/// its own requests allow.
 const STEADY_FRACTION: f64 = 0.75;
-/// The fraction that it uses before that. A restarted VM does not know how many retries it used
-/// before the restart, so both fractions together must not exceed 1.
+/// The fraction of the fixed part that a VM may use by the end of its first window, in proportion to
+/// the time since its start. A restarted VM does not know how many retries it took before: however
+/// often it restarts within a window, its starts use up this fraction at most, and both together
+/// must not exceed 1.
 const STARTUP_FRACTION: f64 = 0.25;
 /// The period that one slot counts.
 const SLOT_DURATION: Millis = Millis(500);
@@ -94,17 +97,18 @@
         self.current_slot(now);
         let requests = self.slots.iter().map(|slot| slot.1).sum();
         let retries = self.slots.iter().map(|slot| slot.2).sum();
-        let share = self.ratio * f64::from(requests) + self.extra / vms.max(1) as f64;
-        let is_starting = now.since(self.start) < self.window;
-        let usable = if is_starting {
-            STARTUP_FRACTION
+        let uptime = now.since(self.start);
+        let fraction = if uptime < self.window {
+            STARTUP_FRACTION * uptime.0 as f64 / self.window.0 as f64
         } else {
             STEADY_FRACTION
         };
+        let by_requests = self.ratio * f64::from(requests) * STEADY_FRACTION;
+        let fixed = self.extra / vms.max(1) as f64 * fraction;
         BudgetUsage {
             requests,
             retries,
-            limit: share * usable,
+            limit: by_requests + fixed,
         }
     }
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -51,6 +51,8 @@
 const CRASH_LIMIT: u32 = 3;
 /// The time after which that rule holds on every VM (the users' bound).
 const CONTACT_SPAN: Millis = Millis::seconds(3);
+/// The window of the retry budget, as in the daemons' settings.
+const BUDGET_WINDOW: Millis = Millis::seconds(10);
 /// How long the tests wait for the layers to be placed.
 const PLACE_TIMEOUT: Millis = Millis::seconds(8);
 
@@ -526,6 +528,8 @@
 #[test]
 fn a_started_stream_waits_while_no_path_exists() {
     run(async |world: Rc<World>| {
+        // A daemon that has just started may not take enough retries.
+        sleep(BUDGET_WINDOW).await;
         let other = Rc::clone(&world);
         let switch = monoio::spawn(async move {
             for broken in [true, false] {
