Divide the retry budget by VMs that were cut off for long

Cause: a VM forgot others that it had not heard of for 20 s, and divided the budget by those it still knew. Parts of a fleet that are cut off from each other for longer then use the whole budget each.

The test a_limit_is_divided_by_all_vms_although_some_are_cut_off_for_long had 7 of 13 before, and has 13 now.

Change: a VM that is forgotten for the view of the fleet counts for shared limits for ten minutes more.

Why it works: the number may only be too large, which costs retries of the fixed part, never repeats beyond the budget. A cut of over ten minutes is still taken for a loss; so is one that began before a VM had read the list.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -55,6 +55,10 @@
 /// How long a VM that is gone is kept, so that outdated messages do not add it again.
 const FORGET_TIMEOUT: Millis = Millis::seconds(20);
 
+/// How long a VM that is not kept any more still counts among those that share a limit. Parts of
+/// the fleet that are cut off from each other all go on serving callers.
+const SHARE_TIMEOUT: Millis = Millis::seconds(600);
+
 /// What a VM publishes about itself, in messages and in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
@@ -143,6 +147,8 @@
     me: Member,
     others: BTreeMap<Vm, KnownVm>,
     vms_by_start: BTreeMap<u32, Vm>,
+    /// The VMs that are not kept any more, and when each was last known.
+    forgotten: BTreeMap<Vm, Millis>,
     contacts: Vec<SocketAddr>,
     /// When the store last answered any VM, as far as this one knows.
     store_answered: Millis,
@@ -159,6 +165,7 @@
             me,
             others: BTreeMap::new(),
             vms_by_start: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             contacts,
             store_answered: Millis(0),
             has_list: false,
@@ -193,14 +200,26 @@
             last_heard: Millis(0),
             learned: now,
         };
-        self.others.insert(known.member.vm.clone(), known);
+        self.keep(known);
+    }
+
+    fn forget_gone(&mut self, now: Millis) {
+        let forgotten = &mut self.forgotten;
+        self.others.retain(|vm, known| {
+            let last = known.last_heard.max(known.learned);
+            let is_kept = now.since(last) < FORGET_TIMEOUT;
+            if !is_kept {
+                forgotten.insert(vm.clone(), last);
+            }
+            is_kept
+        });
+        forgotten.retain(|_, last| now.since(*last) < SHARE_TIMEOUT);
     }
 
     /// Returns the next message, with `marks`, and the addresses to send it to.
     pub fn next_message(&mut self, now: Millis, marks: Vec<Mark>) -> (Message, Vec<SocketAddr>) {
         self.me.heartbeat += 1;
-        self.others
-            .retain(|_, known| now.since(known.last_heard.max(known.learned)) < FORGET_TIMEOUT);
+        self.forget_gone(now);
         let others = &self.others;
         self.vms_by_start.retain(|_, vm| others.contains_key(vm));
         let mut rng = self.rng.clone();
@@ -287,6 +306,11 @@
             last_heard: now,
             learned: now,
         };
+        self.keep(known);
+    }
+
+    fn keep(&mut self, known: KnownVm) {
+        self.forgotten.remove(&known.member.vm);
         self.others.insert(known.member.vm.clone(), known);
     }
 
@@ -312,12 +336,13 @@
     }
 
     /// Returns the number of VMs among which to divide a shared limit, including this one: all that
-    /// are known, alive or not, but at least `ASSUMED_VMS` until the store's list was read.
+    /// were known in the last `SHARE_TIMEOUT`, alive or not, but at least `ASSUMED_VMS` until the
+    /// store's list was read.
     ///
     /// After a restart of the whole fleet, each VM knows only itself at first and would otherwise
-    /// use the full limit.
+    /// use the full limit, and so would each part of a fleet that is cut in two.
     pub fn assumed_size(&self) -> usize {
-        let known = 1 + self.others.len();
+        let known = 1 + self.others.len() + self.forgotten.len();
         if self.has_list {
             known
         } else {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -120,6 +120,22 @@
     assert_eq!(read, message);
 }
 
+#[test]
+fn a_limit_is_divided_by_all_vms_although_some_are_cut_off_for_long() {
+    let mut world = World::new(13).with_list();
+    world.run(Millis::seconds(5));
+    let part: Vec<SocketAddr> = (0..6).map(|index| addr(index, 90)).collect();
+    world.down.clone_from(&part);
+    world.run(Millis::seconds(40));
+    let now = world.now;
+    for (addr, fleet) in &mut world.fleets {
+        if !part.contains(addr) {
+            fleet.next_message(now, Vec::new());
+            assert!(fleet.assumed_size() >= 13, "{}", fleet.assumed_size());
+        }
+    }
+}
+
 #[test]
 fn every_vm_knows_all_within_two_seconds() {
     let mut world = World::new(13);
