Keep bars when many suspects follow

Cause: the table of suspects holds 1,024 contents and removed the oldest for a new one. Each crash adds the requests that were beginning on the endpoint, so a barred request, older by then, made room for harmless ones. A full table also refused a bar from a peer that was older than all its suspects.

Evidence: a_bar_is_kept_although_many_suspects_follow found the bar gone after 2,048 suspects before; it is kept now, and so is an old bar from a peer.

Why it works: the order of removal is by whether the crashes bar the request, then by age; a suspect never displaces a bar. Both daemons use the table.

--- a/src/core/poison/history.rs
+++ b/src/core/poison/history.rs
@@ -105,8 +105,7 @@
     /// between them.
     #[must_use]
     pub fn status(&self, now: Millis) -> SuspectStatus {
-        let alone = self.incidents.iter().any(|incident| incident.alone);
-        let conclusive = alone || self.incidents.len() >= INCIDENT_LIMIT;
+        let conclusive = self.is_conclusive();
         let until = self.last_crash() + BAR_TTL;
         if conclusive && now < until {
             SuspectStatus::Barred(until)
@@ -118,6 +117,13 @@
         }
     }
 
+    /// Returns whether the crashes bar the request.
+    #[must_use]
+    pub fn is_conclusive(&self) -> bool {
+        let alone = self.incidents.iter().any(|incident| incident.alone);
+        alone || self.incidents.len() >= INCIDENT_LIMIT
+    }
+
     /// Returns the time of the latest crash, or the start of the latest completed run if later.
     #[must_use]
     pub fn newest(&self) -> Millis {
--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -309,7 +309,7 @@
         if from_future || entry.is_empty() || entry.incidents().len() > INCIDENT_LIMIT {
             return;
         }
-        if !self.entries.contains_key(&digest) && !self.make_room(entry.newest()) {
+        if !self.entries.contains_key(&digest) && !self.make_room(&entry) {
             return;
         }
         if self.entries.entry(digest).or_default().merge(entry) {
@@ -317,14 +317,16 @@
         }
     }
 
-    /// Removes the oldest entry if the table is full and the new one is younger; returns whether
-    /// there is room.
-    fn make_room(&mut self, newest: Millis) -> bool {
+    /// Makes room for an entry if the table is full: removes the oldest one, unless that would be
+    /// the new one itself; returns whether there is room. Barred requests are removed last and only
+    /// for others, since a crash with many requests in progress adds many harmless ones.
+    fn make_room(&mut self, new: &CrashHistory) -> bool {
         if self.entries.len() < ENTRY_LIMIT {
             return true;
         }
-        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.newest());
-        let Some((digest, _)) = oldest.filter(|(_, entry)| entry.newest() < newest) else {
+        let order = |entry: &CrashHistory| (entry.is_conclusive(), entry.newest());
+        let oldest = self.entries.iter().min_by_key(|(_, entry)| order(entry));
+        let Some((digest, _)) = oldest.filter(|(_, entry)| order(entry) < order(new)) else {
             return false;
         };
         let digest = *digest;
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -507,6 +507,34 @@
     assert!(repeated[0] != repeated[1] && repeated[..2] == repeated[2..]);
 }
 
+#[test]
+fn a_bar_is_kept_although_many_suspects_follow() {
+    let mut table = SuspectTable::new(Vm::from("vm0"));
+    for boot in 0..3 {
+        table.record_crash(Millis(200), digest(0), incident(0, boot, 100 + boot, false));
+    }
+    for content in 1..=2 * ENTRY_LIMIT as u32 {
+        let at = 200 + u64::from(content);
+        table.record_crash(Millis(at), digest(content), incident(1, at, at, false));
+    }
+    assert_eq!(table.len(), ENTRY_LIMIT);
+    let mut entry = CrashHistory::default();
+    for boot in 0..3 {
+        entry.add(incident(0, boot, 50 + boot, false));
+    }
+    let digest_of_peer = digest(5000);
+    let record = SuspectRecord {
+        digest: digest_of_peer,
+        entry,
+    };
+    let records = vec![record];
+    table.merge(Millis(10_000), SuspectGossip { records });
+    for content in [digest(0), digest_of_peer] {
+        let status = table.status(Millis(10_000), &content);
+        assert!(matches!(status, SuspectStatus::Barred(_)), "{status:?}");
+    }
+}
+
 #[test]
 fn a_call_is_recognized_by_team_method_path_and_body_alone() {
     let call = RequestDigest::of_call("red", "POST", "/draft/1?a=b", b"{}");
