Keep bars in the store, for VMs that start when no other knows them

They keep nothing, and all may be lost at once; after that the request crashes three more endpoints before it is barred again.

Evidence: a_bar_is_kept_when_all_daemons_are_replaced, in which a daemon starts that meets none of the old ones: its answer was 502, after a run, and is 503 now, without one.

Change: the VM that finds the third crash appends the record to a topic of its own (keyed.bars), until that succeeds or the bar ends. A VM reads the topic when it starts, and deletes bars that have ended; the VM whose run clears a bar deletes it too.

Ruled out: reading the topic before the first request (the store may be away); a record that can't be read is kept, since a later release may have written it.

--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -296,7 +296,9 @@
         self.permits.expire(now);
     }
 
-    fn record(&self, digest: &RequestDigest) -> SuspectRecord {
+    /// Returns the record of a request, which is empty if it is not a suspect.
+    #[must_use]
+    pub fn record(&self, digest: &RequestDigest) -> SuspectRecord {
         SuspectRecord {
             digest: *digest,
             entry: self.entries.get(digest).cloned().unwrap_or_default(),
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -86,6 +86,8 @@
     pub endpoints: &'static str,
     /// The topic to which VMs write their records, keyed by VM name.
     pub vms: &'static str,
+    /// The topic to which VMs write the requests that are barred, keyed by content.
+    pub bars: &'static str,
     /// The topic from whose offsets placement leaders take their fencing tokens.
     pub terms: &'static str,
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -72,7 +72,7 @@
         return;
     }
     match postcard::from_bytes(bytes) {
-        Ok(gossip) => suspect::receive(edge, gossip),
+        Ok(gossip) => suspect::receive(edge, gossip, "peer"),
         Err(error) => log::debug!(error:% = error; "suspects_dropped"),
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::core::pipe`], [`crate::core::fleet`], [`crate::core::attempt`]). The platform's message
 //! formats are in the [`dialect`], which the program supplies (docs/PLATFORM.md).
 
+mod bars;
 mod call;
 pub mod dialect;
 mod engine;
@@ -105,6 +106,7 @@
     monoio::spawn(placement::run(edge.clone()));
     monoio::spawn(probe::run(edge.clone()));
     monoio::spawn(suspect::expire(edge.clone()));
+    monoio::spawn(bars::read(edge.clone()));
     log::info!(vm:% = settings.vm, domain:% = settings.domain, front:% = settings.front; "started");
     Ok(())
 }
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use super::bars;
 use super::engine::is_refusal;
 use super::front::RequestContext;
 use super::state::Edge;
@@ -61,25 +62,33 @@
         endpoint: endpoint.clone(),
         boot,
     };
+    let was_barred = barred_for(edge, &ctx.content).is_some();
     edge.suspects(|suspects| suspects.record_crash(now, ctx.content, incident));
     let content = ctx.content.short();
     log::info!(id = ctx.id, content, endpoint:% = endpoint, boot; "endpoint_crashed");
     edge.metrics().count_crash();
-    if let Some(wait) = barred_for(edge, &ctx.content) {
+    edge.trigger_gossip();
+    if let Some(wait) = barred_for(edge, &ctx.content).filter(|_| !was_barred) {
         log::warn!(content, source = "self", ms = wait.0; "request_barred");
+        monoio::spawn(bars::publish(edge.clone(), ctx.content));
     }
-    edge.trigger_gossip();
 }
 
 /// Records that a run of a request which started at `start` ended without a crash.
 pub fn record_completion(edge: &Edge, ctx: &RequestContext, start: Millis) {
     let now = edge.now();
+    let content = ctx.content;
+    let was_barred = barred_for(edge, &content).is_some();
     edge.suspects(|suspects| {
         // Without a crash there is nothing to clear, and nothing to tell other VMs.
-        if suspects.status(now, &ctx.content) != SuspectStatus::Clear {
-            suspects.record_completion(&ctx.content, start);
+        if suspects.status(now, &content) != SuspectStatus::Clear {
+            suspects.record_completion(&content, start);
         }
     });
+    if was_barred && barred_for(edge, &content).is_none() {
+        log::info!(id = ctx.id, content = content.short(); "bar_ended");
+        monoio::spawn(bars::withdraw(edge.clone(), content));
+    }
 }
 
 /// Returns the records for the next message to other VMs.
@@ -88,8 +97,8 @@
     edge.suspects(|suspects| suspects.next_records(now, MAX_NEWS))
 }
 
-/// Merges the records of another VM.
-pub fn receive(edge: &Edge, gossip: SuspectGossip) {
+/// Merges the records of a `source`: another VM or the store.
+pub fn receive(edge: &Edge, gossip: SuspectGossip, source: &str) {
     let now = edge.now();
     for record in gossip.records {
         let content = record.digest;
@@ -97,7 +106,7 @@
         let records = vec![record];
         edge.suspects(|suspects| suspects.merge(now, SuspectGossip { records }));
         if let Some(wait) = barred_for(edge, &content).filter(|_| !was_barred) {
-            log::warn!(content = content.short(), source = "peer", ms = wait.0; "request_barred");
+            log::warn!(content = content.short(), source, ms = wait.0; "request_barred");
         }
     }
     if edge.suspects(|suspects| suspects.has_news()) {
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -87,6 +87,7 @@
             config_key: "site",
             endpoints: "endpoints",
             vms: "vms",
+            bars: "bars",
             terms: "terms",
         },
         api_key: |request| request.header(&HeaderName::from_static("key")),
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -89,6 +89,12 @@
         offset
     }
 
+    /// Returns the records of a topic.
+    #[must_use]
+    pub fn records(&self, topic: &str) -> Vec<Record> {
+        self.read_from(topic, 0).records
+    }
+
     async fn answer(&self, request: &Request) -> Reply {
         self.calls.set(self.calls.get() + 1);
         if self.silent.get() {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -747,6 +747,35 @@
     });
 }
 
+#[test]
+fn a_bar_is_kept_when_all_daemons_are_replaced() {
+    run(async |world: Rc<World>| {
+        let path = "/post/crash";
+        world.endpoints.crash_on(path, CrashTarget::First);
+        while world.endpoints.crash_count() < CRASH_LIMIT {
+            world.call(0, path, "red-key").await;
+            sleep(Millis(800)).await;
+        }
+        // The new daemon's store doesn't list the old daemons, so they never meet.
+        let store = Store::default();
+        for topic in ["operator", "endpoints", "bars"] {
+            for record in world.store.records(topic) {
+                store.put(topic, &record.key, &record.value);
+            }
+        }
+        let store_addr = unused_addrs(1)[0];
+        store.listen(store_addr).expect("a store");
+        daemon(3, &world.spare, store_addr);
+        sleep(CONTACT_SPAN).await;
+        let runs = world.run_count();
+        let answer = world.call_at(world.spare[0], path, "red-key").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(world.run_count(), runs);
+        let other = world.call_at(world.spare[0], "/post/a", "red-key").await;
+        assert_eq!(other.status, StatusCode::OK);
+    });
+}
+
 #[test]
 fn a_stream_that_crashes_the_first_engine_is_refused_on_every_vm() {
     run(async |world: Rc<World>| {
