Let a running stream of a barred content go on

A stream whose content was barred meanwhile, by its copies, was ended at its next pause although its path was intact.

Cause: the check for a bar followed each look at a quiet path, also one that found nothing to repair.

Evidence: a_bar_does_not_end_a_stream_that_is_running, a path that makes no progress for 400 ms while its engines answer: it fails with the check as it was and holds now.

Why it works: the bar only decides about running on other engines: in repair, before a path is changed, and when the stream would leave the path.

--- a/src/core/attempt/budget.rs
+++ b/src/core/attempt/budget.rs
@@ -32,7 +32,7 @@
 /// retries at another, which may be far smaller.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
-    new: RetryBudget,
+    initial: RetryBudget,
     services: BTreeMap<ServiceName, RetryBudget>,
 }
 
@@ -41,7 +41,7 @@
     /// [`RetryBudget::new`].
     pub fn new(ratio: f64, extra: f64, window: Millis, now: Millis) -> Self {
         Self {
-            new: RetryBudget::new(ratio, extra, window, now),
+            initial: RetryBudget::new(ratio, extra, window, now),
             services: BTreeMap::new(),
         }
     }
@@ -49,12 +49,12 @@
     /// Returns the budget of a service.
     pub fn service(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let budget = self.services.entry(service.clone());
-        budget.or_insert_with(|| self.new.clone())
+        budget.or_insert_with(|| self.initial.clone())
     }
 }
 
-/// One VM's share of the retry budget of a service: in any window, a ratio of its own requests plus an equal
-/// part of a fixed number of retries.
+/// One VM's share of the retry budget of a service: in any window, a ratio of its own requests plus
+/// an equal part of a fixed number of retries.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -241,8 +241,8 @@
 
     /// Checks a quiet path: probes its engines, and replaces those that are down.
     ///
-    /// Returns whether to keep waiting: `false` if the first engine is down or the path cannot be
-    /// changed.
+    /// Returns whether to keep waiting: `false` if the first engine is down, the path cannot be
+    /// changed, or the request may not run on other engines.
     pub async fn repair(&mut self, path: &mut Vec<Part>, watch: &StallTimer) -> bool {
         let Some(first) = path.first().cloned() else {
             return false;
@@ -266,6 +266,9 @@
             return true;
         }
         self.spawn_check(down);
+        if self.is_barred() {
+            return false;
+        }
         for addr in &silent {
             self.exclude(*addr);
         }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -453,7 +453,7 @@
         }
         watch.record_check();
         let is_repaired = selector.repair(path, watch).await;
-        if selector.is_barred() || (!is_repaired && selector.try_leave()) {
+        if !is_repaired && (selector.is_barred() || selector.try_leave()) {
             return Err(StreamEnd::Broke);
         }
     }
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -42,6 +42,8 @@
     OmitsStalled,
     /// It answers every stream request with status 500.
     AnswersErrors,
+    /// Streams through it make no progress.
+    Pauses,
 }
 
 /// Which endpoint a request crashes that crashes those that run it.
@@ -307,7 +309,8 @@
         let stalled = |addr, born| {
             let endpoint: Option<&Endpoint> = all.get(addr);
             endpoint.is_none_or(|endpoint| {
-                endpoint.silent || endpoint.broken || endpoint.entry.born != born
+                let is_paused = endpoint.hidden_faults.contains(&HiddenFault::Pauses);
+                endpoint.silent || endpoint.broken || is_paused || endpoint.entry.born != born
             })
         };
         let mut parts = running.path.iter().zip(&running.births);
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -12,6 +12,8 @@
 use bytes::BytesMut;
 use cornelwharf::clock::Clock;
 use cornelwharf::clock::Millis;
+use cornelwharf::core::poison::Incident;
+use cornelwharf::core::poison::RequestDigest;
 use cornelwharf::core::roster::Entry;
 use cornelwharf::core::site::Card;
 use cornelwharf::core::site::KeyHolder;
@@ -729,6 +731,37 @@
     });
 }
 
+#[test]
+fn a_bar_does_not_end_a_stream_that_is_running() {
+    run(async |world: Rc<World>| {
+        let other = Rc::clone(&world);
+        let pause = monoio::spawn(async move {
+            sleep(Millis(150)).await;
+            let edge = &other.edges[0];
+            let now = edge.now();
+            let content = RequestDigest::of_call("red", "POST", "/draft/1", b"{}");
+            for boot in 0..u64::from(CRASH_LIMIT) {
+                let incident = Incident {
+                    alone: false,
+                    at: now,
+                    endpoint: "e0".into(),
+                    boot,
+                };
+                edge.suspects(|suspects| suspects.record_crash(now, content, incident));
+            }
+            let addr = other.later_engine();
+            for faults in [vec![HiddenFault::Pauses], Vec::new()] {
+                other
+                    .endpoints
+                    .with_endpoint(addr, |endpoint| endpoint.hidden_faults = faults);
+                sleep(Millis(400)).await;
+            }
+        });
+        assert_stream(&world.call(0, "/draft/1", "red-key").await);
+        pause.await;
+    });
+}
+
 #[test]
 fn a_daemon_that_starts_later_refuses_a_request_that_crashed_endpoints() {
     run(async |world: Rc<World>| {
