Write a bar to the store also if its crashes were on several VMs

A bar was lost with all VMs although bars are kept in the store.

Cause: only the VM that recorded the third crash itself wrote the bar. Where three VMs had seen one crash each, the third became known by a message everywhere, and nobody wrote it.

Evidence: a_bar_from_crashes_on_three_vms_is_written_to_the_store found no record before, and finds one now.

Why it works: a VM also writes a bar that results from merging a record which is no bar by itself; a record that is one was merged by another VM before. Several VMs may write the same bar, under one key.

--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -102,11 +102,16 @@
     let now = edge.now();
     for record in gossip.records {
         let content = record.digest;
+        let is_bar = record.entry.is_conclusive();
         let was_barred = barred_for(edge, &content).is_some();
         let records = vec![record];
         edge.suspects(|suspects| suspects.merge(now, SuspectGossip { records }));
         if let Some(wait) = barred_for(edge, &content).filter(|_| !was_barred) {
             log::warn!(content = content.short(), source, ms = wait.0; "request_barred");
+            // Crashes on several VMs, none of which knew of all.
+            if !is_bar {
+                monoio::spawn(bars::publish(edge.clone(), content));
+            }
         }
     }
     if edge.suspects(|suspects| suspects.has_news()) {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -710,6 +710,18 @@
     });
 }
 
+/// Records a crash of an endpoint's `boot` under a content on one VM.
+fn record_crash(edge: &Edge, content: RequestDigest, boot: u64) {
+    let now = edge.now();
+    let incident = Incident {
+        alone: false,
+        at: now,
+        endpoint: "e0".into(),
+        boot,
+    };
+    edge.suspects(|suspects| suspects.record_crash(now, content, incident));
+}
+
 #[test]
 fn a_stream_that_completes_is_not_refused_for_crashes_beside_it() {
     run(async |world: Rc<World>| {
@@ -738,16 +750,9 @@
         let pause = monoio::spawn(async move {
             sleep(Millis(150)).await;
             let edge = &other.edges[0];
-            let now = edge.now();
             let content = RequestDigest::of_call("red", "POST", "/draft/1", b"{}");
             for boot in 0..u64::from(CRASH_LIMIT) {
-                let incident = Incident {
-                    alone: false,
-                    at: now,
-                    endpoint: "e0".into(),
-                    boot,
-                };
-                edge.suspects(|suspects| suspects.record_crash(now, content, incident));
+                record_crash(edge, content, boot);
             }
             let addr = other.later_engine();
             for faults in [vec![HiddenFault::Pauses], Vec::new()] {
@@ -780,6 +785,20 @@
     });
 }
 
+#[test]
+fn a_bar_from_crashes_on_three_vms_is_written_to_the_store() {
+    run(async |world: Rc<World>| {
+        let content = RequestDigest::of_call("red", "POST", "/draft/1", b"{}");
+        for (boot, edge) in (0..).zip(&world.edges) {
+            record_crash(edge, content, boot);
+            edge.trigger_gossip();
+        }
+        sleep(CONTACT_SPAN).await;
+        let bars = world.store.records("bars");
+        assert!(bars.iter().any(|record| record.key == content.to_string()));
+    });
+}
+
 #[test]
 fn a_bar_is_kept_when_all_daemons_are_replaced() {
     run(async |world: Rc<World>| {
