Place the layers of hundreds of engines in time, and bound what a VM does per engine

The leader called all engines at once (270 calls at once for 90 engines in the new test), more than a small VM completes within the 400 ms of a call, and an engine that gave no report got no other order for 6 s: a part of the engines was empty when traffic began. A choice of a path compared each engine with each other, and an empty engine cost a count of all layers of all engines: 336 ms and 110 ms of a core at 2,660 engines. Lists of all endpoints went as JSON to each VM that asked, serialized each time.

Change: at most 16 open orders, unsent ones again after 1 s; the search keeps the cheapest of the engines that are alike; counts of copies are updated, not repeated; removals are found in sets; lists of all endpoints are deflated for VMs that accept that, and kept for 0.5 s. edge/feed.rs is split: what VMs ask each other is in edge/news.rs.

Three of the four new tests failed on the code before (880 ms and 336 ms for a VM with an eighth of a core, 270 calls); the one that equal engines are chosen by cost held before and after.

Ruled out: processor time of the VMs at 100 (14% of a core at most); the store's calls.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod once;
 pub mod order;
+pub mod packed;
 pub mod pipe;
 pub mod poison;
 pub mod roster;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -123,6 +123,7 @@
     demand: Demand,
     range: Span,
 ) -> Option<Vec<Part>> {
+    let stages = cheapest_stages(stages, model, demand);
     let mut best: BTreeMap<(u32, usize), f64> = BTreeMap::new();
     let mut previous: BTreeMap<(u32, usize), (u32, usize)> = BTreeMap::new();
     let mut queue = BinaryHeap::new();
@@ -148,9 +149,9 @@
             continue;
         }
         if layer >= range.to {
-            return Some(collect_parts(stages, &previous, (layer, stage)));
+            return Some(collect_parts(&stages, &previous, (layer, stage)));
         }
-        let current = &stages[stage];
+        let current = stages[stage];
         let mut relax = |to: u32, next: usize, extra: f64| {
             let cost = cost + stage_time(current, model, to - layer, demand) + extra;
             let lowest = best.entry((to, next)).or_insert(f64::INFINITY);
@@ -184,6 +185,36 @@
     None
 }
 
+/// Returns the cheapest of the engines that hold the same layers on the same kind of accelerator in
+/// the same domain, and the cheapest of those that may lead.
+///
+/// A path never needs two engines of such a group. The search compares each engine with all others,
+/// so with thousands of engines, where most have dozens alike, it would take a small VM tenths of a
+/// second for each request.
+fn cheapest_stages<'a>(stages: &'a [Stage], model: &Model, demand: Demand) -> Vec<&'a Stage> {
+    let mut cheapest = BTreeMap::new();
+    for (index, stage) in stages.iter().enumerate() {
+        let Card { memory, pace, read } = stage.card;
+        let card = [memory.to_bits(), pace.to_bits(), read.to_bits()];
+        let cost = stage_time(stage, model, stage.span.len(), demand);
+        let mut offer = |may_lead: bool| {
+            let key = (&stage.domain, stage.span, card, may_lead);
+            let best = cheapest.entry(key).or_insert((cost, index));
+            if cost < best.0 {
+                *best = (cost, index);
+            }
+        };
+        offer(false);
+        if stage.can_lead {
+            offer(true);
+        }
+    }
+    let mut kept: Vec<usize> = cheapest.into_values().map(|(_, index)| index).collect();
+    kept.sort_unstable();
+    kept.dedup();
+    kept.into_iter().map(|index| &stages[index]).collect()
+}
+
 /// Returns the estimated time, in milliseconds, that a request spends on `layers` layers of an
 /// engine.
 fn stage_time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
@@ -220,14 +251,14 @@
 
 /// Follows `previous` back from `end` and returns the parts of the path in order.
 fn collect_parts(
-    stages: &[Stage],
+    stages: &[&Stage],
     previous: &BTreeMap<(u32, usize), (u32, usize)>,
     end: (u32, usize),
 ) -> Vec<Part> {
     let mut list = Vec::new();
     let mut here = end;
     while let Some(before) = previous.get(&here) {
-        let stage = &stages[before.1];
+        let stage = stages[before.1];
         list.push(Part {
             endpoint: stage.endpoint.clone(),
             addr: stage.addr,
--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -71,7 +71,6 @@
     arrivals_settled: bool,
     departures_settled: bool,
 ) -> Vec<(EndpointName, Span)> {
-    let mut engines = engines.to_vec();
     let mut empty: Vec<usize> = (0..engines.len())
         .filter(|index| engines[*index].span.is_none())
         .collect();
@@ -79,21 +78,23 @@
         std::cmp::Reverse(engines[*index].max_layers(model, LAYER_MEMORY_SHARE))
     });
     let mut plan = Vec::new();
+    let mut copies = Copies::count(engines, model.layers);
     for index in empty {
-        let (span, fills_gap) = least_held(&engines, &engines[index], model);
+        let engine = &engines[index];
+        let (span, fills_gap) = copies.least_held(engine, model);
         if arrivals_settled || fills_gap {
-            engines[index].span = Some(span);
-            plan.push((engines[index].endpoint.clone(), span));
+            copies.add(&engine.domain, span);
+            plan.push((engine.endpoint.clone(), span));
         }
     }
     if !plan.is_empty() {
         return plan;
     }
     let all: Vec<&Engine> = engines.iter().collect();
-    if count_copies(&engines, model.layers).contains(&0) || !departures_settled {
+    if copies.all.contains(&0) || !departures_settled {
         return fill_gap(&all, model).into_iter().collect();
     }
-    let groups = group_by_domain(&engines, model);
+    let groups = group_by_domain(engines, model);
     let mut whole = groups
         .iter()
         .filter(|group| total_layers(group, model) >= model.layers);
@@ -101,25 +102,54 @@
     gap.into_iter().collect()
 }
 
-/// Returns the layers for an empty engine, and whether its domain lacks some of them. The layers
-/// are those with the fewest copies, where copies in its own domain count twice.
-fn least_held(engines: &[Engine], engine: &Engine, model: &Model) -> (Span, bool) {
-    let size = engine.max_layers(model, LAYER_MEMORY_SHARE).max(1);
-    let all_copies = count_copies(engines, model.layers);
-    let domain_copies = count_copies(
-        engines.iter().filter(|other| other.domain == engine.domain),
-        model.layers,
-    );
-    let sum = |held: &[u32]| held.iter().map(|count| copy_weight(*count)).sum::<u32>();
-    let cost = |from: &u32| {
-        let range = *from as usize..(from + size) as usize;
-        sum(&all_copies[range.clone()]) + sum(&domain_copies[range])
-    };
-    let last = model.layers.saturating_sub(size);
-    let from = (0..=last).min_by_key(cost).unwrap_or(0);
-    let to = from + size;
-    let fills_gap = domain_copies[from as usize..to as usize].contains(&0);
-    (Span { from, to }, fills_gap)
+/// The number of copies of each layer, in the fleet and in each domain. It is updated with each
+/// decision: counting anew for each of hundreds of empty engines would stop a small VM for a second.
+#[derive(Debug)]
+struct Copies<'a> {
+    all: Vec<u32>,
+    by_domain: BTreeMap<&'a Domain, Vec<u32>>,
+}
+
+impl<'a> Copies<'a> {
+    fn count(engines: &'a [Engine], layers: u32) -> Self {
+        let mut copies = Self {
+            all: vec![0; layers as usize],
+            by_domain: BTreeMap::new(),
+        };
+        for engine in engines {
+            let span = engine.span.unwrap_or(Span { from: 0, to: 0 });
+            copies.add(&engine.domain, span);
+        }
+        copies
+    }
+
+    fn add(&mut self, domain: &'a Domain, span: Span) {
+        let size = self.all.len();
+        let near = self.by_domain.entry(domain).or_insert(vec![0; size]);
+        let to = size.min(span.to as usize);
+        let held = (span.from as usize).min(to)..to;
+        for count in self.all[held.clone()].iter_mut().chain(&mut near[held]) {
+            *count += 1;
+        }
+    }
+
+    /// Returns the layers for an empty engine, and whether its domain lacks some of them. The
+    /// layers are those with the fewest copies, where copies in its own domain count twice.
+    fn least_held(&self, engine: &Engine, model: &Model) -> (Span, bool) {
+        let size = engine.max_layers(model, LAYER_MEMORY_SHARE).max(1);
+        let none = vec![0; self.all.len()];
+        let near = self.by_domain.get(&engine.domain).unwrap_or(&none);
+        let sum = |held: &[u32]| held.iter().map(|count| copy_weight(*count)).sum::<u32>();
+        let cost = |from: &u32| {
+            let range = *from as usize..(from + size) as usize;
+            sum(&self.all[range.clone()]) + sum(&near[range])
+        };
+        let last = model.layers.saturating_sub(size);
+        let from = (0..=last).min_by_key(cost).unwrap_or(0);
+        let to = from + size;
+        let fills_gap = near[from as usize..to as usize].contains(&0);
+        (Span { from, to }, fills_gap)
+    }
 }
 
 /// Returns the weight of a layer with `count` copies; the first copies matter most.
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -212,6 +213,7 @@
     /// Returns a removal for every known endpoint that is missing from a full list read up to
     /// `end`.
     pub fn removals(&self, listed: &[EndpointName], end: u64) -> Vec<Change> {
+        let listed: BTreeSet<&EndpointName> = listed.iter().collect();
         let present = self
             .endpoints
             .values()
@@ -255,9 +257,15 @@
         });
     }
 
+    /// Returns whether a VM that knows every change before `from` needs the full list, since
+    /// removals after that offset may be missing here.
+    pub fn needs_full_list(&self, from: u64) -> bool {
+        from < self.removals_from
+    }
+
     /// Returns the update for a VM that knows every change before `from`.
     pub fn changes_since(&self, from: u64) -> Update {
-        let whole = from < self.removals_from;
+        let whole = self.needs_full_list(from);
         let lacks = |state: &&EndpointState| whole || state.changed_offset >= from;
         let changes = self
             .endpoints
@@ -279,7 +287,7 @@
             let present = changes.iter().filter(|change| change.entry.is_some());
             let listed: Vec<EndpointName> = present.map(|change| change.endpoint.clone()).collect();
             let gone = self.removals(&listed, update.end);
-            let named: Vec<EndpointName> = changes
+            let named: BTreeSet<EndpointName> = changes
                 .iter()
                 .map(|change| change.endpoint.clone())
                 .collect();
--- a/src/core/site/accepted.rs
+++ b/src/core/site/accepted.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use super::PackedConfig;
-use super::PackedError;
 use super::SiteConfig;
+use crate::core::packed::PackedError;
 
 /// Whether an offered configuration was put in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/core/site/mod.rs
+++ b/src/core/site/mod.rs
@@ -18,7 +18,6 @@
 pub use self::model::Card;
 pub use self::model::Model;
 pub use self::packed::PackedConfig;
-pub use self::packed::PackedError;
 pub use self::route::Route;
 pub use self::route::RouteError;
 pub use self::route::RouteKind;
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -1,16 +1,7 @@
-//! Keeps the configuration and the endpoints up to date, from the store or from peers.
-
-use std::net::SocketAddr;
+//! Keeps the configuration and the endpoints up to date from the store; [`super::news`] does so from
+//! other VMs.
 
 use bytes::Bytes;
-use derive_more::Display;
-use derive_more::Error;
-use derive_more::From;
-use http::Method;
-use http::Uri;
-use http::uri::InvalidUri;
-use serde::Deserialize;
-use serde::Serialize;
 
 use super::dialect::KeyedRecord;
 use super::dialect::Tail;
@@ -18,14 +9,8 @@
 use super::store::StoreError;
 use crate::clock::Millis;
 use crate::core::roster::Change;
-use crate::core::roster::Update;
 use crate::core::site::OfferResult;
-use crate::core::site::PackedConfig;
-use crate::core::site::PackedError;
 use crate::core::site::SiteConfig;
-use crate::io::http::HttpError;
-use crate::io::http::Request;
-use crate::io::http::Response;
 use crate::names::EndpointName;
 
 /// The part of the bound on applying changes that is reserved for a read of the store, for when
@@ -35,45 +20,6 @@
 const IDLE_INTERVAL: Millis = Millis(100);
 /// The pause between two reads of the endpoints, whose entries change often.
 const ENDPOINT_READ_PAUSE: Millis = Millis(250);
-/// How often peers are checked for news.
-const PEER_CHECK_INTERVAL: Millis = Millis(30);
-/// The least time between two requests for news of endpoints: among thousands of endpoints some
-/// change at any moment, and the VMs that read the store would be asked all the time.
-const ENDPOINT_NEWS_INTERVAL: Millis = Millis(200);
-/// The timeout of a request for a peer's news, connecting included.
-const NEWS_TIMEOUT: Millis = Millis(300);
-/// The timeout of a request for a peer's configuration, connecting included. A large one takes
-/// about 60 ms on a slow link, and a peer may serve several VMs at once.
-const SITE_TIMEOUT: Millis = Millis(800);
-/// How long a peer that did not answer is not asked again.
-const PEER_RETRY_DELAY: Millis = Millis(2000);
-
-/// An error of a request to another VM.
-#[derive(Debug, Display, Error, From)]
-enum PeerError {
-    /// The connection failed, or no answer came in time.
-    #[display("{_0}")]
-    Http(HttpError),
-    /// The request target is not a valid URI.
-    #[display("{_0}")]
-    Uri(InvalidUri),
-    /// The news cannot be parsed.
-    #[display("{_0}")]
-    Json(serde_json::Error),
-    /// The response is not a packed configuration.
-    #[display("{_0}")]
-    Packed(PackedError),
-}
-
-/// What a VM sends to another that knows less.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct News {
-    /// The version of the configuration in force, or 0 without one.
-    pub version: u64,
-    /// The changes of endpoints that the other VM lacks.
-    pub endpoints: Update,
-}
-
 /// Follows the configuration in the store and applies its changes.
 pub async fn follow_config(edge: Edge) {
     let topic = edge.dialect().topics.operator;
@@ -190,7 +136,7 @@
 }
 
 /// Logs a configuration that was just applied, and announces it to the other VMs.
-fn announce_config(edge: &Edge, offer: OfferResult, source: &'static str, offset: u64) {
+pub(super) fn announce_config(edge: &Edge, offer: OfferResult, source: &'static str, offset: u64) {
     let Some(site) = edge.site().filter(|_| offer == OfferResult::Applied) else {
         return;
     };
@@ -244,7 +190,7 @@
 
 /// Records that the endpoints' changes before offset `end` were applied, and announces that to the
 /// other VMs.
-fn announce_endpoints(edge: &Edge, end: u64) {
+pub(super) fn announce_endpoints(edge: &Edge, end: u64) {
     edge.roster(|roster| roster.advance(end));
     edge.fleet(|fleet| fleet.me().roster_end = end);
     edge.trigger_gossip();
@@ -266,7 +212,7 @@
 }
 
 /// Applies a change of an endpoint's entry; returns whether it changed anything.
-fn apply_change(edge: &Edge, now: Millis, change: Change) -> bool {
+pub(super) fn apply_change(edge: &Edge, now: Millis, change: Change) -> bool {
     let endpoint = change.endpoint.clone();
     let offset = change.offset;
     let state = match &change.entry {
@@ -284,74 +230,3 @@
     }
     news
 }
-
-/// Fetches news that this VM lacks from peers: this is how a VM that does not read the
-/// store, or cannot reach it, learns of changes.
-pub async fn poll_peers(edge: Edge) {
-    let mut failed: Vec<(SocketAddr, Millis)> = Vec::new();
-    let mut asked = Millis(0);
-    loop {
-        monoio::time::sleep(PEER_CHECK_INTERVAL.duration()).await;
-        let now = edge.now();
-        failed.retain(|(_, at)| now.since(*at) < PEER_RETRY_DELAY);
-        let skip: Vec<SocketAddr> = failed.iter().map(|(addr, _)| *addr).collect();
-        let urgent_only = now.since(asked) < ENDPOINT_NEWS_INTERVAL;
-        let Some(peer) = edge.fleet(|fleet| fleet.choose_newer(now, &skip, urgent_only)) else {
-            continue;
-        };
-        asked = now;
-        if let Err(error) = fetch_news(&edge, peer).await {
-            log::debug!(peer:% = peer, error:% = error; "peer_silent");
-            failed.push((peer, now));
-        }
-    }
-}
-
-/// Fetches a peer's news, and its configuration if that is newer.
-async fn fetch_news(edge: &Edge, peer: SocketAddr) -> Result<(), PeerError> {
-    let version = edge.accepted(|accepted| accepted.version()).unwrap_or(0);
-    let end = edge.roster(|roster| roster.end());
-    let target = format!("/news?from={end}");
-    let news: News = get(edge, peer, &target, NEWS_TIMEOUT).await?.parse()?;
-    let newer = news.version > version;
-    apply_news(edge, news);
-    if newer {
-        let response = get(edge, peer, "/site", SITE_TIMEOUT).await?;
-        let packed = PackedConfig(response.body);
-        let offer = edge.accepted(|accepted| accepted.offer_packed(packed))?;
-        announce_config(edge, offer, "peer", 0);
-    }
-    Ok(())
-}
-
-async fn get(
-    edge: &Edge,
-    peer: SocketAddr,
-    target: &str,
-    span: Millis,
-) -> Result<Response, PeerError> {
-    let request = Request::new(Method::GET, Uri::try_from(target)?);
-    Ok(edge.pool().call(peer, &request, span).await?)
-}
-
-fn apply_news(edge: &Edge, news: News) {
-    let now = edge.now();
-    let end = news.endpoints.end;
-    let whole = news.endpoints.whole;
-    let changes = edge.roster(|roster| roster.expand(news.endpoints));
-    for change in changes {
-        apply_change(edge, now, change);
-    }
-    if whole {
-        edge.roster(|roster| roster.record_full_list(end));
-    }
-    announce_endpoints(edge, end);
-}
-
-/// Returns the news for a VM that knows the endpoints' changes before offset `from`.
-pub fn news_since(edge: &Edge, from: u64) -> News {
-    News {
-        version: edge.accepted(|accepted| accepted.version()).unwrap_or(0),
-        endpoints: edge.roster(|roster| roster.changes_since(from)),
-    }
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,6 +14,8 @@
 mod front;
 mod gossip;
 mod metrics;
+mod news;
+mod orders;
 mod paths;
 mod placement;
 mod probe;
@@ -102,7 +104,7 @@
     front::start(edge)?;
     monoio::spawn(feed::follow_config(edge.clone()));
     monoio::spawn(feed::follow_endpoints(edge.clone()));
-    monoio::spawn(feed::poll_peers(edge.clone()));
+    monoio::spawn(news::poll_peers(edge.clone()));
     monoio::spawn(placement::run(edge.clone()));
     monoio::spawn(probe::run(edge.clone()));
     monoio::spawn(suspect::expire(edge.clone()));
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -8,9 +8,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use super::dialect::LayerOrder;
-use super::dialect::OrderAnswer;
-use super::engine;
+use super::orders;
+use super::orders::OrderResult;
+use super::orders::PlannedOrder;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::pipe::Engine;
@@ -35,13 +35,15 @@
 const REMOVAL_QUIET: Millis = Millis(6000);
 /// How long an order counts as carried out before an entry confirms it.
 const PENDING_TIMEOUT: Millis = Millis(6000);
+/// How long an engine that gave no report gets no other order. It has certainly not accepted one.
+const UNSENT_DELAY: Millis = Millis(1000);
 
 /// The state of this VM as the leader.
 #[derive(Debug, Default)]
 struct Leader {
     /// The fencing token of this VM's term, once taken.
     fence: Option<u64>,
-    /// The layers last ordered for each engine, and when.
+    /// The layers last ordered for each engine, and until when the order counts as carried out.
     pending: BTreeMap<EndpointName, (Span, Millis)>,
 }
 
@@ -75,9 +77,7 @@
     leader: &mut Leader,
 ) {
     let now = edge.now();
-    leader
-        .pending
-        .retain(|_, (_, at)| now.since(*at) < PENDING_TIMEOUT);
+    leader.pending.retain(|_, (_, until)| now < *until);
     let entries: BTreeMap<EndpointName, Entry> = edge.roster(|roster| {
         let serving = roster.serving(name, now);
         serving
@@ -105,22 +105,26 @@
         return;
     };
     log::info!(version = site.version, fence, orders = plan.len(); "placement");
-    let mut sent = Vec::new();
-    for (endpoint, span) in plan {
-        let Some(entry) = entries.get(&endpoint) else {
+    let mut planned = Vec::new();
+    for (endpoint, layers) in plan {
+        let Some(entry) = entries.get(&endpoint).cloned() else {
             continue;
         };
-        leader.pending.insert(endpoint.clone(), (span, now));
-        sent.push(monoio::spawn(send_order(
-            edge.clone(),
-            entry.clone(),
-            span,
-            fence,
-        )));
+        let until = now + PENDING_TIMEOUT;
+        leader.pending.insert(endpoint, (layers, until));
+        planned.push(PlannedOrder { entry, layers });
     }
-    for task in sent {
-        if task.await == Some(OrderAnswer::Fenced) {
-            leader.fence = None;
+    for (endpoint, result) in orders::send_all(edge, planned, fence).await {
+        match result {
+            OrderResult::Fenced => leader.fence = None,
+            OrderResult::NotSent => {
+                let until = edge.now() + UNSENT_DELAY;
+                leader
+                    .pending
+                    .entry(endpoint)
+                    .and_modify(|order| order.1 = until);
+            }
+            OrderResult::Sent => {}
         }
     }
 }
@@ -153,46 +157,3 @@
     }
     leader.fence
 }
-
-/// Sends an engine the order to hold `layers`, unless its report shows that it already does or
-/// is busy.
-async fn send_order(edge: Edge, entry: Entry, layers: Span, fence: u64) -> Option<OrderAnswer> {
-    let report = match engine::fetch_report(&edge, entry.addr).await {
-        Ok(report) => report,
-        Err(error) => {
-            log::warn!(endpoint:% = entry.endpoint, error:% = error; "order_not_sent");
-            return None;
-        }
-    };
-    if report.busy || report.layers == Some(layers) {
-        return Some(OrderAnswer::Done);
-    }
-    let order = LayerOrder {
-        layers,
-        fence,
-        expected_orders: report.accepted_orders,
-    };
-    let answer = match engine::send_order(
-        &edge,
-        entry.addr,
-        &(edge.dialect().order_request)(&order),
-    )
-    .await
-    {
-        Ok(answer) => Some(answer),
-        Err(error) => {
-            log::warn!(endpoint:% = entry.endpoint, error:% = error; "order_unanswered");
-            None
-        }
-    };
-    log::info!(
-        endpoint:% = entry.endpoint,
-        from = layers.from,
-        to = layers.to,
-        fence,
-        after = order.expected_orders,
-        answer:? = answer;
-        "order"
-    );
-    answer
-}
--- a/src/edge/registry.rs
+++ b/src/edge/registry.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 
 use super::dialect::ControlQuery;
-use super::feed;
+use super::news;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::site::ActiveConfig;
@@ -67,7 +67,7 @@
         Some(ControlQuery::Ready) => Response::new(StatusCode::SERVICE_UNAVAILABLE),
         Some(ControlQuery::Addresses(_)) => addresses(edge),
         None => match request.uri.path() {
-            "/news" => news(edge, request),
+            "/news" => news::answer(edge, request),
             "/site" => site(edge),
             "/metrics" => Response::text(StatusCode::OK, edge.metrics().render()),
             _ => Response::new(StatusCode::NOT_FOUND),
@@ -88,11 +88,6 @@
     (edge.dialect().addresses_response)(&list, ADDRESS_TTL.min(most))
 }
 
-fn news(edge: &Edge, request: &Request) -> Response {
-    let from = request.query("from").and_then(|text| text.parse().ok());
-    Response::json(StatusCode::OK, &feed::news_since(edge, from.unwrap_or(0)))
-}
-
 fn site(edge: &Edge) -> Response {
     match edge.accepted(ActiveConfig::packed) {
         Ok(Some(packed)) => {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -10,6 +10,7 @@
 
 use super::dialect::Dialect;
 use super::metrics::Metrics;
+use super::news::PackedNews;
 use super::settings::Settings;
 use super::store::Store;
 use crate::clock::Clock;
@@ -48,6 +49,7 @@
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
     suspects: RefCell<SuspectTable>,
+    packed_news: RefCell<Option<PackedNews>>,
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
     store_contact: Cell<Millis>,
@@ -94,6 +96,7 @@
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
+            packed_news: RefCell::default(),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
             store_contact: Cell::new(Millis(0)),
@@ -190,6 +193,14 @@
         work(&mut self.inner.suspects.borrow_mut())
     }
 
+    /// Runs `work` on the list of endpoints that is kept packed for other VMs.
+    pub fn packed_news<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Option<PackedNews>) -> T,
+    {
+        work(&mut self.inner.packed_news.borrow_mut())
+    }
+
     /// Returns a random number from 0 up to, but not including, 1.
     pub fn random(&self) -> f64 {
         self.inner.rng.borrow_mut().random()
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -99,6 +99,15 @@
     /// The paths of requests that crash the endpoints that run them.
     crashing: Rc<RefCell<BTreeMap<String, CrashTarget>>>,
     violations: Rc<RefCell<Vec<String>>>,
+    reports: Rc<RefCell<Reports>>,
+}
+
+/// The reports that are being made, of all endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reports {
+    delay: Millis,
+    open: usize,
+    most_open: usize,
 }
 
 impl Endpoints {
@@ -111,6 +120,7 @@
             running: Rc::default(),
             crashing: Rc::default(),
             violations: Rc::default(),
+            reports: Rc::default(),
         }
     }
 
@@ -185,6 +195,17 @@
         });
     }
 
+    /// Sets how long an endpoint takes to make a report.
+    pub fn delay_reports(&self, delay: Millis) {
+        self.reports.borrow_mut().delay = delay;
+    }
+
+    /// Returns the largest number of reports that were being made at once.
+    #[must_use]
+    pub fn most_open_reports(&self) -> usize {
+        self.reports.borrow().most_open
+    }
+
     /// Returns the number of crashes of all endpoints.
     pub fn crash_count(&self) -> u32 {
         let all = self.all.borrow();
@@ -222,7 +243,10 @@
             _ => return (conn, Reply::Close),
         }
         match (&request.method, request.uri.path()) {
-            (&Method::GET, "/report") => (conn, Reply::Response(self.report(addr))),
+            (&Method::GET, "/report") => {
+                self.wait_for_report().await;
+                (conn, Reply::Response(self.report(addr)))
+            }
             (&Method::POST, "/order") => (conn, Reply::Response(self.order(addr, &request))),
             _ if request.headers.contains_key("path") => self.stream(addr, &request, conn).await,
             _ if self.crashing.borrow().contains_key(request.uri.path()) => {
@@ -234,6 +258,19 @@
         }
     }
 
+    async fn wait_for_report(&self) {
+        let delay = {
+            let mut reports = self.reports.borrow_mut();
+            reports.open += 1;
+            reports.most_open = reports.most_open.max(reports.open);
+            reports.delay
+        };
+        if delay > Millis(0) {
+            monoio::time::sleep(delay.duration()).await;
+        }
+        self.reports.borrow_mut().open -= 1;
+    }
+
     fn report(&self, addr: SocketAddr) -> Response {
         let all = self.all.borrow();
         let stalled = all
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -97,13 +97,19 @@
 
 impl World {
     async fn start() -> Rc<Self> {
-        let addrs = unused_addrs(1 + 9 + 4 * 5);
+        Self::start_with(7, Millis(0)).await
+    }
+
+    /// Starts the daemons with this many engines, each of which takes `delay` for a report.
+    async fn start_with(engine_count: usize, delay: Millis) -> Rc<Self> {
+        let addrs = unused_addrs(1 + engine_count as u16 + 2 + 4 * 5);
         let (store_addr, rest) = addrs.split_first().expect("addresses");
-        let (engines, vms) = rest.split_at(9);
+        let (engines, vms) = rest.split_at(engine_count + 2);
         let (vms, spare) = vms.split_at(15);
         let store = Store::default();
         store.listen(*store_addr).expect("a store");
         let endpoints = Endpoints::new(LAYERS);
+        endpoints.delay_reports(delay);
         let world = Self {
             store,
             endpoints,
@@ -116,7 +122,7 @@
         };
         world.configure(&["red"], "/post/");
         for (index, addr) in engines.iter().enumerate() {
-            let plain = index >= 7;
+            let plain = index >= engine_count;
             let entry = Entry {
                 endpoint: format!("e{index}").as_str().into(),
                 born: 1,
@@ -407,6 +413,20 @@
     .expect("a loop");
 }
 
+#[test]
+fn a_leader_of_many_engines_calls_few_of_them_at_once() {
+    /// With more than 20 from a VM with an eighth of a core, calls take longer than their timeout.
+    /// Each of the three VMs leads until it has heard of the others.
+    const MOST_CALLS: usize = 3 * 20;
+    runtime::run(async {
+        let world = World::start_with(90, Millis(30)).await;
+        let most = world.endpoints.most_open_reports();
+        assert!(most <= MOST_CALLS, "{most} calls at once");
+        world.check_streams().await;
+    })
+    .expect("a loop");
+}
+
 #[test]
 fn streams_and_plain_requests_are_served_and_others_refused() {
     run(async |world: Rc<World>| {
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -272,6 +272,25 @@
     );
 }
 
+#[test]
+fn hundreds_of_empty_engines_are_placed_without_a_pause_of_the_leader() {
+    /// The time between two checks of the placement, which a leader must not exceed.
+    const CHECK_MS: u128 = 250;
+    let mut engines = large_fleet(70);
+    for engine in engines.iter_mut().step_by(3) {
+        engine.span = None;
+    }
+    let quickest = (0..3).map(|_| {
+        let start = std::time::Instant::now();
+        let orders = repair_placement(&engines, &model(), true, true);
+        assert!(orders.len() > 800, "{}", orders.len());
+        start.elapsed().as_millis()
+    });
+    // A small VM has an eighth of a core.
+    let quickest = quickest.min().expect("a time") * 8;
+    assert!(quickest <= CHECK_MS, "{quickest} ms");
+}
+
 #[test]
 fn replacement_engines_get_missing_layers_at_once() {
     for step in [3, 4, 5] {
@@ -355,6 +374,74 @@
     );
 }
 
+/// Returns `copies` times the engines of [`fleet`], placed.
+fn large_fleet(copies: usize) -> Vec<Engine> {
+    let mut engines: Vec<Engine> = (0..copies).flat_map(|_| fleet()).collect();
+    for (index, engine) in engines.iter_mut().enumerate() {
+        engine.endpoint = format!("e{index:05}").as_str().into();
+    }
+    place_layers(engines)
+}
+
+/// Returns stages whose addresses differ in a fleet of thousands, with penalties from a sequence.
+fn large_stages(engines: &[Engine]) -> Vec<Stage> {
+    let numbered = engines.iter().enumerate();
+    numbered
+        .filter_map(|(index, engine)| {
+            let bytes = (index as u16).to_be_bytes();
+            Some(Stage {
+                addr: SocketAddr::from(([10, 0, bytes[0], bytes[1]], 80)),
+                penalty: 1.0 + 0.15 * (index * 37 % 100) as f64 / 100.0,
+                ..stage(0, engine)?
+            })
+        })
+        .collect()
+}
+
+#[test]
+fn choosing_among_thousands_of_engines_takes_a_small_vm_no_longer_than_a_token() {
+    /// The time between two tokens that the users want.
+    const TOKEN_MS: u128 = 32;
+    let stages = large_stages(&large_fleet(70));
+    assert!(stages.len() > 2500, "{}", stages.len());
+    let quickest = (0..5).map(|_| {
+        let start = std::time::Instant::now();
+        let path = choose_path(&stages, &model(), &"a".into(), DEMAND).expect("a path");
+        assert!(is_complete(&path));
+        start.elapsed().as_millis()
+    });
+    // A small VM has an eighth of a core.
+    let quickest = quickest.min().expect("a time") * 8;
+    assert!(quickest <= TOKEN_MS, "{quickest} ms");
+}
+
+#[test]
+fn of_equal_engines_a_path_uses_the_cheapest_that_may_lead() {
+    let mut stages = large_stages(&large_fleet(5));
+    for stage in &mut stages {
+        stage.can_lead = stage.endpoint.as_str().ends_with('7');
+    }
+    let path = choose_path(&stages, &model(), &"a".into(), DEMAND).expect("a path");
+    assert!(is_complete(&path));
+    let find = |part: &Part| {
+        let found = stages.iter().find(|stage| stage.addr == part.addr);
+        found.expect("a stage of the path")
+    };
+    assert!(find(&path[0]).can_lead);
+    for part in &path[1..] {
+        let used = find(part);
+        let equal = stages.iter().filter(|stage| {
+            stage.domain == used.domain && stage.span == used.span && stage.card == used.card
+        });
+        for other in equal {
+            assert!(
+                other.penalty >= used.penalty,
+                "{other:?} is cheaper than {used:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn there_is_no_path_if_a_layer_is_missing() {
     let engines = place_layers(fleet());
