Give endpoints no work that say they leave, and nothing while they ask for a pause

Cause: an endpoint may say in any answer that it is leaving, before its entry in the store says so or reaches this VM, and may ask for a pause with 503 and Retry-After. Neither was read: it went on getting work, probes and orders.

Change: each answer of an endpoint (reports, orders, plain answers, heads of streams) is read for both. One that is leaving gets no new work until it starts anew; other VMs learn of it in a part that follows their messages, which earlier releases ignore.

Tests over sockets: plain endpoints and first engines that say they leave, on the VM that passed the answer on and on the others; a new start takes work again; paused plain endpoints and engines. Parsing, notices and lapses in tests/roster.rs. They cannot be compiled against the code before; that it reads neither header is shown by reading it.

Not done: cornelwharfd does not read either header. An engine later in a path says nothing to this VM unless it is probed.

--- a/src/core/roster/health.rs
+++ b/src/core/roster/health.rs
@@ -22,6 +22,8 @@
     failures: u32,
     down: bool,
     avoid_until: Millis,
+    /// Until when the endpoint asked this VM to send it nothing.
+    paused_until: Millis,
     error_rate: f64,
 }
 
@@ -74,9 +76,32 @@
         self.down
     }
 
-    /// Returns whether the endpoint should get no work at `now`: it is stalled or in a backoff.
+    /// Records that the endpoint asked for a pause until the given time. Neither a success nor a sign
+    /// of life ends it.
+    pub fn record_pause(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Returns how long the endpoint still wants nothing from this VM; `None` if it did not ask for
+    /// a pause, or the pause has ended.
+    pub fn paused_for(&self, now: Millis) -> Option<Millis> {
+        (now < self.paused_until).then(|| self.paused_until.since(now))
+    }
+
+    /// Returns whether the endpoint should get no work at `now`: it is stalled, paused or in a
+    /// backoff.
     pub fn is_avoided(&self, now: Millis) -> bool {
-        self.down || now < self.avoid_until
+        self.down || now < self.avoid_until || now < self.paused_until
+    }
+
+    /// Returns the health of an endpoint whose entry lapsed and was written again: only the pause
+    /// that it asked for still holds.
+    #[must_use]
+    pub fn after_lapse(&self) -> Self {
+        Self {
+            paused_until: self.paused_until,
+            ..Self::default()
+        }
     }
 
     /// Returns the factor on the endpoint's cost: 1 without failures and errors, higher with them.
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -7,6 +7,8 @@
 
 mod entry;
 mod health;
+mod notice;
+mod pause;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -18,6 +20,10 @@
 pub use self::entry::Change;
 pub use self::entry::Entry;
 pub use self::health::Health;
+pub use self::notice::LeavingNotice;
+pub use self::pause::MAX_PAUSE;
+pub use self::pause::PauseError;
+pub use self::pause::parse_pause;
 use crate::clock::Millis;
 use crate::core::pipe::Span;
 use crate::core::pipe::Stage;
@@ -69,6 +75,8 @@
     last_probed: Millis,
     /// Whether this VM itself marked the endpoint and probes it.
     watched: bool,
+    /// When this VM learned from an answer of the endpoint, or from another VM, that it is leaving.
+    left: Option<Millis>,
 }
 
 /// A notice between VMs that an endpoint is slow or has stalled.
@@ -123,13 +131,14 @@
     }
 
     /// Returns the endpoints to probe: those that get no work until they answer, and those that
-    /// this VM found slow.
-    pub fn probe_targets(&self) -> Vec<(EndpointName, SocketAddr)> {
+    /// this VM found slow, but none that asked for a pause.
+    pub fn probe_targets(&self, now: Millis) -> Vec<(EndpointName, SocketAddr)> {
         let targets = self
             .endpoints
             .values()
             .filter(|state| state.health.is_down() || state.watched);
         targets
+            .filter(|state| state.health.paused_for(now).is_none())
             .filter_map(|state| state.change.entry.as_ref())
             .filter(|entry| !entry.leaving)
             .map(|entry| (entry.endpoint.clone(), entry.addr))
@@ -186,10 +195,11 @@
             .clone()
             .or_else(|| kept.and_then(|old| old.last_entry.clone()));
         let was_lapsed = old.as_ref().is_some_and(|old| old.grace_until.is_some());
-        let mut health = kept
-            .filter(|_| !was_lapsed)
-            .map(|old| old.health.clone())
-            .unwrap_or_default();
+        let mut health = match kept {
+            Some(old) if was_lapsed => old.health.after_lapse(),
+            Some(old) => old.health.clone(),
+            None => Health::default(),
+        };
         if grace_until.is_some() {
             health.record_lapse();
         }
@@ -204,6 +214,7 @@
             last_heard: kept.map(|old| old.last_heard).unwrap_or_default(),
             last_probed: kept.map(|old| old.last_probed).unwrap_or_default(),
             watched: kept.is_some_and(|old| old.watched),
+            left: kept.and_then(|old| old.left),
             change,
         };
         self.endpoints.insert(state.change.endpoint.clone(), state);
@@ -301,6 +312,9 @@
 
     /// Returns the entry of an endpoint if it may get new work at `now`.
     fn usable(state: &EndpointState, now: Millis) -> Option<&Entry> {
+        if state.left.is_some() {
+            return None;
+        }
         let entry = match &state.change.entry {
             Some(entry) => entry,
             None if state.grace_until.is_some_and(|until| now < until) => {
@@ -408,7 +422,7 @@
     /// probe as sent.
     ///
     /// An endpoint that showed a sign of life after `since` works; it is probed only for its pace,
-    /// if the path is `slow`.
+    /// if the path is `slow`. One that asked for a pause is not probed.
     pub fn begin_probe(
         &mut self,
         now: Millis,
@@ -419,6 +433,9 @@
         let Some(state) = self.endpoints.get_mut(endpoint) else {
             return false;
         };
+        if state.health.paused_for(now).is_some() {
+            return false;
+        }
         let since_probe = now.since(state.last_probed);
         let is_due = if state.last_heard > since {
             slow && since_probe >= PACE_PROBE_INTERVAL
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -9,6 +9,7 @@
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
 use super::front::RequestContext;
+use super::notice;
 use super::retry;
 use super::state::Edge;
 use super::suspect;
@@ -110,7 +111,8 @@
     }
 }
 
-/// Chooses the endpoint with the lowest cost, without those in `tried`.
+/// Chooses the endpoint with the lowest cost, without those in `tried` and those that asked for a
+/// pause.
 ///
 /// The cost grows with this VM's requests in progress at the endpoint and with its failures; an
 /// endpoint in another domain costs slightly more, and a random part spreads equal ones. This
@@ -121,7 +123,9 @@
     edge.roster(|roster| {
         roster
             .serving(&ctx.service, now)
-            .filter(|(entry, _, _)| !tried.contains(&entry.endpoint))
+            .filter(|(entry, health, _)| {
+                !tried.contains(&entry.endpoint) && health.paused_for(now).is_none()
+            })
             .map(|(entry, health, work)| {
                 let distance = if entry.domain == *home { 0.0 } else { 0.3 };
                 let load = (1.0 + f64::from(work.running)) * health.penalty() + distance;
@@ -175,6 +179,7 @@
             return outcome;
         }
     };
+    notice::read_answer(edge, &entry.endpoint, &response);
     outcome.ending = classify(edge, &response);
     if !closes_connection(&response) {
         edge.pool().put(entry.addr, conn);
@@ -246,6 +251,16 @@
     });
 }
 
+/// Returns when the caller of a refused request may come back: as soon as an endpoint that asked for
+/// a pause takes requests again, if all did.
+fn retry_after(edge: &Edge, ctx: &RequestContext) -> Millis {
+    let now = edge.now();
+    let pause = edge.roster(|roster| roster.shortest_pause(now, &ctx.service));
+    pause
+        .filter(|_| pick_endpoint(edge, ctx, &[]).is_none())
+        .unwrap_or(RETRY_AFTER)
+}
+
 fn finish(
     edge: &Edge,
     ctx: &RequestContext,
@@ -258,7 +273,7 @@
             forward::strip_hop_headers(&mut response.headers);
             response
         }
-        (NextStep::Refuse, _) => forward::refusal(RETRY_AFTER),
+        (NextStep::Refuse, _) => forward::refusal(retry_after(edge, ctx)),
         _ if ctx.remaining(edge.now()) == Millis(0) => Response::new(StatusCode::GATEWAY_TIMEOUT),
         _ => Response::new(StatusCode::BAD_GATEWAY),
     };
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -61,6 +61,8 @@
     pub signature: HeaderName,
     /// Present if the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Holds `1` if the endpoint is leaving and takes no new work.
+    pub leaving: HeaderName,
     /// The path of engines, each with the layers that it runs.
     pub path: HeaderName,
     /// The address of the engine that made the path refuse the request.
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -11,6 +11,7 @@
 use super::dialect::DialectError;
 use super::dialect::OrderAnswer;
 use super::dialect::Report;
+use super::notice;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::io::http::Conn;
@@ -53,9 +54,17 @@
         .pool()
         .call(addr, &(edge.dialect().report_request)(), CALL_TIMEOUT)
         .await?;
+    read_answer(edge, addr, &response);
     Ok((edge.dialect().parse_report)(&response)?)
 }
 
+/// Reads what the engine at an address says of itself in an answer.
+fn read_answer(edge: &Edge, addr: SocketAddr, response: &Response) {
+    if let Some(endpoint) = edge.roster(|roster| roster.name_at(addr)) {
+        notice::read_answer(edge, &endpoint, response);
+    }
+}
+
 /// Fetches an engine's report with a short timeout, and retries on new connections: packets may be
 /// lost, and a pooled connection may be dead while the engine is alive.
 ///
@@ -74,7 +83,10 @@
             PROBE_TIMEOUT - edge.now().since(start)
         };
         match within(wait, answers.receive()).await {
-            Ok(Ok(response)) => return Ok((edge.dialect().parse_report)(&response)?),
+            Ok(Ok(response)) => {
+                read_answer(edge, addr, &response);
+                return Ok((edge.dialect().parse_report)(&response)?);
+            }
             Ok(Err(error)) if is_refusal(&error) => return Err(error.into()),
             Ok(Err(_)) => edge.pool().clear(addr),
             Err(_) => {}
@@ -121,5 +133,6 @@
     request: &Request,
 ) -> Result<OrderAnswer, EngineError> {
     let response = edge.pool().call(addr, request, CALL_TIMEOUT).await?;
+    read_answer(edge, addr, &response);
     Ok((edge.dialect().parse_answer)(&response))
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -5,6 +5,7 @@
 
 use monoio::net::udp::UdpSocket;
 
+use super::notice;
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
@@ -12,6 +13,7 @@
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
 use crate::core::poison::SuspectGossip;
+use crate::core::roster::LeavingNotice;
 use crate::io::timeout::within;
 
 /// The size of the receive buffer; a message fits one packet of an ordinary network with room to
@@ -47,7 +49,7 @@
         match postcard::take_from_bytes::<Message>(&buf[..size]) {
             Ok((message, rest)) => {
                 receive(&edge, message);
-                receive_suspects(&edge, rest);
+                receive_records(&edge, rest);
             }
             Err(error) => log::debug!(from:% = from, error:% = error; "message_dropped"),
         }
@@ -66,25 +68,46 @@
     edge.fleet(|fleet| fleet.receive(now, message));
 }
 
-/// Merges the records that follow a message, if there are any.
-fn receive_suspects(edge: &Edge, bytes: &[u8]) {
+/// Merges what follows a message, if anything does: requests that crashed endpoints, then endpoints
+/// that are leaving.
+fn receive_records(edge: &Edge, bytes: &[u8]) {
     if bytes.is_empty() {
         return;
     }
-    match postcard::from_bytes(bytes) {
-        Ok(gossip) => suspect::receive(edge, gossip, "peer"),
+    match postcard::take_from_bytes(bytes) {
+        Ok((gossip, rest)) => {
+            suspect::receive(edge, gossip, "peer");
+            receive_notices(edge, rest);
+        }
         Err(error) => log::debug!(error:% = error; "suspects_dropped"),
     }
 }
 
-/// Encodes a message. Requests that crashed endpoints follow it: VMs of earlier releases ignore what
-/// follows a message.
-fn encode(message: &Message, suspects: &SuspectGossip) -> postcard::Result<Vec<u8>> {
-    let bytes = postcard::to_stdvec(message)?;
-    if suspects.records.is_empty() {
-        return Ok(bytes);
+fn receive_notices(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<Vec<LeavingNotice>>(bytes) {
+        Ok(notices) => notice::receive(edge, &notices),
+        Err(error) => log::debug!(error:% = error; "notices_dropped"),
+    }
+}
+
+/// Encodes a message. Requests that crashed endpoints follow it, and then endpoints that are leaving:
+/// VMs of earlier releases ignore what follows the part that they know.
+fn encode(
+    message: &Message,
+    suspects: &SuspectGossip,
+    notices: &[LeavingNotice],
+) -> postcard::Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(message)?;
+    if !suspects.records.is_empty() || !notices.is_empty() {
+        bytes = postcard::to_extend(suspects, bytes)?;
+    }
+    if !notices.is_empty() {
+        bytes = postcard::to_extend(notices, bytes)?;
     }
-    postcard::to_extend(suspects, bytes)
+    Ok(bytes)
 }
 
 async fn send_messages(edge: Edge, socket: Rc<UdpSocket>) {
@@ -96,7 +119,8 @@
             fleet.me().ready = ready;
             fleet.next_message(now, marks)
         });
-        match encode(&message, &suspect::next_records(&edge)) {
+        let notices = notice::next_notices(&edge);
+        match encode(&message, &suspect::next_records(&edge), &notices) {
             Ok(bytes) => {
                 for addr in to {
                     let (result, _) = socket.send_to(bytes.clone(), addr).await;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -23,6 +23,7 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     crashes: Counter<u64>,
+    notices: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
@@ -42,6 +43,10 @@
             attempts: counter("edge_attempts", "Attempts at endpoints, by outcome."),
             retries: counter("edge_retries", "Retries asked of the budget, by outcome."),
             crashes: counter("edge_crashes", "Endpoints that crashed under a request."),
+            notices: counter(
+                "edge_endpoint_notices",
+                "Endpoints that said that they are leaving or asked for a pause, by kind.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -77,6 +82,11 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts an endpoint that said that it is leaving or asked for a pause, by kind.
+    pub fn count_notice(&self, kind: &'static str) {
+        self.notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod metrics;
 mod news;
+mod notice;
 mod orders;
 mod paths;
 mod placement;
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -30,7 +30,7 @@
 pub enum OrderResult {
     /// The engine may carry it out, or does not need it.
     Sent,
-    /// The engine gave no report, so the order was not sent.
+    /// The engine gave no report or asked for a pause, so the order was not sent.
     NotSent,
     /// The engine has seen a higher fencing token.
     Fenced,
@@ -73,6 +73,11 @@
 /// Sends an engine an order, unless its report shows that it already holds the layers or is busy.
 async fn send(edge: &Edge, order: &PlannedOrder, fence: u64) -> OrderResult {
     let PlannedOrder { entry, layers } = order;
+    let now = edge.now();
+    if let Some(pause) = edge.roster(|roster| roster.paused_for(now, &entry.endpoint)) {
+        log::info!(endpoint:% = entry.endpoint, pause_ms = pause.0, reason = "paused"; "order_not_sent");
+        return OrderResult::NotSent;
+    }
     let report = match engine::fetch_report(edge, entry.addr).await {
         Ok(report) => report,
         Err(error) => {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -175,6 +175,17 @@
         )
     }
 
+    /// Returns how long until the first engine takes requests again, if there is no path because
+    /// engines asked for a pause.
+    pub fn pause(&self) -> Option<Millis> {
+        let now = self.edge.now();
+        let service = &self.ctx.service;
+        let pause = self
+            .edge
+            .roster(|roster| roster.shortest_pause(now, service));
+        pause.filter(|_| self.pick_path().is_none())
+    }
+
     /// Decides whether the engines have room for the request, and logs a refusal.
     pub fn admit(&self) -> Decision {
         let now = self.edge.now();
@@ -295,6 +306,14 @@
             log::info!(id, silent:? = silent, reason = "no_path"; "path_silent");
             return false;
         };
+        let now = self.edge.now();
+        if let Some(pause) = self
+            .edge
+            .roster(|roster| roster.paused_for(now, &first.endpoint))
+        {
+            log::info!(id, endpoint:% = first.endpoint, pause_ms = pause.0, reason = "paused"; "path_silent");
+            return false;
+        }
         let request = (self.edge.dialect().repath_request)(id, &other);
         let answer = engine::send_order(self.edge, first.addr, &request).await;
         log::info!(id, silent:? = silent, path:% = format_path(&other), answer:? = answer; "repath");
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -28,9 +28,16 @@
     asked
 }
 
-/// Probes an engine; if it is the `first` of its path, its report tells which engines stall the
-/// path.
+/// Probes an engine, unless it asked for a pause; if it is the `first` of its path, its report tells
+/// which engines stall the path.
 pub fn spawn_probe(edge: &Edge, part: &Part, first: bool) {
+    let now = edge.now();
+    if edge
+        .roster(|roster| roster.paused_for(now, &part.endpoint))
+        .is_some()
+    {
+        return;
+    }
     monoio::spawn(probe_engine(edge.clone(), part.clone(), first));
 }
 
@@ -104,7 +111,7 @@
 pub async fn run(edge: Edge) {
     loop {
         monoio::time::sleep(PROBE_INTERVAL.duration()).await;
-        for (endpoint, addr) in edge.roster(|roster| roster.probe_targets()) {
+        for (endpoint, addr) in edge.roster(|roster| roster.probe_targets(edge.now())) {
             monoio::spawn(probe_again(edge.clone(), endpoint, addr));
         }
     }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -21,6 +21,7 @@
 use super::front::ConnAction;
 use super::front::RequestContext;
 use super::front::respond;
+use super::notice;
 use super::paths;
 use super::paths::LoadGuard;
 use super::paths::MIN_RETRY_TIME;
@@ -125,7 +126,8 @@
         StreamEnd::Done | StreamEnd::Failed(_) | StreamEnd::Left => ConnAction::Close,
         _ if progress.is_started => ConnAction::Close,
         StreamEnd::NotRun if !progress.ran => {
-            respond(edge, conn, forward::refusal(RETRY_AFTER), false, ctx.start).await
+            let wait = selector.pause().unwrap_or(RETRY_AFTER);
+            respond(edge, conn, forward::refusal(wait), false, ctx.start).await
         }
         StreamEnd::Late => {
             let response = Response::new(StatusCode::GATEWAY_TIMEOUT);
@@ -222,6 +224,7 @@
         Ok(head) => head,
         Err(ended) => return ended,
     };
+    notice::read_answer(edge, &first.endpoint, &response);
     if let Some(ended) = check_head(selector, progress, &first, &response) {
         return ended;
     }
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -75,6 +75,7 @@
             team: name("team"),
             signature: name("signature"),
             not_run: name("not-run"),
+            leaving: name("leaving"),
             path: name("path"),
             faulty_addr: name("fault"),
             last_event: name("last-event-id"),
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -66,6 +66,12 @@
     pub hidden_faults: Vec<HiddenFault>,
     /// Whether it closes its connections without an answer.
     pub broken: bool,
+    /// Whether all its answers say that it is leaving, whatever its entry says.
+    pub says_leaving: bool,
+    /// The `Retry-After` with which it refuses all requests but reports and orders.
+    pub pause: Option<&'static str>,
+    /// The number of requests of any kind that reached it.
+    pub arrivals: u64,
     /// The number of orders that it has accepted.
     pub orders: u64,
     /// The highest fencing token that it has seen.
@@ -138,6 +144,9 @@
             silent: false,
             hidden_faults: Vec::new(),
             broken: false,
+            says_leaving: false,
+            pause: None,
+            arrivals: 0,
             orders: 0,
             fence: 0,
             ran: Vec::new(),
@@ -170,6 +179,7 @@
             listener = bound;
             self.with_endpoint(addr, |endpoint| {
                 endpoint.broken = false;
+                endpoint.says_leaving = false;
                 endpoint.entry.born += 1;
                 endpoint.entry.span = None;
                 endpoint.orders = 0;
@@ -242,12 +252,34 @@
             Some((true, _)) => return (conn, Reply::NoAnswer),
             _ => return (conn, Reply::Close),
         }
+        self.with_endpoint(addr, |endpoint| endpoint.arrivals += 1);
+        let (conn, mut reply) = self.answer_kind(addr, request, conn).await;
+        if let Reply::Response(response) = &mut reply
+            && self.with_endpoint(addr, |endpoint| endpoint.says_leaving) == Some(true)
+        {
+            set(&mut response.headers, "leaving", "1");
+        }
+        (conn, reply)
+    }
+
+    async fn answer_kind(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        conn: BoxedConn,
+    ) -> (BoxedConn, Reply) {
+        let pause = self.with_endpoint(addr, |endpoint| endpoint.pause);
         match (&request.method, request.uri.path()) {
             (&Method::GET, "/report") => {
                 self.wait_for_report().await;
                 (conn, Reply::Response(self.report(addr)))
             }
             (&Method::POST, "/order") => (conn, Reply::Response(self.order(addr, &request))),
+            _ if let Some(Some(pause)) = pause => {
+                let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE, addr);
+                set(&mut response.headers, "retry-after", pause);
+                (conn, Reply::Response(response))
+            }
             _ if request.headers.contains_key("path") => self.stream(addr, &request, conn).await,
             _ if self.crashing.borrow().contains_key(request.uri.path()) => {
                 self.answer_plain(addr, &request);
@@ -398,6 +430,9 @@
         let target = self.crashing.borrow().get(request.uri.path()).copied();
         let mut headers = HeaderMap::new();
         sign(&mut headers, &id);
+        if self.with_endpoint(addr, |endpoint| endpoint.says_leaving) == Some(true) {
+            set(&mut headers, "leaving", "1");
+        }
         let from = header_text(&request.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -93,6 +93,8 @@
     status: StatusCode,
     body: String,
     whole: bool,
+    /// The `Retry-After`, in seconds.
+    retry_after: Option<f64>,
 }
 
 impl World {
@@ -219,7 +221,9 @@
                 Err(_) => break false,
             }
         };
+        let retry_after = head.header(&http::header::RETRY_AFTER);
         Answer {
+            retry_after: retry_after.and_then(|text| text.parse().ok()),
             status: head.status,
             body: String::from_utf8(body.to_vec()).expect("text"),
             whole,
@@ -248,6 +252,30 @@
         switch.await;
     }
 
+    fn plain_endpoints(&self) -> Vec<SocketAddr> {
+        let list = self.endpoints.list();
+        let plain = list.iter().map(|endpoint| &endpoint.entry);
+        plain
+            .filter(|entry| entry.kind.is_none())
+            .map(|entry| entry.addr)
+            .collect()
+    }
+
+    fn ran_at(&self, addr: SocketAddr) -> usize {
+        self.endpoints
+            .with_endpoint(addr, |endpoint| endpoint.ran.len())
+            .expect("an endpoint")
+    }
+
+    /// Returns the number of requests of any kind that reached these endpoints.
+    fn arrivals(&self, addrs: &[SocketAddr]) -> u64 {
+        let count = |addr: &SocketAddr| {
+            self.endpoints
+                .with_endpoint(*addr, |endpoint| endpoint.arrivals)
+        };
+        addrs.iter().filter_map(count).sum()
+    }
+
     fn run_count(&self) -> usize {
         self.endpoints
             .list()
@@ -427,6 +455,123 @@
     .expect("a loop");
 }
 
+#[test]
+fn a_plain_endpoint_that_says_it_leaves_gets_no_new_work_from_any_vm() {
+    run(async |world: Rc<World>| {
+        let leaving = world.plain_endpoints()[0];
+        world
+            .endpoints
+            .with_endpoint(leaving, |endpoint| endpoint.says_leaving = true);
+        while world.ran_at(leaving) == 0 {
+            world.call(0, "/post/a", "red-key").await;
+        }
+        for _ in 0..20 {
+            world.call(0, "/post/a", "red-key").await;
+        }
+        assert_eq!(
+            world.ran_at(leaving),
+            1,
+            "on the VM that passed the answer on"
+        );
+        sleep(DRAIN_BOUND).await;
+        for index in 0..60 {
+            let answer = world.call(index % 3, "/post/a", "red-key").await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        assert_eq!(world.ran_at(leaving), 1, "on the other VMs");
+        world.endpoints.crash(leaving);
+        sleep(Millis::seconds(2)).await;
+        let is_used = async {
+            for _ in 0..60 {
+                world.call(0, "/post/a", "red-key").await;
+            }
+            world.ran_at(leaving) > 1
+        };
+        assert!(is_used.await, "a new start of the endpoint is not leaving");
+    });
+}
+
+#[test]
+fn a_stream_goes_on_at_an_engine_that_says_it_leaves_and_new_ones_avoid_it() {
+    run(async |world: Rc<World>| {
+        world.check_streams().await;
+        let leaving = world.first_engines()[0];
+        world
+            .endpoints
+            .with_endpoint(leaving, |endpoint| endpoint.says_leaving = true);
+        let before = world.ran_at(leaving);
+        while world.ran_at(leaving) == before {
+            world.check_streams().await;
+        }
+        sleep(DRAIN_BOUND).await;
+        let before = world.ran_at(leaving);
+        for _ in 0..4 {
+            world.check_streams().await;
+        }
+        assert_eq!(world.ran_at(leaving), before);
+    });
+}
+
+#[test]
+fn endpoints_that_ask_for_a_pause_get_nothing_and_callers_learn_when_it_ends() {
+    /// The most requests that may still be on the way (the users' rule).
+    const ON_THE_WAY: u64 = 2;
+    run(async |world: Rc<World>| {
+        let plain = world.plain_endpoints();
+        for addr in &plain {
+            world
+                .endpoints
+                .with_endpoint(*addr, |endpoint| endpoint.pause = Some("2.5"));
+        }
+        let first = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(first.status, StatusCode::SERVICE_UNAVAILABLE);
+        sleep(Millis(500)).await;
+        let before = world.arrivals(&plain);
+        let mut waits = Vec::new();
+        for _ in 0..30 {
+            let refused = world.call(0, "/post/a", "red-key").await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+            waits.push(refused.retry_after.expect("a time"));
+            sleep(Millis(20)).await;
+        }
+        let arrivals = world.arrivals(&plain) - before;
+        assert!(arrivals <= ON_THE_WAY, "{arrivals} requests in the pause");
+        let right = |wait: &f64| (0.4..=2.5).contains(wait);
+        assert!(waits.iter().all(right), "{waits:?}");
+        assert!(waits[0] > 1.2, "the rest of the pause: {waits:?}");
+        for addr in &plain {
+            world
+                .endpoints
+                .with_endpoint(*addr, |endpoint| endpoint.pause = None);
+        }
+        sleep(Millis(2000)).await;
+        let served = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(served.status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn an_engine_that_asks_for_a_pause_gets_neither_streams_nor_probes() {
+    run(async |world: Rc<World>| {
+        let engines = world.first_engines();
+        let paused = engines[0];
+        world
+            .endpoints
+            .with_endpoint(paused, |endpoint| endpoint.pause = Some("3"));
+        let before = world.arrivals(&[paused]);
+        while world.arrivals(&[paused]) == before {
+            world.call(0, "/draft/1", "red-key").await;
+        }
+        sleep(Millis(500)).await;
+        let before = world.arrivals(&[paused]);
+        for _ in 0..4 {
+            world.call(0, "/draft/1", "red-key").await;
+        }
+        let arrivals = world.arrivals(&[paused]) - before;
+        assert!(arrivals <= 2, "{arrivals} in the pause");
+    });
+}
+
 #[test]
 fn streams_and_plain_requests_are_served_and_others_refused() {
     run(async |world: Rc<World>| {
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -8,7 +8,10 @@
 use cornelwharf::core::roster::Entry;
 use cornelwharf::core::roster::Health;
 use cornelwharf::core::roster::LAPSE_GRACE;
+use cornelwharf::core::roster::MAX_PAUSE;
+use cornelwharf::core::roster::PauseError;
 use cornelwharf::core::roster::Roster;
+use cornelwharf::core::roster::parse_pause;
 use cornelwharf::names::ServiceName;
 
 const NOW: Millis = Millis::seconds(100);
@@ -316,3 +319,61 @@
     assert!(serving(&other, NOW).is_empty());
     assert!(reader.apply(NOW, change(60, entry("a", 1))), "it is back");
 }
+
+#[test]
+fn an_endpoint_that_said_it_leaves_gets_no_work_until_it_starts_anew() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    let mut other = roster.clone();
+    assert!(roster.record_leaving(NOW, &"a".into()));
+    let moved = Entry {
+        span: Some(Span { from: 0, to: 6 }),
+        ..entry("a", 1)
+    };
+    roster.apply(NOW, change(2, moved));
+    assert!(serving(&roster, NOW).is_empty(), "its entry is older news");
+    for notice in roster.leaving_notices(NOW) {
+        assert!(other.apply_notice(NOW, &notice));
+        assert!(!other.apply_notice(NOW, &notice));
+    }
+    assert!(serving(&other, NOW + Millis::seconds(60)).is_empty());
+    other.apply(NOW, change(3, entry("a", 2)));
+    assert_eq!(serving(&other, NOW), ["a"]);
+    for notice in roster.leaving_notices(NOW) {
+        assert!(!other.apply_notice(NOW, &notice), "of an earlier start");
+    }
+}
+
+#[test]
+fn a_pause_holds_over_successes_and_lapses() {
+    let pause = Millis(1500);
+    let mut roster = Roster::default();
+    roster.apply(NOW, change(1, entry("a", 1)));
+    assert!(roster.record_pause(NOW, &"a".into(), pause));
+    roster.health(&"a".into()).expect("known").record_success();
+    roster.record_store_return(NOW);
+    roster.apply(NOW, removal(2, "a"));
+    roster.apply(NOW, change(3, entry("a", 1)));
+    let until = NOW + pause;
+    assert_eq!(roster.paused_for(NOW, &"a".into()), Some(pause));
+    assert_eq!(roster.shortest_pause(until, &"ledger".into()), None);
+    assert_eq!(roster.paused_for(until, &"a".into()), None);
+}
+
+#[test]
+fn a_pause_is_a_number_of_seconds_with_a_bound() {
+    for (text, millis) in [("0", 0), ("1", 1000), ("0.25", 250), (" 2.0004 ", 2001)] {
+        assert_eq!(parse_pause(text), Ok(Millis(millis)), "{text}");
+    }
+    assert_eq!(parse_pause("1e300"), Ok(MAX_PAUSE));
+    for text in [
+        "",
+        "soon",
+        "-1",
+        "NaN",
+        "inf",
+        "Fri, 04 Dec 2026 10:00:00 GMT",
+    ] {
+        assert_eq!(parse_pause(text), Err(PauseError), "{text}");
+    }
+}
