--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -1,4 +1,4 @@
-//! Spreading of requests by VMs that know little of each other's load.
+//! Spreading of requests by VMs that do not know each other's load yet.
 
 use super::Stage;
 use crate::core::site::Model;
@@ -13,9 +13,10 @@
 /// they cost more than the mean engine. `used` is the number of tokens of all VMs that are in
 /// progress, as far as this VM knows, and `draw` returns random numbers from 0 to 1.
 ///
-/// This answers the load of hundreds of VMs with a few streams each: what one of them runs tells
-/// nothing about what the others run, so all would choose the same fastest engines, which refuse
-/// what exceeds their memory.
+/// This answers the load after a start of all VMs, when callers come back at once and no VM knows what
+/// the others run: all would choose the same fastest engines, which refuse what exceeds their memory.
+/// At other times it is not used: streams on slower engines last longer, so a fault meets more of
+/// them.
 pub fn spread_load<F>(stages: &mut [Stage], model: &Model, used: f64, mut draw: F)
 where
     F: FnMut() -> f64,
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -27,11 +27,8 @@
 /// data choose different paths.
 const COST_JITTER: f64 = 0.15;
 
-/// The mean number of this VM's requests on each engine below which they do not show the load of
-/// the engines, so that paths are spread by the load that the other VMs report.
-const MIN_USES: f64 = 1.0;
 /// How long after its start a VM may not know the other VMs' load, while the callers of all VMs
-/// may be coming back at once.
+/// may be coming back at once. Later, its own streams and the marks of full engines spread the load.
 const YOUNG_TIME: Millis = Millis::seconds(5);
 /// The share of the engines' memory that is assumed to be in use during that time.
 const ASSUMED_USE: f64 = 0.6;
@@ -230,12 +227,9 @@
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
         }
-        let running: f64 = stages.iter().map(|stage| stage.running).sum();
-        if running < MIN_USES * vms * stages.len() as f64 {
-            let mut used = self.edge.fleet(|fleet| fleet.total_load(now));
-            if self.edge.uptime() < YOUNG_TIME {
-                used = used.max(token_capacity(&stages, self.model) * ASSUMED_USE);
-            }
+        if self.edge.uptime() < YOUNG_TIME {
+            let known = self.edge.fleet(|fleet| fleet.total_load(now));
+            let used = known.max(token_capacity(&stages, self.model) * ASSUMED_USE);
             spread_load(&mut stages, self.model, used, || self.edge.random());
         }
         stages
