Hold positions, fences and leavings over a store that comes back older

Cause: after an outage the store may answer from an older copy: offsets fall and are given out again. Roster::apply dropped changes with lower offsets, so a leaving that was written again was ignored; a reader went on from an offset that existed again and missed records; a fence could be given out twice; endpoints that left were listed as ready again.

Change: a Position is the store's era and an offset in one number, which rises over eras. The store's client adds the era of each answer, refuses answers of an earlier era, and takes a position of an earlier one for truncated. An endpoint that was leaving stays left for that start; one that was removed, or that is listed with an earlier start, is used once it has written its entry again; one that the copy lacks is used for 2 s more. VMs write their records again, the leader writes the bars again.

Not done: cornelwharfd follows its log by bare offsets. An append whose answer is lost in a fall is not played.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
+use crate::core::position::Position;
 use crate::core::roster::Mark;
 use crate::names::Domain;
 use crate::names::Vm;
@@ -79,8 +80,8 @@
     pub ready: bool,
     /// The version of the configuration in force.
     pub version: u64,
-    /// The offset before which the VM knows all changes of endpoints.
-    pub roster_end: u64,
+    /// The position before which the VM knows all changes of endpoints.
+    pub roster_end: Position,
     /// Whether the store answers this VM.
     pub has_store: bool,
     /// The tokens of the streams that the VM has in progress.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod packed;
 pub mod pipe;
 pub mod poison;
+pub mod position;
 pub mod roster;
 pub mod route;
 pub mod session;
--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -109,6 +109,14 @@
         self.entries.is_empty()
     }
 
+    /// Returns the requests that are barred at `now`.
+    #[must_use]
+    pub fn barred(&self, now: Millis) -> Vec<RequestDigest> {
+        let is_barred =
+            |digest: &&RequestDigest| matches!(self.status(now, digest), SuspectStatus::Barred(_));
+        self.entries.keys().filter(is_barred).copied().collect()
+    }
+
     /// Returns whether and how a request may run, as far as this VM knows.
     #[must_use]
     pub fn status(&self, now: Millis, digest: &RequestDigest) -> SuspectStatus {
--- a/src/core/roster/entry.rs
+++ b/src/core/roster/entry.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::pipe::Span;
+use crate::core::position::Position;
 use crate::names::Domain;
 use crate::names::EndpointName;
 use crate::names::Kind;
@@ -39,8 +40,8 @@
 pub struct Change {
     /// The endpoint whose entry changed.
     pub endpoint: EndpointName,
-    /// The offset of the change in the store's log.
-    pub offset: u64,
+    /// The position of the change in the store's log.
+    pub offset: Position,
     /// The new entry; `None` if it was removed or cannot be used.
     pub entry: Option<Entry>,
 }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -27,6 +27,7 @@
 use crate::clock::Millis;
 use crate::core::pipe::Span;
 use crate::core::pipe::Stage;
+use crate::core::position::Position;
 use crate::core::site::Model;
 use crate::names::EndpointName;
 use crate::names::ServiceName;
@@ -61,7 +62,7 @@
     change: Change,
     /// The offset at which the entry last differed from the one before. Endpoints rewrite their
     /// entries periodically; a rewrite without a difference is not passed on.
-    changed_offset: u64,
+    changed_offset: Position,
     changed_at: Millis,
     /// Set if the entry lapsed in an outage: until when the last entry is still used.
     grace_until: Option<Millis>,
@@ -75,8 +76,29 @@
     last_probed: Millis,
     /// Whether this VM itself marked the endpoint and probes it.
     watched: bool,
-    /// When this VM learned from an answer of the endpoint, or from another VM, that it is leaving.
+    /// When this VM learned that the endpoint is leaving: from its entry, from one of its answers, or
+    /// from another VM.
     left: Option<Millis>,
+    /// Whether the entry is one of the store's older copy that may be outdated. It is used once the
+    /// endpoint has written it again.
+    is_revived: bool,
+}
+
+impl EndpointState {
+    /// Returns whether a change of a later era of the store may be older than what is known: the
+    /// store's older copy still lists endpoints that were removed, other than by an outage, or that
+    /// have started anew since.
+    fn is_outdated(&self, change: &Change) -> bool {
+        let Some(entry) = &change.entry else {
+            return self.is_revived;
+        };
+        let was_removed = self.change.entry.is_none() && self.grace_until.is_none();
+        let last = self.last_entry.as_ref();
+        let is_same = last.is_some_and(|last| last.born == entry.born);
+        let is_earlier = last.is_some_and(|last| last.born > entry.born);
+        let may_be_older = self.is_revived || was_removed && is_same || is_earlier;
+        self.change.offset.era() < change.offset.era() && may_be_older
+    }
 }
 
 /// A notice between VMs that an endpoint is slow or has stalled.
@@ -97,17 +119,17 @@
     pub whole: bool,
     /// The latest change of each endpoint that the receiver lacks, in the order of names.
     pub changes: Vec<Change>,
-    /// The offset before which the update covers all changes.
-    pub end: u64,
+    /// The position before which the update covers all changes.
+    pub end: Position,
 }
 
 /// The endpoints that this VM knows, with their health and load.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     endpoints: BTreeMap<EndpointName, EndpointState>,
-    end: u64,
-    /// Removals before this offset may be missing here.
-    removals_from: u64,
+    end: Position,
+    /// Removals before this position may be missing here.
+    removals_from: Position,
     last_added: Millis,
     last_removed: Millis,
     last_answered_probe: Millis,
@@ -115,8 +137,8 @@
 }
 
 impl Roster {
-    /// Returns the offset before which all changes were applied.
-    pub fn end(&self) -> u64 {
+    /// Returns the position before which all changes were applied.
+    pub fn end(&self) -> Position {
         self.end
     }
 
@@ -146,7 +168,7 @@
     }
 
     /// Records that every change before `end` was applied.
-    pub fn advance(&mut self, end: u64) {
+    pub fn advance(&mut self, end: Position) {
         self.end = self.end.max(end);
     }
 
@@ -164,8 +186,9 @@
                 return false;
             }
             if old.change.entry == change.entry && old.grace_until.is_none() {
+                let is_rewritten = old.change.offset.era() == change.offset.era();
                 old.change.offset = change.offset;
-                return false;
+                return is_rewritten && std::mem::take(&mut old.is_revived);
             }
         }
         let old = self.endpoints.remove(&change.endpoint);
@@ -194,6 +217,9 @@
             .entry
             .clone()
             .or_else(|| kept.and_then(|old| old.last_entry.clone()));
+        let is_leaving = change.entry.as_ref().is_some_and(|entry| entry.leaving);
+        let left = kept.and_then(|old| old.left).or(is_leaving.then_some(now));
+        let is_revived = old.as_ref().is_some_and(|old| old.is_outdated(&change));
         let was_lapsed = old.as_ref().is_some_and(|old| old.grace_until.is_some());
         let mut health = match kept {
             Some(old) if was_lapsed => old.health.after_lapse(),
@@ -214,7 +240,8 @@
             last_heard: kept.map(|old| old.last_heard).unwrap_or_default(),
             last_probed: kept.map(|old| old.last_probed).unwrap_or_default(),
             watched: kept.is_some_and(|old| old.watched),
-            left: kept.and_then(|old| old.left),
+            left,
+            is_revived,
             change,
         };
         self.endpoints.insert(state.change.endpoint.clone(), state);
@@ -223,7 +250,7 @@
 
     /// Returns a removal for every known endpoint that is missing from a full list read up to
     /// `end`.
-    pub fn removals(&self, listed: &[EndpointName], end: u64) -> Vec<Change> {
+    pub fn removals(&self, listed: &[EndpointName], end: Position) -> Vec<Change> {
         let listed: BTreeSet<&EndpointName> = listed.iter().collect();
         let present = self
             .endpoints
@@ -233,7 +260,7 @@
             .filter(|state| state.change.offset < end && !listed.contains(&state.change.endpoint))
             .map(|state| Change {
                 endpoint: state.change.endpoint.clone(),
-                offset: state.change.offset + 1,
+                offset: state.change.offset.next(),
                 entry: None,
             })
             .collect()
@@ -252,7 +279,7 @@
 
     /// Records that a full list up to `end` was read. It does not show which endpoints were removed
     /// before, so a VM that is further behind gets a full list instead of changes.
-    pub fn record_full_list(&mut self, end: u64) {
+    pub fn record_full_list(&mut self, end: Position) {
         self.removals_from = self.removals_from.max(end);
     }
 
@@ -262,7 +289,7 @@
         self.endpoints.retain(|_, state| {
             let keep = state.change.entry.is_some() || now.since(state.changed_at) < TOMBSTONE_TTL;
             if !keep {
-                *removals_from = (*removals_from).max(state.changed_offset + 1);
+                *removals_from = (*removals_from).max(state.changed_offset.next());
             }
             keep
         });
@@ -270,12 +297,12 @@
 
     /// Returns whether a VM that knows every change before `from` needs the full list, since
     /// removals after that offset may be missing here.
-    pub fn needs_full_list(&self, from: u64) -> bool {
+    pub fn needs_full_list(&self, from: Position) -> bool {
         from < self.removals_from
     }
 
     /// Returns the update for a VM that knows every change before `from`.
-    pub fn changes_since(&self, from: u64) -> Update {
+    pub fn changes_since(&self, from: Position) -> Update {
         let whole = self.needs_full_list(from);
         let lacks = |state: &&EndpointState| whole || state.changed_offset >= from;
         let changes = self
@@ -312,7 +339,7 @@
 
     /// Returns the entry of an endpoint if it may get new work at `now`.
     fn usable(state: &EndpointState, now: Millis) -> Option<&Entry> {
-        if state.left.is_some() {
+        if state.left.is_some() || state.is_revived {
             return None;
         }
         let entry = match &state.change.entry {
--- a/src/edge/bars.rs
+++ b/src/edge/bars.rs
@@ -30,7 +30,7 @@
             .await
         {
             Ok(offset) => {
-                log::info!(content = content.short(), offset; "bar_published");
+                log::info!(content = content.short(), offset:% = offset; "bar_published");
                 return;
             }
             Err(error) => {
@@ -41,13 +41,35 @@
     }
 }
 
+/// Writes all bars again whenever the store came back from an older copy, which may lack them. The
+/// leader does so, since every VM knows the bars.
+pub async fn restore(edge: Edge) {
+    let mut era = edge.store_era();
+    loop {
+        monoio::time::sleep(RETRY_DELAY.duration()).await;
+        let now = edge.now();
+        let newest = edge.store_era();
+        if newest == era {
+            continue;
+        }
+        era = newest;
+        if edge.fleet(|fleet| fleet.is_leader(now)) {
+            let barred = edge.suspects(|suspects| suspects.barred(now));
+            log::info!(era, bars = barred.len(); "bars_restored");
+            for content in barred {
+                monoio::spawn(publish(edge.clone(), content));
+            }
+        }
+    }
+}
+
 /// Reads the bars after a start, until that succeeds, and deletes those that have ended.
 pub async fn read(edge: Edge) {
     let topic = edge.dialect().topics.bars;
     loop {
         match edge.store().newest(topic).await {
             Ok((records, offset)) => {
-                log::info!(bars = records.len(), offset; "bars_read");
+                log::info!(bars = records.len(), offset:% = offset; "bars_read");
                 for record in records {
                     if let Some(value) = record.value {
                         apply(&edge, &record.key, &value).await;
@@ -82,7 +104,7 @@
 async fn delete(edge: &Edge, key: &str) {
     let topic = edge.dialect().topics.bars;
     match edge.store().append(topic, key, &[]).await {
-        Ok(offset) => log::info!(content = key, offset; "bar_deleted"),
+        Ok(offset) => log::info!(content = key, offset:% = offset; "bar_deleted"),
         Err(error) => log::warn!(content = key, error:% = error; "bar_not_deleted"),
     }
 }
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -13,6 +13,7 @@
 use crate::clock::Millis;
 use crate::core::pipe::Part;
 use crate::core::pipe::Span;
+use crate::core::position::Position;
 use crate::core::roster::Entry;
 use crate::core::site::SiteConfig;
 use crate::io::http::Request;
@@ -61,6 +62,9 @@
     pub signature: HeaderName,
     /// Present if the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// The era of the store, in all its answers; it rises when the store comes back from an older
+    /// copy.
+    pub store_era: HeaderName,
     /// Holds `1` if the endpoint is leaving and takes no new work.
     pub leaving: HeaderName,
     /// The path of engines, each with the layers that it runs.
@@ -101,16 +105,17 @@
     pub key: String,
     /// The value; `None` if the key was removed.
     pub value: Option<Bytes>,
-    /// The record's offset in its topic.
-    pub offset: u64,
+    /// The record's position in its topic.
+    pub offset: Position,
 }
 
 /// The result of reading a topic from an offset on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Tail {
-    /// The records, and the offset to read from next.
-    Records(Vec<KeyedRecord>, u64),
-    /// The records from the offset on are no longer all kept; the newest of each key still are.
+    /// The records, and the position to read from next.
+    Records(Vec<KeyedRecord>, Position),
+    /// The records from the position on are no longer all kept, or the store came back from an older
+    /// copy; the newest of each key still are.
     Truncated,
 }
 
@@ -121,8 +126,8 @@
     pub records: Vec<KeyedRecord>,
     /// The key after which the next page starts; `None` on the last page.
     pub cursor: Option<String>,
-    /// The offset after the newest record of the topic.
-    pub end: u64,
+    /// The position after the newest record of the topic.
+    pub end: Position,
 }
 
 /// An order to an engine to hold a range of layers.
@@ -195,13 +200,13 @@
     /// Builds a request for a topic's records from an offset on; the store waits for the first one
     /// for up to `wait`.
     pub tail_request: fn(topic: &str, from: u64, wait: Millis) -> Request,
-    /// Parses the response to [`Self::tail_request`] for records from the given offset on.
-    pub parse_tail: fn(&Response, u64) -> Result<Tail, DialectError>,
+    /// Parses the response to [`Self::tail_request`] for records from the given position on.
+    pub parse_tail: fn(&Response, Position) -> Result<Tail, DialectError>,
     /// Builds a request for a page of the newest records of a topic, after a key or from the first
     /// one.
     pub newest_request: fn(topic: &str, after: Option<&str>) -> Request,
-    /// Parses the response to [`Self::newest_request`].
-    pub parse_page: fn(&Response) -> Result<Page, DialectError>,
+    /// Parses the response to [`Self::newest_request`] in the given era of the store.
+    pub parse_page: fn(&Response, u64) -> Result<Page, DialectError>,
     /// Builds a request that appends a record under a key.
     pub append_request: fn(topic: &str, key: &str, value: &[u8]) -> Request,
     /// Parses the response to [`Self::append_request`]: the offset of the record.
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -8,6 +8,7 @@
 use super::state::Edge;
 use super::store::StoreError;
 use crate::clock::Millis;
+use crate::core::position::Position;
 use crate::core::roster::Change;
 use crate::core::site::OfferResult;
 use crate::core::site::SiteConfig;
@@ -35,12 +36,12 @@
 /// Follows a topic: reads the newest record of each key, then new records while this VM is one of
 /// those that read the store.
 ///
-/// `apply` gets the records, the offset after them, and whether they are the whole topic.
+/// `apply` gets the records, the position after them, and whether they are the whole topic.
 async fn follow<F>(edge: Edge, topic: &'static str, pause: Millis, apply: F)
 where
-    F: Fn(&Edge, Vec<KeyedRecord>, u64, bool),
+    F: Fn(&Edge, Vec<KeyedRecord>, Position, bool),
 {
-    let mut from: Option<u64> = None;
+    let mut from: Option<Position> = None;
     let mut failures = 0;
     let limit = edge.settings().bounds.apply() - READ_MARGIN;
     // Gossip tells the other VMs of each answer of the store, so the wait is well under the limit.
@@ -83,7 +84,7 @@
         match read {
             Ok(next) => {
                 if failures > 0 {
-                    log::info!(dependency = "store", topic, offset = next.unwrap_or(0); "regained");
+                    log::info!(dependency = "store", topic, offset:% = next.unwrap_or_default(); "regained");
                     edge.roster(|roster| roster.record_store_return(edge.now()));
                 }
                 failures = 0;
@@ -108,11 +109,11 @@
     }
 }
 
-fn log_loss(topic: &str, from: Option<u64>, error: &StoreError) {
-    log::warn!(dependency = "store", topic, offset = from.unwrap_or(0), error:% = error; "lost");
+fn log_loss(topic: &str, from: Option<Position>, error: &StoreError) {
+    log::warn!(dependency = "store", topic, offset:% = from.unwrap_or_default(), error:% = error; "lost");
 }
 
-fn apply_config(edge: &Edge, records: Vec<KeyedRecord>, _end: u64, _whole: bool) {
+fn apply_config(edge: &Edge, records: Vec<KeyedRecord>, _end: Position, _whole: bool) {
     for record in records {
         if record.key != edge.dialect().topics.config_key {
             continue;
@@ -123,24 +124,29 @@
         match (edge.dialect().parse_site)(&value) {
             Ok(site) => accept(edge, site, "store", record.offset),
             Err(error) => {
-                log::warn!(offset = record.offset, error:% = error; "config_refused");
+                log::warn!(offset:% = record.offset, error:% = error; "config_refused");
             }
         }
     }
 }
 
 /// Applies a configuration if it is newer than the one in force.
-fn accept(edge: &Edge, site: SiteConfig, source: &'static str, offset: u64) {
+fn accept(edge: &Edge, site: SiteConfig, source: &'static str, offset: Position) {
     let offer = edge.accepted(|accepted| accepted.offer(site));
     announce_config(edge, offer, source, offset);
 }
 
 /// Logs a configuration that was just applied, and announces it to the other VMs.
-pub(super) fn announce_config(edge: &Edge, offer: OfferResult, source: &'static str, offset: u64) {
+pub(super) fn announce_config(
+    edge: &Edge,
+    offer: OfferResult,
+    source: &'static str,
+    offset: Position,
+) {
     let Some(site) = edge.site().filter(|_| offer == OfferResult::Applied) else {
         return;
     };
-    log::info!(version = site.version, offset, routes = site.routes.len(), source; "config_in_force");
+    log::info!(version = site.version, offset:% = offset, routes = site.routes.len(), source; "config_in_force");
     edge.fleet(|fleet| fleet.me().version = site.version);
     edge.admission(|controller| {
         controller.retain_routes(|name| site.routes.iter().any(|route| route.name == name));
@@ -148,8 +154,9 @@
     edge.trigger_gossip();
 }
 
-fn apply_entries(edge: &Edge, records: Vec<KeyedRecord>, end: u64, whole: bool) {
+fn apply_entries(edge: &Edge, records: Vec<KeyedRecord>, end: Position, whole: bool) {
     let now = edge.now();
+    expect_rewrites(edge, end);
     let listed: Vec<EndpointName> = if whole {
         records
             .iter()
@@ -190,22 +197,35 @@
 
 /// Records that the endpoints' changes before offset `end` were applied, and announces that to the
 /// other VMs.
-pub(super) fn announce_endpoints(edge: &Edge, end: u64) {
-    edge.roster(|roster| roster.advance(end));
+pub(super) fn announce_endpoints(edge: &Edge, end: Position) {
+    let end = edge.roster(|roster| {
+        roster.advance(end);
+        roster.end()
+    });
     edge.fleet(|fleet| fleet.me().roster_end = end);
     edge.trigger_gossip();
 }
 
+/// Records that the store came back if `end` is of a later era than what is known of the endpoints:
+/// entries that its older copy lacks are written again soon, so they are used for a while.
+pub(super) fn expect_rewrites(edge: &Edge, end: Position) {
+    let known = edge.roster(|roster| roster.end());
+    if known > Position::default() && end.era() > known.era() {
+        log::warn!(offset:% = end, known:% = known; "endpoints_of_new_era");
+        edge.roster(|roster| roster.record_store_return(edge.now()));
+    }
+}
+
 fn decode_entry(
     edge: &Edge,
     endpoint: &EndpointName,
     value: &Bytes,
-    offset: u64,
+    offset: Position,
 ) -> Option<crate::core::roster::Entry> {
     match (edge.dialect().parse_entry)(endpoint, value) {
         Ok(entry) => Some(entry),
         Err(error) => {
-            log::warn!(endpoint:% = endpoint, offset, error:% = error; "entry_refused");
+            log::warn!(endpoint:% = endpoint, offset:% = offset, error:% = error; "entry_refused");
             None
         }
     }
@@ -226,7 +246,7 @@
     if news && before != Some((state, span)) {
         let from = span.map_or(0, |span| span.from);
         let to = span.map_or(0, |span| span.to);
-        log::info!(endpoint:% = endpoint, offset, state, from, to; "endpoint_changed");
+        log::info!(endpoint:% = endpoint, offset:% = offset, state, from, to; "endpoint_changed");
     }
     news
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -140,14 +140,16 @@
     }
 }
 
-/// Writes this VM's record to the store once after a start. Then reads the other VMs' records, and
-/// again while none of them is heard from.
+/// Writes this VM's record to the store once after a start, and again when the store came back from
+/// an older copy, which may lack it. Then reads the other VMs' records, and again while none of them
+/// is heard from.
 async fn sync_members(edge: Edge) {
-    let mut written = false;
+    let mut written = None;
     let mut known = false;
     loop {
-        if !written {
-            written = write_member(&edge).await;
+        let era = edge.store_era();
+        if written != Some(era) && write_member(&edge).await {
+            written = Some(era);
         }
         let alone = edge.fleet(|fleet| fleet.alive(edge.now()).next().is_none());
         monoio::time::sleep(PUBLISH_INTERVAL.duration()).await;
@@ -165,7 +167,7 @@
     let topic = edge.dialect().topics.vms;
     match edge.store().append(topic, &me.vm, &value).await {
         Ok(offset) => {
-            log::info!(offset; "vm_published");
+            log::info!(offset:% = offset; "vm_published");
             true
         }
         Err(error) => {
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -19,11 +19,13 @@
 use super::feed::announce_config;
 use super::feed::announce_endpoints;
 use super::feed::apply_change;
+use super::feed::expect_rewrites;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::packed::PackedError;
 use crate::core::packed::pack;
 use crate::core::packed::unpack;
+use crate::core::position::Position;
 use crate::core::roster::Update;
 use crate::core::site::PackedConfig;
 use crate::io::http::HttpError;
@@ -110,8 +112,12 @@
 async fn fetch_news(edge: &Edge, peer: SocketAddr) -> Result<(), PeerError> {
     let version = edge.accepted(|accepted| accepted.version()).unwrap_or(0);
     let end = edge.roster(|roster| roster.end());
-    let target = format!("/news?from={end}");
-    let timeout = if end == 0 { LIST_TIMEOUT } else { NEWS_TIMEOUT };
+    let target = format!("/news?from={}", end.number());
+    let timeout = if end == Position::default() {
+        LIST_TIMEOUT
+    } else {
+        NEWS_TIMEOUT
+    };
     let response = get(edge, peer, &target, timeout).await?;
     let news: News = if response.headers.get(CONTENT_ENCODING) == Some(&DEFLATE) {
         unpack(&response.body)?
@@ -124,7 +130,7 @@
         let response = get(edge, peer, "/site", LIST_TIMEOUT).await?;
         let packed = PackedConfig(response.body);
         let offer = edge.accepted(|accepted| accepted.offer_packed(packed))?;
-        announce_config(edge, offer, "peer", 0);
+        announce_config(edge, offer, "peer", Position::default());
     }
     Ok(())
 }
@@ -144,6 +150,7 @@
     let now = edge.now();
     let end = news.endpoints.end;
     let whole = news.endpoints.whole;
+    expect_rewrites(edge, end);
     let changes = edge.roster(|roster| roster.expand(news.endpoints));
     for change in changes {
         apply_change(edge, now, change);
@@ -157,8 +164,10 @@
 /// Answers a VM's question for news. A list of all endpoints is packed if the asking VM accepts
 /// that, which earlier releases do not.
 pub fn answer(edge: &Edge, request: &Request) -> Response {
-    let from = request.query("from").and_then(|text| text.parse().ok());
-    let from = from.unwrap_or(0);
+    let from = request
+        .query("from")
+        .and_then(|text| text.parse::<u64>().ok());
+    let from = from.map(Position::from).unwrap_or_default();
     let is_whole = edge.roster(|roster| roster.needs_full_list(from));
     let accepts_packed = request.headers.get(ACCEPT_ENCODING) == Some(&DEFLATE);
     if !is_whole || !accepts_packed {
@@ -189,7 +198,7 @@
     {
         return Ok(known.body);
     }
-    let body = pack(&news_since(edge, 0))?;
+    let body = pack(&news_since(edge, Position::default()))?;
     let packed = PackedNews {
         version,
         at: now,
@@ -199,8 +208,8 @@
     Ok(body)
 }
 
-/// Returns the news for a VM that knows the endpoints' changes before offset `from`.
-fn news_since(edge: &Edge, from: u64) -> News {
+/// Returns the news for a VM that knows the endpoints' changes before `from`.
+fn news_since(edge: &Edge, from: Position) -> News {
     News {
         version: edge.accepted(|accepted| accepted.version()).unwrap_or(0),
         endpoints: edge.roster(|roster| roster.changes_since(from)),
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -150,8 +150,10 @@
     let vm = edge.settings().vm.clone();
     match edge.store().append(topic, "holder", vm.as_bytes()).await {
         Ok(offset) => {
-            log::info!(fence = offset + 1; "term_taken");
-            leader.fence = Some(offset + 1);
+            // Never 0, and higher than every token of an earlier era of the store.
+            let fence = offset.next().number();
+            log::info!(fence, offset:% = offset; "term_taken");
+            leader.fence = Some(fence);
         }
         Err(error) => log::warn!(error:% = error; "term_not_taken"),
     }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -22,6 +22,7 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
 use crate::core::poison::SuspectTable;
+use crate::core::position::Position;
 use crate::core::roster::Roster;
 use crate::core::site::ActiveConfig;
 use crate::core::site::SiteConfig;
@@ -75,7 +76,7 @@
             heartbeat: 0,
             ready: false,
             version: 0,
-            roster_end: 0,
+            roster_end: Position::default(),
             has_store: false,
             load: 0,
         };
@@ -140,6 +141,13 @@
         &self.inner.metrics
     }
 
+    /// Returns the newest era of the store that this VM knows of, from the store's answers or from
+    /// other VMs.
+    pub fn store_era(&self) -> u64 {
+        let known = self.roster(|roster| roster.end());
+        self.inner.store.era().max(known.era())
+    }
+
     /// Returns the configuration in force, or `None` before the first one.
     pub fn site(&self) -> Option<Rc<SiteConfig>> {
         self.inner.accepted.borrow().site()
@@ -268,7 +276,7 @@
 
     /// Returns whether the VM has a configuration and has read endpoints.
     pub fn is_synced(&self) -> bool {
-        self.site().is_some() && self.roster(|roster| roster.end()) > 0
+        self.site().is_some() && self.roster(|roster| roster.end()) > Position::default()
     }
 
     /// Returns whether the VM serves callers: it has a configuration, the store has answered, and
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's store: the only code that calls it.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -12,6 +13,7 @@
 use super::dialect::KeyedRecord;
 use super::dialect::Tail;
 use crate::clock::Millis;
+use crate::core::position::Position;
 use crate::io::http::HttpError;
 use crate::io::http::Request;
 use crate::io::http::Response;
@@ -30,6 +32,16 @@
     /// The response has an error status or cannot be parsed.
     #[display("{_0}")]
     Dialect(DialectError),
+    /// The response is from before the store came back from an older copy, or the store came back
+    /// between two responses that belong together.
+    #[display("the answer is of era {era} of the store, now in era {known}")]
+    #[from(skip)]
+    Era {
+        /// The era of the answer.
+        era: u64,
+        /// The newest era known.
+        known: u64,
+    },
 }
 
 /// A client of the platform's store; clones share its connections.
@@ -38,6 +50,7 @@
     addr: SocketAddr,
     pool: Pool,
     dialect: Rc<Dialect>,
+    era: Rc<Cell<u64>>,
 }
 
 impl Store {
@@ -47,39 +60,64 @@
             addr,
             pool,
             dialect,
+            era: Rc::default(),
         }
     }
 
-    /// Reads a topic from an offset on, waiting up to `wait` for the first record.
+    /// Returns the newest era of the store that it has answered in.
+    pub fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    /// Reads a topic from a position on, waiting up to `wait` for the first record. A position of an
+    /// earlier era counts as truncated: its offset may have been given out again.
     ///
     /// # Errors
     ///
     /// Fails if the store does not answer in time, refuses the call, or its response cannot be
     /// parsed.
-    pub async fn tail(&self, topic: &str, from: u64, wait: Millis) -> Result<Tail, StoreError> {
-        let request = (self.dialect.tail_request)(topic, from, wait);
-        let response = self.call(&request, wait + CALL_TIMEOUT).await?;
+    pub async fn tail(
+        &self,
+        topic: &str,
+        from: Position,
+        wait: Millis,
+    ) -> Result<Tail, StoreError> {
+        if from.era() < self.era() {
+            return Ok(Tail::Truncated);
+        }
+        let request = (self.dialect.tail_request)(topic, from.offset(), wait);
+        let (response, era) = self.call(&request, wait + CALL_TIMEOUT).await?;
+        if from.era() < era {
+            return Ok(Tail::Truncated);
+        }
         Ok((self.dialect.parse_tail)(&response, from)?)
     }
 
-    /// Reads the newest record of each key, and the offset to continue from with [`Self::tail`].
+    /// Reads the newest record of each key, and the position to continue from with [`Self::tail`].
     ///
-    /// The pages are not a snapshot, so the offset is that of the first page: a record written
+    /// The pages are not a snapshot, so the position is that of the first page: a record written
     /// while the pages were read is then read again.
     ///
     /// # Errors
     ///
-    /// As [`Self::tail`].
-    pub async fn newest(&self, topic: &str) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+    /// As [`Self::tail`], and if the era changes between two pages.
+    pub async fn newest(&self, topic: &str) -> Result<(Vec<KeyedRecord>, Position), StoreError> {
         let mut records = Vec::new();
         let mut after = None;
         let mut end = None;
         loop {
             let request = (self.dialect.newest_request)(topic, after.as_deref());
-            let response = self.call(&request, CALL_TIMEOUT).await?;
-            let page = (self.dialect.parse_page)(&response)?;
+            let (response, era) = self.call(&request, CALL_TIMEOUT).await?;
+            let page = (self.dialect.parse_page)(&response, era)?;
             records.extend(page.records);
             let first = *end.get_or_insert(page.end);
+            if first.era() != era {
+                let known = self.era();
+                return Err(StoreError::Era {
+                    era: first.era(),
+                    known,
+                });
+            }
             match page.cursor {
                 Some(key) => after = Some(key),
                 None => return Ok((records, first)),
@@ -87,20 +125,51 @@
         }
     }
 
-    /// Appends a record under a key and returns its offset.
+    /// Appends a record under a key and returns its position.
     ///
     /// # Errors
     ///
     /// As [`Self::tail`]; the record may have been appended, or may still be.
-    pub async fn append(&self, topic: &str, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+    pub async fn append(
+        &self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Position, StoreError> {
         let request = (self.dialect.append_request)(topic, key, value);
-        let response = self.call(&request, CALL_TIMEOUT).await?;
-        Ok((self.dialect.parse_append)(&response)?)
+        let (response, era) = self.call(&request, CALL_TIMEOUT).await?;
+        Ok(Position::new(era, (self.dialect.parse_append)(&response)?))
     }
 
-    async fn call(&self, request: &Request, timeout: Millis) -> Result<Response, StoreError> {
+    /// Calls the store; returns the response and the era that it states.
+    async fn call(
+        &self,
+        request: &Request,
+        timeout: Millis,
+    ) -> Result<(Response, u64), StoreError> {
         let conn = self.pool.get(self.addr).await?;
         let response = self.pool.call_on(self.addr, conn, request, timeout).await?;
-        Ok(response)
+        let era = self.record_era(&response)?;
+        Ok((response, era))
+    }
+
+    /// Returns the era that an answer states; one that states none is of the era known.
+    fn record_era(&self, response: &Response) -> Result<u64, StoreError> {
+        let known = self.era();
+        let Some(text) = response.header(&self.dialect.headers.store_era) else {
+            return Ok(known);
+        };
+        let Ok(era) = text.parse::<u64>() else {
+            log::warn!(dependency = "store", era = text, known; "era_ignored");
+            return Ok(known);
+        };
+        if era < known {
+            return Err(StoreError::Era { era, known });
+        }
+        if era > known {
+            log::warn!(dependency = "store", era, known; "store_came_back_older");
+            self.era.set(era);
+        }
+        Ok(era)
     }
 }
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -17,6 +17,7 @@
 use crate::clock::Millis;
 use crate::core::pipe::Part;
 use crate::core::pipe::Span;
+use crate::core::position::Position;
 use crate::edge::dialect::ControlQuery;
 use crate::edge::dialect::Dialect;
 use crate::edge::dialect::DialectError;
@@ -75,6 +76,7 @@
             team: name("team"),
             signature: name("signature"),
             not_run: name("not-run"),
+            store_era: name("era"),
             leaving: name("leaving"),
             path: name("path"),
             faulty_addr: name("fault"),
@@ -99,20 +101,26 @@
         tail_request: |topic, from, wait| {
             get(&format!("/tail?topic={topic}&from={from}&wait={}", wait.0))
         },
-        parse_tail: |response, _| {
+        parse_tail: |response, from| {
+            if response.status == StatusCode::GONE {
+                return Ok(Tail::Truncated);
+            }
+            let era = from.era();
             let read = parse_records(response)?;
+            let records = read.records.iter().map(|record| keyed_record(record, era));
             Ok(Tail::Records(
-                read.records.iter().map(keyed_record).collect(),
-                read.end,
+                records.collect(),
+                Position::new(era, read.end),
             ))
         },
         newest_request: |topic, _| get(&format!("/newest?topic={topic}")),
-        parse_page: |response| {
+        parse_page: |response, era| {
             let read = parse_records(response)?;
+            let records = read.records.iter().map(|record| keyed_record(record, era));
             Ok(Page {
-                records: read.records.iter().map(keyed_record).collect(),
+                records: records.collect(),
                 cursor: None,
-                end: read.end,
+                end: Position::new(era, read.end),
             })
         },
         append_request: |topic, key, value| {
@@ -191,11 +199,11 @@
     Ok(response.parse()?)
 }
 
-fn keyed_record(record: &Record) -> KeyedRecord {
+fn keyed_record(record: &Record, era: u64) -> KeyedRecord {
     KeyedRecord {
         key: record.key.clone(),
         value: value(record),
-        offset: record.offset,
+        offset: Position::new(era, record.offset),
     }
 }
 
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -46,6 +48,7 @@
 pub struct Store {
     topics: Rc<RefCell<BTreeMap<String, Vec<Record>>>>,
     silent: Rc<Cell<bool>>,
+    era: Rc<Cell<u64>>,
     calls: Rc<Cell<u64>>,
 }
 
@@ -71,6 +74,18 @@
         self.silent.set(away);
     }
 
+    /// Comes back from a copy in which these topics end earlier; their later records are lost, and
+    /// their offsets are given out again.
+    pub fn fall(&self, ends: &[(&str, usize)]) {
+        let mut topics = self.topics.borrow_mut();
+        for (topic, end) in ends {
+            if let Some(records) = topics.get_mut(*topic) {
+                records.truncate(*end);
+            }
+        }
+        self.era.set(self.era.get() + 1);
+    }
+
     /// Returns the number of calls received so far.
     pub fn calls(&self) -> u64 {
         self.calls.get()
@@ -112,13 +127,27 @@
             (&Method::GET, "/tail") => {
                 let from = number("from").unwrap_or(0);
                 let wait = Millis(number("wait").unwrap_or(0));
-                Response::json(StatusCode::OK, &self.tail(topic, from, wait).await)
+                if from > self.end(topic) {
+                    Response::new(StatusCode::GONE)
+                } else {
+                    Response::json(StatusCode::OK, &self.tail(topic, from, wait).await)
+                }
             }
             _ => Response::new(StatusCode::NOT_FOUND),
         };
+        let mut response = response;
+        let era = HeaderValue::from(self.era.get());
+        response.headers.insert(HeaderName::from_static("era"), era);
         Reply::Response(response)
     }
 
+    /// Returns the offset after the last record of a topic.
+    #[must_use]
+    pub fn end(&self, topic: &str) -> u64 {
+        let topics = self.topics.borrow();
+        topics.get(topic).map_or(0, |records| records.len() as u64)
+    }
+
     fn newest(&self, topic: &str) -> Records {
         let topics = self.topics.borrow();
         let Some(records) = topics.get(topic) else {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -572,6 +572,66 @@
     });
 }
 
+#[test]
+fn a_store_that_comes_back_older_reverts_neither_leavings_nor_the_configuration() {
+    run(async |world: Rc<World>| {
+        let ends = [
+            ("endpoints", world.store.end("endpoints") as usize),
+            ("operator", world.store.end("operator") as usize),
+        ];
+        let old_version = world.version.get();
+        let leaving = world.plain_endpoints()[0];
+        world
+            .endpoints
+            .with_endpoint(leaving, |endpoint| endpoint.entry.leaving = true);
+        world.configure(&["red", "blue"], "/post/");
+        sleep(APPLY_BOUND).await;
+        world.store.fall(&ends);
+        for _ in 0..20 {
+            sleep(Millis(100)).await;
+            let before = world.ran_at(leaving);
+            for vm in 0..3 {
+                let answer = world.call(vm, "/post/a", "blue-key").await;
+                assert_eq!(answer.status, StatusCode::OK, "the new key on VM {vm}");
+            }
+            assert_eq!(world.ran_at(leaving), before, "the endpoint has left");
+        }
+        let versions: Vec<_> = world.edges.iter().map(Edge::site).collect();
+        for site in versions {
+            assert!(site.expect("a configuration").version > old_version);
+        }
+    });
+}
+
+#[test]
+fn changes_after_a_fall_of_the_store_are_read_and_orders_are_accepted() {
+    run(async |world: Rc<World>| {
+        let fences = |world: &World| {
+            let list = world.endpoints.list();
+            list.iter().map(|endpoint| endpoint.fence).max()
+        };
+        let before = fences(&world);
+        world
+            .store
+            .fall(&[("endpoints", 0), ("operator", 0), ("terms", 0)]);
+        world.publish_entries();
+        world.configure(&["red", "blue"], "/post/");
+        sleep(APPLY_BOUND).await;
+        for vm in 0..3 {
+            let answer = world.call(vm, "/post/a", "blue-key").await;
+            assert_eq!(answer.status, StatusCode::OK, "the new key on VM {vm}");
+        }
+        let engine = world.later_engine();
+        world.endpoints.crash(engine);
+        world.wait_for_placement().await;
+        sleep(Millis::seconds(2)).await;
+        world.wait_for_placement().await;
+        world.check_streams().await;
+        assert!(fences(&world) >= before);
+        assert!(world.store.end("vms") > 0, "the VMs' records");
+    });
+}
+
 #[test]
 fn streams_and_plain_requests_are_served_and_others_refused() {
     run(async |world: Rc<World>| {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,6 +9,7 @@
 use cornelwharf::core::fleet::HEARTBEAT_INTERVAL;
 use cornelwharf::core::fleet::Member;
 use cornelwharf::core::fleet::Message;
+use cornelwharf::core::position::Position;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -32,7 +33,7 @@
         heartbeat: 0,
         ready: true,
         version: 0,
-        roster_end: 0,
+        roster_end: Position::default(),
         has_store: true,
         load: 0,
     }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -4,6 +4,7 @@
 
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Span;
+use cornelwharf::core::position::Position;
 use cornelwharf::core::roster::Change;
 use cornelwharf::core::roster::Entry;
 use cornelwharf::core::roster::Health;
@@ -33,7 +34,7 @@
 fn change(offset: u64, entry: Entry) -> Change {
     Change {
         endpoint: entry.endpoint.clone(),
-        offset,
+        offset: Position::from(offset),
         entry: Some(entry),
     }
 }
@@ -41,7 +42,7 @@
 fn removal(offset: u64, name: &str) -> Change {
     Change {
         endpoint: name.into(),
-        offset,
+        offset: Position::from(offset),
         entry: None,
     }
 }
@@ -131,7 +132,7 @@
     let mut roster = Roster::default();
     roster.apply(NOW, change(1, entry("a", 1)));
     roster.apply(NOW, change(2, entry("b", 1)));
-    for gone in roster.removals(&["b".into()], 3) {
+    for gone in roster.removals(&["b".into()], Position::from(3)) {
         roster.apply(NOW, gone);
     }
     assert_eq!(serving(&roster, NOW), ["b"]);
@@ -152,10 +153,10 @@
     let mut roster = Roster::default();
     roster.apply(NOW, change(1, entry("a", 1)));
     roster.apply(NOW, removal(2, "a"));
-    roster.advance(3);
+    roster.advance(Position::from(3));
     let mut peer = Roster::default();
     peer.apply(NOW, change(1, entry("a", 1)));
-    peer.advance(2);
+    peer.advance(Position::from(2));
     send_update(&roster, &mut peer);
     assert!(serving(&peer, NOW).is_empty());
 }
@@ -164,12 +165,12 @@
 fn update_after_a_full_list_still_removes_endpoints() {
     let mut fresh = Roster::default();
     fresh.apply(NOW, change(2, entry("b", 1)));
-    fresh.record_full_list(4);
-    fresh.advance(4);
+    fresh.record_full_list(Position::from(4));
+    fresh.advance(Position::from(4));
     let mut peer = Roster::default();
     peer.apply(NOW, change(1, entry("a", 1)));
     peer.apply(NOW, change(2, entry("b", 1)));
-    peer.advance(3);
+    peer.advance(Position::from(3));
     send_update(&fresh, &mut peer);
     assert_eq!(serving(&peer, NOW), ["b"]);
 }
@@ -180,12 +181,12 @@
     roster.apply(NOW, change(1, entry("a", 1)));
     roster.apply(NOW, change(2, entry("b", 1)));
     roster.apply(NOW, removal(3, "a"));
-    roster.advance(4);
+    roster.advance(Position::from(4));
     roster.sweep(NOW + Millis::seconds(600));
     let mut peer = Roster::default();
     peer.apply(NOW, change(1, entry("a", 1)));
     peer.apply(NOW, change(2, entry("b", 1)));
-    peer.advance(3);
+    peer.advance(Position::from(3));
     send_update(&roster, &mut peer);
     assert_eq!(serving(&peer, NOW), ["b"]);
 }
@@ -301,7 +302,7 @@
 fn rewritten_entry_without_a_difference_is_not_sent() {
     let mut reader = Roster::default();
     assert!(reader.apply(NOW, change(1, entry("a", 1))));
-    reader.advance(2);
+    reader.advance(Position::from(2));
     let mut other = Roster::default();
     send_update(&reader, &mut other);
     for beat in 2..50 {
@@ -313,7 +314,7 @@
         "older than what is known"
     );
     assert!(reader.apply(NOW, removal(50, "a")));
-    reader.advance(51);
+    reader.advance(Position::from(51));
     assert_eq!(reader.changes_since(other.end()).changes.len(), 1);
     send_update(&reader, &mut other);
     assert!(serving(&other, NOW).is_empty());
@@ -377,3 +378,70 @@
         assert_eq!(parse_pause(text), Err(PauseError), "{text}");
     }
 }
+
+fn change_in(era: u64, offset: u64, entry: Entry) -> Change {
+    Change {
+        offset: Position::new(era, offset),
+        ..change(0, entry)
+    }
+}
+
+#[test]
+fn an_endpoint_that_left_stays_left_when_the_stores_older_copy_lists_it() {
+    let leaving = Entry {
+        leaving: true,
+        ..entry("a", 1)
+    };
+    for last in [Some(leaving), None] {
+        let mut roster = Roster::default();
+        roster.apply(NOW, change_in(0, 1, entry("a", 1)));
+        let end = Change {
+            entry: last.clone(),
+            ..change_in(0, 9, entry("a", 1))
+        };
+        roster.apply(NOW, end);
+        roster.record_store_return(NOW);
+        roster.apply(NOW, change_in(1, 1, entry("a", 1)));
+        assert!(serving(&roster, NOW).is_empty(), "{last:?}");
+    }
+}
+
+#[test]
+fn a_leaving_that_is_written_again_at_a_lower_offset_is_applied() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change_in(0, 900, entry("a", 1)));
+    roster.advance(Position::new(0, 901));
+    let leaving = Entry {
+        leaving: true,
+        ..entry("a", 1)
+    };
+    assert!(roster.apply(NOW, change_in(1, 12, leaving)));
+    assert!(serving(&roster, NOW).is_empty());
+    roster.advance(Position::new(1, 13));
+    assert_eq!(roster.end(), Position::new(1, 13));
+}
+
+#[test]
+fn an_endpoint_that_the_older_copy_lacks_is_used_until_it_is_written_again() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change_in(0, 7, entry("a", 1)));
+    roster.record_store_return(NOW);
+    for gone in roster.removals(&[], Position::new(1, 3)) {
+        roster.apply(NOW, gone);
+    }
+    assert_eq!(serving(&roster, NOW), ["a"]);
+    assert!(serving(&roster, NOW + LAPSE_GRACE).is_empty(), "it is gone");
+    roster.apply(NOW, change_in(1, 4, entry("a", 1)));
+    assert_eq!(serving(&roster, NOW), ["a"]);
+}
+
+#[test]
+fn an_endpoint_removed_before_a_fall_is_used_once_it_has_written_again() {
+    let mut roster = Roster::default();
+    roster.apply(NOW, change_in(0, 1, entry("a", 1)));
+    roster.apply(NOW, removal(2, "a"));
+    roster.apply(NOW, change_in(1, 1, entry("a", 1)));
+    assert!(serving(&roster, NOW).is_empty());
+    assert!(roster.apply(NOW, change_in(1, 5, entry("a", 1))));
+    assert_eq!(serving(&roster, NOW), ["a"]);
+}
