--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug)]
 struct EndpointState {
     change: Change,
-    /// The offset at which the entry last differed from the one before. Endpoints rewrite their
+    /// The position at which the entry last differed from the one before. Endpoints rewrite their
     /// entries periodically; a rewrite without a difference is not passed on.
     changed_offset: Position,
     changed_at: Millis,
@@ -281,7 +281,7 @@
     }
 
     /// Returns whether a VM that knows every change before `from` needs the full list, since
-    /// removals after that offset may be missing here.
+    /// removals after that position may be missing here.
     pub fn needs_full_list(&self, from: Position) -> bool {
         from < self.removals_from
     }
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -94,7 +94,7 @@
     pub vms: &'static str,
     /// The topic to which VMs write the requests that are barred, keyed by content.
     pub bars: &'static str,
-    /// The topic from whose offsets placement leaders take their fencing tokens.
+    /// The topic from whose positions placement leaders take their fencing tokens.
     pub terms: &'static str,
 }
 
@@ -109,7 +109,7 @@
     pub offset: Position,
 }
 
-/// The result of reading a topic from an offset on.
+/// The result of reading a topic from a position on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Tail {
     /// The records, and the position to read from next.
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -45,7 +45,7 @@
 /// How long a peer that did not answer is not asked again.
 const PEER_RETRY_DELAY: Millis = Millis(2000);
 /// How long a packed list of all endpoints serves every VM that asks for it. After a restart of the
-/// fleet hundreds of VMs ask at once, and packing thousands of entries takes a small VM 0.1 s.
+/// fleet hundreds of VMs ask at once, and a small VM cannot pack thousands of entries for each.
 const PACKED_TTL: Millis = Millis(500);
 /// The coding of a packed body, in HTTP's terms.
 const DEFLATE: HeaderValue = HeaderValue::from_static("deflate");
@@ -62,7 +62,7 @@
     /// The news cannot be parsed.
     #[display("{_0}")]
     Json(serde_json::Error),
-    /// The response is not a packed configuration.
+    /// The response is not a packed list or configuration.
     #[display("{_0}")]
     Packed(PackedError),
 }
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -12,8 +12,8 @@
 use crate::core::roster::Entry;
 use crate::names::EndpointName;
 
-/// The most orders that wait for an answer at once. A small VM that calls hundreds of engines at
-/// once answers none of them within the timeout of a call, and no layers are placed.
+/// The most orders that wait for an answer at once. Of hundreds of calls begun at once, a small VM
+/// completes only a part within the timeout of a call, and the other engines stay empty.
 const MAX_OPEN_ORDERS: usize = 16;
 
 /// An order that the leader decided on.
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -443,8 +443,7 @@
 
 #[test]
 fn a_leader_of_many_engines_calls_few_of_them_at_once() {
-    /// With more than 20 from a VM with an eighth of a core, calls take longer than their timeout.
-    /// Each of the three VMs leads until it has heard of the others.
+    /// 20 for each of the three VMs, which all lead until they have heard of each other.
     const MOST_CALLS: usize = 3 * 20;
     runtime::run(async {
         let world = World::start_with(90, Millis(30)).await;
