Log the parts of the prompt with each crash, and how far the run had come

The dialect reads the parts of a prompt but the last, which belongs to one request; no decision uses them yet.

--- a/src/core/poison/mod.rs
+++ b/src/core/poison/mod.rs
@@ -10,6 +10,7 @@
 mod digest;
 mod history;
 mod message;
+mod part;
 mod permit;
 mod rank;
 mod running;
@@ -29,6 +30,7 @@
 pub use message::PermitReturn;
 pub use message::SuspectGossip;
 pub use message::SuspectRecord;
+pub use part::PartDigest;
 pub use permit::PERMIT_TTL;
 pub use rank::NodeHash;
 pub use rank::SHORTLIST_LEN;
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -13,6 +13,7 @@
 use super::retry;
 use super::state::Edge;
 use super::suspect;
+use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::attempt::Ending;
 use crate::core::attempt::NextStep;
@@ -171,7 +172,11 @@
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "attempt_broke");
             edge.pool().clear(entry.addr);
             let endpoint = (entry.endpoint.clone(), entry.addr);
-            suspect::check_endpoints(edge, ctx, &[endpoint]).await;
+            let progress = RunProgress {
+                has_begun: true,
+                events: 0,
+            };
+            suspect::check_endpoints(edge, ctx, progress, &[endpoint]).await;
             return outcome;
         }
         Err(_) => {
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -189,6 +189,9 @@
     pub topics: Topics,
     /// Returns the API key of a request from its headers.
     pub api_key: fn(&Request) -> Option<&str>,
+    /// Returns the ids of the parts of a request's prompt that other requests share, in order. The
+    /// last part belongs to the request or its session alone and is left out.
+    pub shared_parts: fn(&Request) -> Vec<&str>,
     /// Parses a control request; `None` if it is not one.
     pub parse_query: fn(&Request) -> Option<ControlQuery>,
     /// Builds the response with the addresses for callers, which they may cache for the given time.
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -17,6 +17,7 @@
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
+use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::site::Route;
 use crate::core::site::RouteError;
@@ -65,6 +66,8 @@
     pub id: String,
     /// Identifies the request's content, in whichever attempt and on whichever VM.
     pub content: RequestDigest,
+    /// The parts of the prompt that other requests share, in order.
+    pub parts: Vec<PartDigest>,
     /// The configuration that was in force when the request arrived.
     pub site: Rc<SiteConfig>,
     /// The route that matches the request.
@@ -220,6 +223,7 @@
     let ctx = RequestContext {
         id,
         content: content_digest(&request, team.as_ref()),
+        parts: part_digests(edge, &request, &service),
         service,
         team,
         priority,
@@ -253,6 +257,12 @@
     RequestDigest::of_call(team, request.method.as_str(), path, &request.body)
 }
 
+fn part_digests(edge: &Edge, request: &Request, service: &ServiceName) -> Vec<PartDigest> {
+    let ids = (edge.dialect().shared_parts)(request);
+    let digests = ids.into_iter().map(|id| PartDigest::of(service, id));
+    digests.collect()
+}
+
 /// Sends a complete response and records it in the metrics.
 pub async fn respond(
     edge: &Edge,
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -9,6 +9,7 @@
 use super::retry;
 use super::state::Edge;
 use super::suspect;
+use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
 use crate::core::admit::Occupancy;
@@ -61,8 +62,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Run {
     start: Millis,
-    /// The events that the path has produced.
-    events: u32,
+    progress: RunProgress,
     /// Whether the path's engines were checked for a crash.
     is_checked: bool,
 }
@@ -89,9 +89,14 @@
         };
     }
 
+    /// Records that the path began to answer.
+    pub fn record_head(&mut self) {
+        self.run.progress.has_begun = true;
+    }
+
     /// Records that the path produced an event.
     pub fn record_event(&mut self) {
-        self.run.events += 1;
+        self.run.progress.events += 1;
     }
 
     /// Records that the request's run ended without a crash of an engine.
@@ -108,7 +113,7 @@
     /// Returns whether the current run may have crashed an engine of its path that has failed, and
     /// was not checked yet. A path that has produced several events outlived the request's start.
     fn begin_check(&mut self) -> bool {
-        let is_due = self.run.events < SURVIVED_EVENTS && !self.run.is_checked;
+        let is_due = self.run.progress.events < SURVIVED_EVENTS && !self.run.is_checked;
         self.run.is_checked |= is_due;
         is_due
     }
@@ -117,7 +122,8 @@
     pub async fn check_first(&mut self, path: &[Part]) {
         if let Some(first) = path.first().filter(|_| self.begin_check()) {
             let first = (first.endpoint.clone(), first.addr);
-            suspect::check_endpoints(self.edge, self.ctx, &[first]).await;
+            let progress = self.run.progress;
+            suspect::check_endpoints(self.edge, self.ctx, progress, &[first]).await;
         }
     }
 
@@ -125,7 +131,10 @@
     fn spawn_check(&mut self, silent: Vec<(EndpointName, SocketAddr)>) {
         if self.begin_check() {
             let (edge, ctx) = (self.edge.clone(), self.ctx.clone());
-            monoio::spawn(async move { suspect::check_endpoints(&edge, &ctx, &silent).await });
+            let progress = self.run.progress;
+            monoio::spawn(async move {
+                suspect::check_endpoints(&edge, &ctx, progress, &silent).await;
+            });
         }
     }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -228,6 +228,7 @@
     if let Some(ended) = check_head(selector, progress, &first, &response) {
         return ended;
     }
+    selector.record_head();
     if !response.status.is_success() {
         selector.record_completion();
     }
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -9,6 +9,7 @@
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::Incident;
+use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::poison::SuspectGossip;
 use crate::core::poison::SuspectStatus;
@@ -24,6 +25,22 @@
 /// The interval at which expired records are removed.
 const EXPIRY_INTERVAL: Millis = Millis::seconds(60);
 
+/// How far a run had come when its endpoint failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunProgress {
+    /// Whether the endpoint had begun to answer. It is assumed of plain endpoints, whose answers are
+    /// read whole.
+    pub has_begun: bool,
+    /// The events that the path had produced.
+    pub events: u32,
+}
+
+/// Formats parts of a prompt for logs.
+fn format_parts(parts: &[PartDigest]) -> String {
+    let parts = parts.iter().map(PartDigest::to_string);
+    parts.collect::<Vec<_>>().join(",")
+}
+
 /// Returns how long a request's content is still barred; `None` if it may run.
 pub fn barred_for(edge: &Edge, content: &RequestDigest) -> Option<Millis> {
     let now = edge.now();
@@ -42,18 +59,21 @@
 pub async fn check_endpoints(
     edge: &Edge,
     ctx: &RequestContext,
+    progress: RunProgress,
     endpoints: &[(EndpointName, SocketAddr)],
 ) {
     for (endpoint, addr) in endpoints {
         match within(CHECK_TIMEOUT, Conn::dial(*addr)).await {
             Ok(Ok(conn)) => edge.pool().put(*addr, conn),
-            Ok(Err(error)) if is_refusal(&error) => return record_crash(edge, ctx, endpoint),
+            Ok(Err(error)) if is_refusal(&error) => {
+                return record_crash(edge, ctx, progress, endpoint);
+            }
             Ok(Err(_)) | Err(_) => {}
         }
     }
 }
 
-fn record_crash(edge: &Edge, ctx: &RequestContext, endpoint: &EndpointName) {
+fn record_crash(edge: &Edge, ctx: &RequestContext, progress: RunProgress, endpoint: &EndpointName) {
     let now = edge.now();
     let boot = edge.roster(|roster| roster.born(endpoint)).unwrap_or(0);
     let incident = Incident {
@@ -65,7 +85,9 @@
     let was_barred = barred_for(edge, &ctx.content).is_some();
     edge.suspects(|suspects| suspects.record_crash(now, ctx.content, incident));
     let content = ctx.content.short();
-    log::info!(id = ctx.id, content, endpoint:% = endpoint, boot; "endpoint_crashed");
+    let parts = format_parts(&ctx.parts);
+    let RunProgress { has_begun, events } = progress;
+    log::info!(id = ctx.id, content, parts, endpoint:% = endpoint, boot, has_begun, events; "endpoint_crashed");
     edge.metrics().count_crash();
     edge.trigger_gossip();
     if let Some(wait) = barred_for(edge, &ctx.content).filter(|_| !was_barred) {
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -94,6 +94,7 @@
             terms: "terms",
         },
         api_key: |request| request.header(&HeaderName::from_static("key")),
+        shared_parts,
         parse_query,
         addresses_response: |list, _| Response::json(StatusCode::OK, &list),
         parse_site: |bytes| Ok(serde_json::from_slice(bytes)?),
@@ -154,6 +155,13 @@
     HeaderValue::from_str(&format_path(parts)).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
+fn shared_parts(request: &Request) -> Vec<&str> {
+    let list = request.header(&HeaderName::from_static("parts"));
+    let mut parts: Vec<&str> = list.map_or_else(Vec::new, |list| list.split(',').collect());
+    parts.pop();
+    parts
+}
+
 fn parse_query(request: &Request) -> Option<ControlQuery> {
     match request.uri.path() {
         "/ready" => Some(ControlQuery::Ready),
