--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -104,6 +105,10 @@
     running: Rc<RefCell<BTreeMap<String, Running>>>,
     /// The paths of requests that crash the endpoints that run them.
     crashing: Rc<RefCell<BTreeMap<String, CrashTarget>>>,
+    /// The parts of prompts that crash each endpoint that begins to answer on them.
+    crashing_parts: Rc<RefCell<BTreeSet<String>>>,
+    /// The ids of the requests with such a part that reached an endpoint, one entry per arrival.
+    crashing_arrivals: Rc<RefCell<Vec<String>>>,
     violations: Rc<RefCell<Vec<String>>>,
     reports: Rc<RefCell<Reports>>,
 }
@@ -125,6 +130,8 @@
             all: Rc::default(),
             running: Rc::default(),
             crashing: Rc::default(),
+            crashing_parts: Rc::default(),
+            crashing_arrivals: Rc::default(),
             violations: Rc::default(),
             reports: Rc::default(),
         }
@@ -193,6 +200,30 @@
         self.crashing.borrow_mut().insert(path.to_owned(), target);
     }
 
+    /// Has every request whose prompt has this part crash the endpoint that it is sent to, once that
+    /// begins to answer.
+    pub fn crash_on_part(&self, part: &str) {
+        self.crashing_parts.borrow_mut().insert(part.to_owned());
+    }
+
+    /// Returns the number of times that a request with such a part reached an endpoint.
+    #[must_use]
+    pub fn crashing_arrivals(&self) -> usize {
+        self.crashing_arrivals.borrow().len()
+    }
+
+    /// Returns which endpoint a request crashes, if any.
+    fn crash_target(&self, request: &Request) -> Option<CrashTarget> {
+        let list = header_text(&request.headers, "parts");
+        let parts = self.crashing_parts.borrow();
+        if list.split(',').any(|part| parts.contains(part)) {
+            let id = header_text(&request.headers, "request-id");
+            self.crashing_arrivals.borrow_mut().push(id);
+            return Some(CrashTarget::First);
+        }
+        self.crashing.borrow().get(request.uri.path()).copied()
+    }
+
     /// Crashes an endpoint, unless it is down.
     pub fn crash(&self, addr: SocketAddr) {
         self.with_endpoint(addr, |endpoint| {
@@ -281,7 +312,7 @@
                 (conn, Reply::Response(response))
             }
             _ if request.headers.contains_key("path") => self.stream(addr, &request, conn).await,
-            _ if self.crashing.borrow().contains_key(request.uri.path()) => {
+            _ if self.crash_target(&request).is_some() => {
                 self.answer_plain(addr, &request);
                 self.crash(addr);
                 (conn, Reply::Close)
@@ -427,7 +458,7 @@
             sign(&mut response.headers, &id);
             return (conn, Reply::Response(response));
         }
-        let target = self.crashing.borrow().get(request.uri.path()).copied();
+        let target = self.crash_target(request);
         let mut headers = HeaderMap::new();
         sign(&mut headers, &id);
         if self.with_endpoint(addr, |endpoint| endpoint.says_leaving) == Some(true) {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -51,7 +51,12 @@
 /// The number of endpoints under one request after whose end it may not run again (the users'
 /// rule on repeats).
 const CRASH_LIMIT: u32 = 3;
-/// The time after which that rule holds on every VM (the users' bound).
+/// The number of endpoints under one part of a prompt after whose end requests with that part may
+/// not run again (the users' rule on repeats).
+const PART_CRASH_LIMIT: u32 = 5;
+/// The number of requests with such a part that may reach endpoints nevertheless (the same rule).
+const PART_RUN_LIMIT: usize = 3;
+/// The time after which these rules hold on every VM (the users' bound).
 const CONTACT_SPAN: Millis = Millis::seconds(3);
 /// The window of the retry budget, as in the daemons' settings.
 const BUDGET_WINDOW: Millis = Millis::seconds(10);
@@ -209,7 +214,22 @@
     }
 
     async fn call_at(&self, front: SocketAddr, path: &str, key: &str) -> Answer {
-        let request = self.request(path, key);
+        self.send(front, self.request(path, key)).await
+    }
+
+    /// Sends a request whose prompt has these shared parts and one of its own. No two are alike.
+    async fn call_with_parts(&self, vm: usize, path: &str, parts: &str) -> Answer {
+        let mut request = self.request(path, "red-key");
+        let own = self.next_id.get();
+        let list = format!("{parts},own{own}").parse().expect("a value");
+        request
+            .headers
+            .insert(HeaderName::from_static("parts"), list);
+        request.body = format!("{{\"own\":{own}}}").into();
+        self.send(self.fronts[vm], request).await
+    }
+
+    async fn send(&self, front: SocketAddr, request: Request) -> Answer {
         let mut conn = Conn::dial(front).await.expect("a connection");
         conn.writer.request(&request).await.expect("sent");
         let head = conn.reader.response_head(false).await.expect("a head");
@@ -1072,3 +1092,79 @@
         check_crashing_request(world, "/post/crash", CrashTarget::First).await;
     });
 }
+
+/// Sends requests that share a part of their prompts which crashes endpoints, until five have
+/// crashed or no more requests run, and on for as long as a VM may take to learn of a crash; then
+/// nine more. Meanwhile a caller on each VM sends sound requests that share the other part.
+async fn check_crashing_part(world: Rc<World>, path: &'static str, parts: &str, guilty: &str) {
+    world.endpoints.crash_on_part(guilty);
+    let is_over = Rc::new(Cell::new(false));
+    let callers: Vec<_> = (0..world.fronts.len())
+        .map(|vm| {
+            let (world, is_over) = (Rc::clone(&world), Rc::clone(&is_over));
+            monoio::spawn(async move {
+                let mut turn = 0;
+                while !is_over.get() {
+                    let parts = format!("shared,subject{}", turn % 4);
+                    world.call_with_parts(vm, path, &parts).await;
+                    sleep(Millis(50)).await;
+                    turn += 1;
+                }
+            })
+        })
+        .collect();
+    sleep(Millis(500)).await;
+    let mut turn = 0;
+    let mut fifth = None;
+    while turn < 60 && fifth.is_none_or(|at| turn < at + CONTACT_SPAN.0 / 200) {
+        world.call_with_parts(turn as usize % 3, path, parts).await;
+        sleep(Millis(200)).await;
+        turn += 1;
+        if fifth.is_none() && world.endpoints.crash_count() >= PART_CRASH_LIMIT {
+            fifth = Some(turn);
+        }
+    }
+    let arrivals = world.endpoints.crashing_arrivals();
+    for turn in 0..9 {
+        world.wait_for_placement().await;
+        let answer = world.call_with_parts(turn % 3, path, parts).await;
+        assert!(answer.status != StatusCode::OK || !answer.whole);
+    }
+    let more = world.endpoints.crashing_arrivals() - arrivals;
+    assert!(
+        more <= PART_RUN_LIMIT,
+        "{more} requests ran after the fifth crash"
+    );
+    is_over.set(true);
+    for caller in callers {
+        caller.await;
+    }
+    world.wait_for_placement().await;
+    for turn in 0..12 {
+        let parts = format!("shared,subject{}", turn % 4);
+        let answer = world.call_with_parts(turn % 3, path, &parts).await;
+        assert_eq!(answer.status, StatusCode::OK, "{parts}: {}", answer.body);
+        assert!(answer.whole, "{parts}: {}", answer.body);
+    }
+}
+
+#[test]
+fn a_part_that_crashes_engines_is_refused_on_every_vm_and_sound_requests_are_not() {
+    run(async |world: Rc<World>| {
+        check_crashing_part(world, "/draft/1", "shared,guilty", "guilty").await;
+    });
+}
+
+#[test]
+fn a_first_part_that_crashes_engines_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        check_crashing_part(world, "/draft/1", "guilty,subject0", "guilty").await;
+    });
+}
+
+#[test]
+fn a_part_that_crashes_plain_endpoints_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        check_crashing_part(world, "/post/1", "shared,guilty", "guilty").await;
+    });
+}
