Bar parts of prompts that crash engines, on every VM

Cause: a request was recognized by its whole content (team, method, path, body). No two of these requests are alike, so each content had one crash or two, and none was barred.

Change: core/poison/verdict decides which parts are guilty, from crashes and surviving runs of all VMs. A crash is explained by the parts of the requests that had just begun to be answered there, without those known to survive; the part at hand at most crashes explains it best. Three crashes that a part explains better than all others bar it, five if others tie. Requests with it are refused at once on every VM, and are not repeated. While nothing survives, a harmless part that is at hand at each crash can't be told apart; such a bar allows two trials on the part's home VM.

A crash that a barred part explains no longer counts against contents.

--- a/src/core/poison/part.rs
+++ b/src/core/poison/part.rs
@@ -27,4 +27,9 @@
         let first = bytes.iter().take(size_of::<u64>());
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
+
+    /// Returns the key for rendezvous hashing.
+    pub const fn key(self) -> u64 {
+        self.0
+    }
 }
--- a/src/core/poison/rank.rs
+++ b/src/core/poison/rank.rs
@@ -23,8 +23,8 @@
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 
-    fn score(self, digest: &RequestDigest) -> u64 {
-        mix(self.0 ^ digest.key())
+    fn score(self, key: u64) -> u64 {
+        mix(self.0 ^ key)
     }
 }
 
@@ -38,8 +38,14 @@
 /// Returns the VM that grants the permits of a suspect, `None` only if `vms` is empty.
 #[must_use]
 pub fn home_vm<'a>(digest: &RequestDigest, vms: &'a [Vm]) -> Option<&'a Vm> {
+    home_of(digest.key(), vms)
+}
+
+/// Returns the first VM in the ranking for a key, `None` only if `vms` is empty.
+#[must_use]
+pub fn home_of(key: u64, vms: &[Vm]) -> Option<&Vm> {
     vms.iter()
-        .max_by_key(|vm| (NodeHash::of(vm).score(digest), vm.as_str()))
+        .max_by_key(|vm| (NodeHash::of(vm).score(key), vm.as_str()))
 }
 
 /// Returns the endpoints that may run a request, out of those that hold the same layers.
@@ -53,7 +59,7 @@
 {
     let mut best: Vec<(u64, &EndpointName)> = Vec::with_capacity(SHORTLIST_LEN + 1);
     for (name, node) in endpoints {
-        let entry = (node.score(digest), name);
+        let entry = (node.score(digest.key()), name);
         let at = best.partition_point(|held| *held > entry);
         if at < SHORTLIST_LEN {
             best.insert(at, entry);
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -10,6 +10,7 @@
 use super::forward::forward_request;
 use super::front::RequestContext;
 use super::notice;
+use super::parts;
 use super::retry;
 use super::state::Edge;
 use super::suspect;
@@ -85,11 +86,12 @@
         record_outcome(edge, &entry, &outcome);
         if matches!(outcome.ending, Ending::Answered(_)) {
             suspect::record_completion(edge, ctx, run_start);
+            parts::record_survival(edge, ctx);
         }
         sent += u32::from(outcome.sent);
         ran |= outcome.ending == Ending::Unknown;
         let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
-        let is_barred = suspect::barred_for(edge, &ctx.content).is_some();
+        let is_barred = suspect::is_barred(edge, ctx);
         let allowed =
             sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
         let has_other = allowed && pick_endpoint(edge, ctx, &tried).is_some();
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -13,6 +13,7 @@
 use super::ACCEPT_AFTER_STOP;
 use super::call;
 use super::forward;
+use super::parts;
 use super::relay;
 use super::state::Edge;
 use super::suspect;
@@ -234,9 +235,7 @@
         route,
     };
     edge.budget(&ctx.service, |budget| budget.record_request(start));
-    if let Some(wait) = suspect::barred_for(edge, &ctx.content) {
-        let content = ctx.content.short();
-        log::info!(id = ctx.id, content, version = ctx.site.version, route = ctx.route.name, retry_ms = wait.0, reason = "barred"; "refused");
+    if let Some(wait) = find_bar(edge, &ctx) {
         return respond(edge, conn, forward::refusal(wait), bodiless, start).await;
     }
     match ctx.route.kind {
@@ -248,6 +247,23 @@
     }
 }
 
+/// Returns how long a request is barred for the endpoints that its content or a part of its prompt
+/// crashed, and logs the refusal; `None` if it may run.
+fn find_bar(edge: &Edge, ctx: &RequestContext) -> Option<Millis> {
+    let (id, version, route) = (&ctx.id, ctx.site.version, &ctx.route.name);
+    if let Some(wait) = suspect::barred_for(edge, &ctx.content) {
+        let content = ctx.content.short();
+        log::info!(id, content, version, route, retry_ms = wait.0, reason = "barred"; "refused");
+        return Some(wait);
+    }
+    let (part, wait) = parts::find_barred(edge, ctx)?;
+    if parts::begin_trial(edge, ctx, part) {
+        return None;
+    }
+    log::info!(id, part:% = part, version, route, retry_ms = wait.0, reason = "part_barred"; "refused");
+    Some(wait)
+}
+
 fn content_digest(request: &Request, team: Option<&Team>) -> RequestDigest {
     let team = team.map_or("", Team::as_str);
     let path = request
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -6,12 +6,14 @@
 use monoio::net::udp::UdpSocket;
 
 use super::notice;
+use super::parts;
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
 use crate::core::fleet::HEARTBEAT_INTERVAL;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
+use crate::core::poison::PartRecord;
 use crate::core::poison::SuspectGossip;
 use crate::core::roster::LeavingNotice;
 use crate::io::timeout::within;
@@ -68,8 +70,8 @@
     edge.fleet(|fleet| fleet.receive(now, message));
 }
 
-/// Merges what follows a message, if anything does: requests that crashed endpoints, then endpoints
-/// that are leaving.
+/// Merges what follows a message, if anything does: requests that crashed endpoints, endpoints that
+/// are leaving, then parts of prompts that crashed endpoints.
 fn receive_records(edge: &Edge, bytes: &[u8]) {
     if bytes.is_empty() {
         return;
@@ -87,25 +89,45 @@
     if bytes.is_empty() {
         return;
     }
-    match postcard::from_bytes::<Vec<LeavingNotice>>(bytes) {
-        Ok(notices) => notice::receive(edge, &notices),
+    match postcard::take_from_bytes::<Vec<LeavingNotice>>(bytes) {
+        Ok((notices, rest)) => {
+            notice::receive(edge, &notices);
+            receive_parts(edge, rest);
+        }
         Err(error) => log::debug!(error:% = error; "notices_dropped"),
     }
 }
 
-/// Encodes a message. Requests that crashed endpoints follow it, and then endpoints that are leaving:
-/// VMs of earlier releases ignore what follows the part that they know.
-fn encode(
-    message: &Message,
-    suspects: &SuspectGossip,
-    notices: &[LeavingNotice],
-) -> postcard::Result<Vec<u8>> {
+fn receive_parts(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<Vec<PartRecord>>(bytes) {
+        Ok(records) => parts::receive(edge, records, "peer"),
+        Err(error) => log::debug!(error:% = error; "parts_dropped"),
+    }
+}
+
+/// What follows a message, in this order. VMs of earlier releases ignore what follows the sections
+/// that they know, and a section is left out only if no later one follows.
+struct Sections {
+    suspects: SuspectGossip,
+    notices: Vec<LeavingNotice>,
+    parts: Vec<PartRecord>,
+}
+
+fn encode(message: &Message, sections: &Sections) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(message)?;
-    if !suspects.records.is_empty() || !notices.is_empty() {
-        bytes = postcard::to_extend(suspects, bytes)?;
+    let has_parts = !sections.parts.is_empty();
+    let has_notices = !sections.notices.is_empty() || has_parts;
+    if !sections.suspects.records.is_empty() || has_notices {
+        bytes = postcard::to_extend(&sections.suspects, bytes)?;
     }
-    if !notices.is_empty() {
-        bytes = postcard::to_extend(notices, bytes)?;
+    if has_notices {
+        bytes = postcard::to_extend(&sections.notices, bytes)?;
+    }
+    if has_parts {
+        bytes = postcard::to_extend(&sections.parts, bytes)?;
     }
     Ok(bytes)
 }
@@ -119,8 +141,12 @@
             fleet.me().ready = ready;
             fleet.next_message(now, marks)
         });
-        let notices = notice::next_notices(&edge);
-        match encode(&message, &suspect::next_records(&edge), &notices) {
+        let sections = Sections {
+            suspects: suspect::next_records(&edge),
+            notices: notice::next_notices(&edge),
+            parts: parts::next_records(&edge),
+        };
+        match encode(&message, &sections) {
             Ok(bytes) => {
                 for addr in to {
                     let (result, _) = socket.send_to(bytes.clone(), addr).await;
@@ -131,7 +157,7 @@
             }
             Err(error) => log::error!(error:% = error; "message_not_encoded"),
         }
-        if edge.suspects(|suspects| suspects.has_news()) {
+        if edge.suspects(|suspects| suspects.has_news()) || edge.parts(|parts| parts.has_news()) {
             edge.trigger_gossip();
         }
         monoio::time::sleep(MIN_INTERVAL.duration()).await;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -23,6 +23,7 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     crashes: Counter<u64>,
+    part_bars: Counter<u64>,
     notices: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
@@ -43,6 +44,7 @@
             attempts: counter("edge_attempts", "Attempts at endpoints, by outcome."),
             retries: counter("edge_retries", "Retries asked of the budget, by outcome."),
             crashes: counter("edge_crashes", "Endpoints that crashed under a request."),
+            part_bars: counter("edge_part_bars", "Parts of prompts that were barred."),
             notices: counter(
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
@@ -82,6 +84,11 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts a part of prompts that was barred.
+    pub fn count_part_bar(&self) {
+        self.part_bars.add(1, &[]);
+    }
+
     /// Counts an endpoint that said that it is leaving or asked for a pause, by kind.
     pub fn count_notice(&self, kind: &'static str) {
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod news;
 mod notice;
 mod orders;
+mod parts;
 mod paths;
 mod placement;
 mod probe;
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -5,6 +5,7 @@
 use super::dialect::OrderAnswer;
 use super::engine;
 use super::front::RequestContext;
+use super::parts;
 use super::probe;
 use super::retry;
 use super::state::Edge;
@@ -97,6 +98,9 @@
     /// Records that the path produced an event.
     pub fn record_event(&mut self) {
         self.run.progress.events += 1;
+        if self.run.progress.events == SURVIVED_EVENTS {
+            parts::record_survival(self.edge, self.ctx);
+        }
     }
 
     /// Records that the request's run ended without a crash of an engine.
@@ -104,10 +108,10 @@
         suspect::record_completion(self.edge, self.ctx, self.run.start);
     }
 
-    /// Returns whether requests of this content crashed so many endpoints that it may not run
-    /// again.
+    /// Returns whether requests of this content, or with a part of its prompt, crashed so many
+    /// endpoints that it may not run again.
     pub fn is_barred(&self) -> bool {
-        suspect::barred_for(self.edge, &self.ctx.content).is_some()
+        suspect::is_barred(self.edge, self.ctx)
     }
 
     /// Returns whether the current run may have crashed an engine of its path that has failed, and
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -21,6 +21,7 @@
 use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
+use crate::core::poison::PartTable;
 use crate::core::poison::SuspectTable;
 use crate::core::position::Position;
 use crate::core::roster::Roster;
@@ -50,6 +51,7 @@
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
     suspects: RefCell<SuspectTable>,
+    parts: RefCell<PartTable>,
     packed_news: RefCell<Option<PackedNews>>,
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
@@ -96,6 +98,7 @@
             fleet: RefCell::new(fleet),
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
+            parts: RefCell::default(),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
             packed_news: RefCell::default(),
             rng: RefCell::new(rng),
@@ -201,6 +204,14 @@
         work(&mut self.inner.suspects.borrow_mut())
     }
 
+    /// Runs `work` on the parts of prompts that crashed endpoints.
+    pub fn parts<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut PartTable) -> T,
+    {
+        work(&mut self.inner.parts.borrow_mut())
+    }
+
     /// Runs `work` on the list of endpoints that is kept packed for other VMs.
     pub fn packed_news<T, F>(&self, work: F) -> T
     where
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -6,9 +6,11 @@
 use super::bars;
 use super::engine::is_refusal;
 use super::front::RequestContext;
+use super::parts;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::Incident;
+use crate::core::poison::PartCrash;
 use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::poison::SuspectGossip;
@@ -41,13 +43,29 @@
     parts.collect::<Vec<_>>().join(",")
 }
 
+/// Returns whether a request may not run again: its content or a part of its prompt is barred.
+pub fn is_barred(edge: &Edge, ctx: &RequestContext) -> bool {
+    barred_for(edge, &ctx.content).is_some() || parts::find_barred(edge, ctx).is_some()
+}
+
 /// Returns how long a request's content is still barred; `None` if it may run.
+///
+/// Crashes that a barred part of a prompt explains do not count: a harmless request that was
+/// beginning on the endpoint and is sent again meets the guilty part there again.
 pub fn barred_for(edge: &Edge, content: &RequestDigest) -> Option<Millis> {
     let now = edge.now();
-    match edge.suspects(|suspects| suspects.status(now, content)) {
-        SuspectStatus::Barred(until) => Some(until.since(now)),
-        SuspectStatus::Suspect | SuspectStatus::Clear => None,
+    let status = edge.suspects(|suspects| suspects.status(now, content));
+    let SuspectStatus::Barred(until) = status else {
+        return None;
+    };
+    let record = edge.suspects(|suspects| suspects.record(content));
+    let is_explained =
+        |incident: &Incident| edge.parts(|table| table.explains(&incident.endpoint, incident.boot));
+    let mut incidents = record.entry.incidents().iter();
+    if incidents.any(is_explained) {
+        return None;
     }
+    Some(until.since(now))
 }
 
 /// Checks the endpoints whose connections broke or that fell silent under a request, and records
@@ -82,6 +100,14 @@
         endpoint: endpoint.clone(),
         boot,
     };
+    if progress.has_begun {
+        let crash = PartCrash {
+            at: now,
+            endpoint: endpoint.clone(),
+            boot,
+        };
+        parts::record_crash(edge, ctx, &crash);
+    }
     let was_barred = barred_for(edge, &ctx.content).is_some();
     edge.suspects(|suspects| suspects.record_crash(now, ctx.content, incident));
     let content = ctx.content.short();
@@ -147,5 +173,6 @@
         monoio::time::sleep(EXPIRY_INTERVAL.duration()).await;
         let now = edge.now();
         edge.suspects(|suspects| suspects.expire(now));
+        parts::expire(&edge);
     }
 }
