Do not pool a connection whose answer ended with it

What callers saw: an answer without a length or chunks ends when the endpoint closes. The connection was put into the pool as if it were open, and the next request to that endpoint broke on it: for streams an attempt and a retry, for calls of cornelwharfd a clearing of the pool.

Evidence: a_connection_whose_answer_ended_with_it_is_not_pooled fails without the change (pooled: true, true; wanted: false, true) and holds with it.

Why it works: the reader remembers how the last body was delimited, and a connection whose body ends by its close is never reusable; both daemons ask it.

--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -67,6 +67,8 @@
     io: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
     body_framing: Option<Framing>,
+    /// Whether the body of the last response ends with the connection.
+    ends_by_close: bool,
     max_body: usize,
 }
 
@@ -76,6 +78,7 @@
             io,
             buf: BytesMut::new(),
             body_framing: None,
+            ends_by_close: false,
             max_body: MAX_BODY_BYTES,
         }
     }
@@ -161,6 +164,7 @@
             || head.status == StatusCode::NOT_MODIFIED;
         let framing = parse_framing(&head.headers, Framing::UntilClose)?;
         self.body_framing = (!has_no_body).then_some(framing);
+        self.ends_by_close = self.body_framing == Some(Framing::UntilClose);
         let mut headers = head.headers;
         remove_framing(&mut headers);
         Ok(Response {
@@ -222,7 +226,7 @@
     /// Returns whether the last message has been read completely, so that another may follow.
     #[must_use]
     pub fn is_reusable(&self) -> bool {
-        self.buf.is_empty() && self.body_framing.is_none()
+        self.buf.is_empty() && self.body_framing.is_none() && !self.ends_by_close
     }
 
     /// Reads exactly `size` bytes, without a size limit or a timeout.
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -6,6 +6,7 @@
 
 use cornelwharf::api::CompletionKind;
 use cornelwharf::api::CompletionRequest;
+use cornelwharf::clock::Clock;
 use cornelwharf::clock::Millis;
 use cornelwharf::consts::MAX_BODY_BYTES;
 use cornelwharf::consts::MAX_HEAD_BYTES;
@@ -30,8 +31,12 @@
 use cornelwharf::io::http::HttpError;
 use cornelwharf::io::http::Request;
 use cornelwharf::io::peer;
+use cornelwharf::io::pool::Pool;
 use cornelwharf::io::runtime;
 use cornelwharf::settings::Settings;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
 use proptest::prelude::*;
 
 fn config() -> ProptestConfig {
@@ -210,3 +215,35 @@
     let read = Record::decode(long.as_bytes());
     assert_eq!(read.body, Body::Unread(Unread::Malformed));
 }
+
+#[test]
+fn a_connection_whose_answer_ended_with_it_is_not_pooled() {
+    let answers: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\n\r\nthe whole answer",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    ];
+    let mut pooled = Vec::new();
+    for answer in answers {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("free port");
+        let addr = listener.local_addr().expect("bound address");
+        let endpoint = std::thread::spawn(move || {
+            use std::io::Read;
+            use std::io::Write;
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let size = stream.read(&mut [0; 1024]).expect("a request");
+            assert!(size > 0);
+            stream.write_all(answer).expect("sent");
+        });
+        let is_pooled = runtime::run(async {
+            let pool = Pool::new(Clock::start());
+            let request = Request::new(Method::GET, Uri::from_static("/a"));
+            let response = pool.call(addr, &request, Millis::seconds(2)).await;
+            assert_eq!(response.expect("an answer").status, StatusCode::OK);
+            pool.take_idle(addr).is_some()
+        })
+        .expect("start the event loop");
+        endpoint.join().expect("the endpoint ended");
+        pooled.push(is_pooled);
+    }
+    assert_eq!(pooled, [false, true]);
+}
