Do not take an unframed stream that ended at its start for complete

What callers saw: a stream that comes with neither a length nor chunks ends with its connection, and so does one whose engine crashed. Without an event, or right after the first, it was relayed as complete, and its run counted as one that the request survived, which also cleared the part that had crashed the engine.

Evidence: with stand-ins whose streams are unframed, an engine that crashed before the first event gave the caller a whole empty stream, and a_part_that_crashes_engines_of_unframed_streams_is_refused_on_every_vm failed; both hold now, and whole unframed streams are still relayed.

Why it works: a stream whose end has no mark is complete only with an event, and, if it ended within its first three, if its engine still accepts connections. An end inside an event counted as a break before.

--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -122,13 +122,15 @@
         is_due
     }
 
-    /// Checks whether the first engine of a path crashed after its connection broke.
-    pub async fn check_first(&mut self, path: &[Part]) {
-        if let Some(first) = path.first().filter(|_| self.begin_check()) {
-            let first = (first.endpoint.clone(), first.addr);
-            let progress = self.run.progress;
-            suspect::check_endpoints(self.edge, self.ctx, progress, &[first]).await;
-        }
+    /// Checks whether the first engine of a path crashed after its connection broke, and records the
+    /// crash. Returns `false` without a check if the request cannot have crashed it.
+    pub async fn check_first(&mut self, path: &[Part]) -> bool {
+        let Some(first) = path.first().filter(|_| self.begin_check()) else {
+            return false;
+        };
+        let first = (first.endpoint.clone(), first.addr);
+        let progress = self.run.progress;
+        suspect::check_endpoints(self.edge, self.ctx, progress, &[first]).await
     }
 
     /// Starts a check whether one of the silent engines of a path crashed.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -400,7 +400,7 @@
                     return Err(StreamEnd::Left);
                 }
             }
-            Ok(None) if progress.events.is_complete() => {
+            Ok(None) if is_whole(selector, progress, path, &reader).await => {
                 edge.metrics()
                     .record_answer(200, edge.now().since(ctx.start));
                 return match writer.finish().await {
@@ -424,6 +424,26 @@
     }
 }
 
+/// Returns whether a stream is complete at the end of its body.
+///
+/// Where the close of the connection is the only mark, a crash of the engine looks the same. A stream
+/// without an event is not complete then, nor is one that ended right after its start and whose
+/// engine refuses connections.
+async fn is_whole(
+    selector: &mut PathSelector<'_>,
+    progress: &Progress,
+    path: &[Part],
+    reader: &Reader,
+) -> bool {
+    if !progress.events.is_complete() {
+        return false;
+    }
+    if reader.has_marked_end() {
+        return true;
+    }
+    progress.events.count() > 0 && !selector.check_first(path).await
+}
+
 async fn read_head(mut reader: Reader) -> (Reader, Result<Response, HttpError>) {
     let response = reader.response_head(false).await;
     (reader, response)
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -69,7 +69,7 @@
 }
 
 /// Checks the endpoints whose connections broke or that fell silent under a request, and records
-/// the first that refuses connections as crashed.
+/// the first that refuses connections as crashed; returns whether one does.
 ///
 /// Only a refusal shows that the process ended. A connection may also be reset on the way, and an
 /// endpoint that is cut off does not answer. One run counts as one crash, however many endpoints
@@ -79,16 +79,18 @@
     ctx: &RequestContext,
     progress: RunProgress,
     endpoints: &[(EndpointName, SocketAddr)],
-) {
+) -> bool {
     for (endpoint, addr) in endpoints {
         match within(CHECK_TIMEOUT, Conn::dial(*addr)).await {
             Ok(Ok(conn)) => edge.pool().put(*addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
-                return record_crash(edge, ctx, progress, endpoint);
+                record_crash(edge, ctx, progress, endpoint);
+                return true;
             }
             Ok(Err(_)) | Err(_) => {}
         }
     }
+    false
 }
 
 fn record_crash(edge: &Edge, ctx: &RequestContext, progress: RunProgress, endpoint: &EndpointName) {
--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -229,6 +229,13 @@
         self.buf.is_empty() && self.body_framing.is_none() && !self.ends_by_close
     }
 
+    /// Returns whether the end of the last response's body is marked, by a length or by chunks, and
+    /// not by the close of the connection.
+    #[must_use]
+    pub fn has_marked_end(&self) -> bool {
+        !self.ends_by_close
+    }
+
     /// Reads exactly `size` bytes, without a size limit or a timeout.
     ///
     /// # Errors
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -19,6 +20,7 @@
 use crate::clock::Millis;
 use crate::core::pipe::Span;
 use crate::core::roster::Entry;
+use crate::io::http::HttpError;
 use crate::io::http::Request;
 use crate::io::http::Response;
 use crate::io::listen;
@@ -45,6 +47,8 @@
     AnswersErrors,
     /// Streams through it make no progress.
     Pauses,
+    /// Its streams have neither a length nor chunks and end with their connection.
+    Unframed,
 }
 
 /// Which endpoint a request crashes that crashes those that run it.
@@ -467,7 +471,10 @@
         let from = header_text(&request.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
-        if conn.writer.start(StatusCode::OK, &headers).await.is_err() {
+        let is_unframed = self.with_endpoint(addr, |endpoint| {
+            endpoint.hidden_faults.contains(&HiddenFault::Unframed)
+        }) == Some(true);
+        if send_head(&mut conn, &headers, is_unframed).await.is_err() {
             return (conn, Reply::Close);
         }
         for event in from + 1..=EVENTS {
@@ -476,10 +483,18 @@
                 return (conn, Reply::Close);
             }
             let line = format!("id: {event}\ndata: token {event}\n\n");
-            if conn.writer.chunk(line.as_bytes()).await.is_err() {
+            let sent = if is_unframed {
+                conn.writer.write_raw(line.as_bytes()).await
+            } else {
+                conn.writer.chunk(line.as_bytes()).await
+            };
+            if sent.is_err() {
                 return (conn, Reply::Close);
             }
         }
+        if is_unframed {
+            return (conn, Reply::Close);
+        }
         let reply = match conn.writer.finish().await {
             Ok(()) => Reply::Streamed,
             Err(_) => Reply::Close,
@@ -535,6 +550,24 @@
     }
 }
 
+/// Sends the head of a stream; an unframed one has nothing that marks the end of its body.
+async fn send_head(
+    conn: &mut BoxedConn,
+    headers: &HeaderMap,
+    is_unframed: bool,
+) -> Result<(), HttpError> {
+    if !is_unframed {
+        return conn.writer.start(StatusCode::OK, headers).await;
+    }
+    let mut head = String::from("HTTP/1.1 200 OK\r\n");
+    for (name, value) in headers {
+        let value = value.to_str().unwrap_or_default();
+        write!(head, "{name}: {value}\r\n").map_err(|_| HttpError::Malformed)?;
+    }
+    head += "\r\n";
+    conn.writer.write_raw(head.as_bytes()).await
+}
+
 fn refusal(status: StatusCode, fault: SocketAddr) -> Response {
     let mut response = Response::new(status);
     set(&mut response.headers, "not-run", "1");
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1168,3 +1168,43 @@
         check_crashing_part(world, "/post/1", "shared,guilty", "guilty").await;
     });
 }
+
+fn set_unframed(world: &World) {
+    for endpoint in world.endpoints.list() {
+        let addr = endpoint.entry.addr;
+        world.endpoints.with_endpoint(addr, |endpoint| {
+            endpoint.hidden_faults.push(HiddenFault::Unframed);
+        });
+    }
+}
+
+#[test]
+fn streams_that_end_with_their_connection_are_relayed_whole() {
+    run(async |world: Rc<World>| {
+        set_unframed(&world);
+        for _ in 0..3 {
+            world.check_streams().await;
+        }
+    });
+}
+
+#[test]
+fn a_stream_without_an_event_that_ends_with_its_connection_is_not_complete() {
+    run(async |world: Rc<World>| {
+        set_unframed(&world);
+        world.endpoints.crash_on("/sole/crash", CrashTarget::First);
+        let answer = world.call(0, "/sole/crash", "red-key").await;
+        assert!(
+            answer.status != StatusCode::OK || !answer.whole,
+            "an empty stream looks complete"
+        );
+    });
+}
+
+#[test]
+fn a_part_that_crashes_engines_of_unframed_streams_is_refused_on_every_vm() {
+    run(async |world: Rc<World>| {
+        set_unframed(&world);
+        check_crashing_part(world, "/draft/1", "shared,guilty", "guilty").await;
+    });
+}
