Give up answers without end at stated limits, and relay no bytes that are no events

What callers saw: an engine in trouble may send bytes that are no answer, without end. In a stream's body they were relayed wherever a blank line stood in them, as long as the caller waited; a head of informational answers was read until the deadline; one chunk was buffered up to 4 MiB for each stream, which 50 streams turn into more memory than a VM has.

Change: an event has only fields and comments, anything else breaks the path, and the engine gets no more of this request; an event is searched for its end once, not from its start at each read. At most 8 informational heads, and 512 KiB a chunk. In cornelwharfd, a reply after the last one is a fault, and the body of a refusal has the time limit of a line.

Evidence: bytes_without_end_are_not_relayed_as_events and bytes_that_are_no_events_are_refused fail without the change, as does answers_without_end_are_given_up_at_their_limits (informational heads). Heads and bodies without end were bounded before; their tests hold on both.

Not covered: plain answers are buffered whole, up to 4 MiB each.

--- a/src/consts.rs
+++ b/src/consts.rs
@@ -6,6 +6,11 @@
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The largest body of an HTTP message.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// The largest chunk of a body that is read in parts. It is buffered whole, for each request in
+/// progress.
+pub const MAX_CHUNK_BYTES: usize = 512 * 1024;
+/// The most informational heads before the head of a response.
+pub const MAX_INFORMATIONAL: usize = 8;
 /// The largest frame between daemons.
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 /// How long an idle connection from a caller is kept open.
--- a/src/core/attempt/events.rs
+++ b/src/core/attempt/events.rs
@@ -5,6 +5,8 @@
 
 /// The maximum size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// The size of the longest mark that ends an event.
+const MAX_END_BYTES: usize = 4;
 
 /// Buffers the bytes of a server-sent event stream and returns only complete events.
 ///
@@ -13,17 +15,24 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     buf: BytesMut,
+    /// The bytes of `buf` in which no event ends.
+    scanned: usize,
     ready: BytesMut,
     last_id: Option<u64>,
     count: u64,
 }
 
 impl EventBuffer {
-    /// Appends bytes; returns `false` if an event is longer than [`MAX_EVENT_BYTES`].
+    /// Appends bytes; returns `false` if they are not events: one is longer than
+    /// [`MAX_EVENT_BYTES`], or has a line that is neither a field nor a comment.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.buf.extend_from_slice(bytes);
-        while let Some(end) = end_of_event(&self.buf) {
-            let event = self.buf.split_to(end);
+        while let Some(end) = end_of_event(&self.buf[self.scanned..]) {
+            let event = self.buf.split_to(self.scanned + end);
+            self.scanned = 0;
+            if !is_event(&event) {
+                return false;
+            }
             if let Some(id) = parse_id(&event) {
                 if self.last_id.is_some_and(|last| id <= last) {
                     continue;
@@ -33,6 +42,7 @@
             }
             self.ready.extend_from_slice(&event);
         }
+        self.scanned = self.buf.len().saturating_sub(MAX_END_BYTES - 1);
         self.buf.len() <= MAX_EVENT_BYTES
     }
 
@@ -44,6 +54,7 @@
     /// Discards a partial event after the connection to the endpoint broke.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
+        self.scanned = 0;
     }
 
     /// Returns whether no partial event is buffered.
@@ -78,6 +89,16 @@
     }
 }
 
+/// Returns whether each line is empty, a comment, or a field: a name, alone or before a colon.
+fn is_event(event: &[u8]) -> bool {
+    let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    event.split(|byte| *byte == b'\n').all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let name = line.split(|byte| *byte == b':').next().unwrap_or(line);
+        name.iter().all(is_name)
+    })
+}
+
 /// Returns the value of the `id` field, or `None` if it is missing or not a number.
 fn parse_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -385,7 +385,8 @@
         match chunk {
             Ok(Some(part)) => {
                 if !progress.events.push(&part) {
-                    log::warn!(id = ctx.id, endpoint:% = path[0].endpoint; "event_too_long");
+                    log::warn!(id = ctx.id, endpoint:% = path[0].endpoint; "event_malformed");
+                    selector.record_failure(path[0].addr);
                     return Err(StreamEnd::Broke);
                 }
                 let whole = progress.events.take();
--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -120,6 +120,9 @@
         };
         lines.add(&part);
         for line in lines.by_ref() {
+            if remaining == 0 {
+                return Some(Fault::Invalid);
+            }
             let Ok(reply) = serde_json::from_slice::<HopReply>(&line) else {
                 return Some(Fault::Invalid);
             };
@@ -148,7 +151,13 @@
 /// connection is pooled again unless the body is too large.
 async fn read_refusal(shell: &Shell, addr: SocketAddr, mut conn: Conn, head: Response) -> Fault {
     let mut body = Vec::new();
-    while let Ok(Some(part)) = conn.reader.chunk().await {
+    loop {
+        let part = match timeout(LINE_TIMEOUT.duration(), conn.reader.chunk()).await {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) => break,
+            Ok(Err(_)) => return Fault::Invalid,
+            Err(_) => return Fault::Silent,
+        };
         body.extend_from_slice(&part);
         if body.len() > crate::consts::MAX_HEAD_BYTES {
             return Fault::Invalid;
--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -22,7 +22,9 @@
 use crate::clock::Millis;
 use crate::consts::IDLE_TIMEOUT;
 use crate::consts::MAX_BODY_BYTES;
+use crate::consts::MAX_CHUNK_BYTES;
 use crate::consts::MAX_HEAD_BYTES;
+use crate::consts::MAX_INFORMATIONAL;
 use crate::consts::READ_TIMEOUT;
 use crate::io::timeout::within;
 
@@ -151,6 +153,7 @@
     ///
     /// Fails on a malformed or oversized head and if the connection breaks.
     pub async fn response_head(&mut self, bodiless: bool) -> Result<Response, HttpError> {
+        let mut informational = 0;
         let head = loop {
             let head = self
                 .decode(&mut ResponseHeadDecoder, MAX_HEAD_BYTES)
@@ -158,6 +161,10 @@
             if !head.status.is_informational() {
                 break head;
             }
+            informational += 1;
+            if informational > MAX_INFORMATIONAL {
+                return Err(HttpError::TooLarge);
+            }
         };
         let has_no_body = bodiless
             || head.status == StatusCode::NO_CONTENT
@@ -187,7 +194,7 @@
             }
             Some(Framing::Chunked) => {
                 let part = self
-                    .decode(&mut ChunkedBodyDecoder::default(), MAX_BODY_BYTES)
+                    .decode(&mut ChunkedBodyDecoder::default(), MAX_CHUNK_BYTES)
                     .await?;
                 if part.is_none() {
                     self.body_framing = None;
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -49,6 +49,10 @@
     Pauses,
     /// Its streams have neither a length nor chunks and end with their connection.
     Unframed,
+    /// The head of its streams never ends.
+    EndlessHead,
+    /// Instead of events, its streams have other bytes, without end.
+    EndlessBody,
 }
 
 /// Which endpoint a request crashes that crashes those that run it.
@@ -471,6 +475,15 @@
         let from = header_text(&request.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
+        let faults = self.with_endpoint(addr, |endpoint| endpoint.hidden_faults.clone());
+        let faults = faults.unwrap_or_default();
+        if faults.contains(&HiddenFault::EndlessHead) {
+            return send_forever(conn, "HTTP/1.1 200 OK\r\n", "x-field: value\r\n").await;
+        }
+        if faults.contains(&HiddenFault::EndlessBody) {
+            let head = format!("HTTP/1.1 200 OK\r\nsignature: s\r\nrequest-id: {id}\r\n\r\n");
+            return send_forever(conn, &head, "<\u{1}\u{2}>\n\n").await;
+        }
         let is_unframed = self.with_endpoint(addr, |endpoint| {
             endpoint.hidden_faults.contains(&HiddenFault::Unframed)
         }) == Some(true);
@@ -568,6 +581,19 @@
     conn.writer.write_raw(head.as_bytes()).await
 }
 
+/// Sends a head and then a piece again and again, until the other side closes the connection.
+async fn send_forever(mut conn: BoxedConn, head: &str, piece: &str) -> (BoxedConn, Reply) {
+    const PIECES: usize = 256;
+    let pieces = piece.repeat(PIECES);
+    let mut sent = conn.writer.write_raw(head.as_bytes()).await;
+    while sent.is_ok() {
+        sent = conn.writer.write_raw(pieces.as_bytes()).await;
+        // Other tasks of this event loop have to run too.
+        monoio::time::sleep(Millis(1).duration()).await;
+    }
+    (conn, Reply::Close)
+}
+
 fn refusal(status: StatusCode, fault: SocketAddr) -> Response {
     let mut response = Response::new(status);
     set(&mut response.headers, "not-run", "1");
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -3,6 +3,7 @@
 use cornelwharf::clock::Millis;
 use cornelwharf::core::attempt::Ending;
 use cornelwharf::core::attempt::EventBuffer;
+use cornelwharf::core::attempt::MAX_EVENT_BYTES;
 use cornelwharf::core::attempt::NextStep;
 use cornelwharf::core::attempt::RetryBudget;
 use cornelwharf::core::attempt::RetryState;
@@ -186,3 +187,30 @@
         prop_assert_eq!(out, whole, "{}", line);
     }
 }
+
+#[test]
+fn bytes_that_are_no_events_are_refused() {
+    for bytes in [
+        &b"<html>\n\n"[..],
+        b"\x01\x02\n\n",
+        b"id: 1\n\xff\n\n",
+        b"two words\n\n",
+    ] {
+        assert!(!EventBuffer::default().push(bytes), "{bytes:?}");
+    }
+    let mut buffer = EventBuffer::default();
+    let events = b": comment\n\nevent\r\nid: 1\r\ndata: {\"a\": \"\xc3\xa9\"}\r\n\r\n\n\n";
+    assert!(buffer.push(events));
+    assert_eq!(buffer.take(), events[..]);
+}
+
+#[test]
+fn an_event_without_end_is_refused_at_the_limit_in_small_pieces() {
+    let mut buffer = EventBuffer::default();
+    let mut size = 0;
+    while buffer.push(b"data: aaaaaaaaaa\r\n") {
+        size += 18;
+        assert!(size <= MAX_EVENT_BYTES);
+    }
+    assert!(size > MAX_EVENT_BYTES - 36);
+}
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1208,3 +1208,31 @@
         check_crashing_part(world, "/draft/1", "shared,guilty", "guilty").await;
     });
 }
+
+/// Checks that streams are whole although an engine that may be the first of a path answers in this
+/// way.
+async fn check_streams_beside(world: Rc<World>, fault: HiddenFault) {
+    let addr = world.first_engines()[0];
+    world
+        .endpoints
+        .with_endpoint(addr, |endpoint| endpoint.hidden_faults.push(fault));
+    for _ in 0..3 {
+        world.check_streams().await;
+    }
+    let ran = world.ran_at(addr);
+    assert!(ran > 0, "no stream met the engine");
+}
+
+#[test]
+fn a_head_without_end_does_not_hold_a_stream() {
+    run(async |world: Rc<World>| {
+        check_streams_beside(world, HiddenFault::EndlessHead).await;
+    });
+}
+
+#[test]
+fn bytes_without_end_are_not_relayed_as_events() {
+    run(async |world: Rc<World>| {
+        check_streams_beside(world, HiddenFault::EndlessBody).await;
+    });
+}
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -1,6 +1,7 @@
 //! Tests of hostile input: arbitrary bytes never panic a parser, size limits hold, and valid
 //! values round-trip.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::str::FromStr;
 
@@ -216,6 +217,62 @@
     assert_eq!(read.body, Body::Unread(Unread::Malformed));
 }
 
+/// Answers one request at a loopback address with a piece that is repeated until the caller closes
+/// the connection, and returns the address.
+fn answer_forever(head: &'static [u8], piece: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("free port");
+    let addr = listener.local_addr().expect("bound address");
+    std::thread::spawn(move || {
+        use std::io::Read;
+        use std::io::Write;
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let size = stream.read(&mut [0; 1024]).expect("a request");
+        assert!(size > 0);
+        let mut sent = stream.write_all(head);
+        while sent.is_ok() {
+            sent = stream.write_all(piece);
+        }
+    });
+    addr
+}
+
+#[test]
+fn answers_without_end_are_given_up_at_their_limits() {
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let endless: [(&[u8], &[u8]); 4] = [
+        (b"HTTP/1.1 200 OK\r\n", b"x-field: value\r\n"),
+        (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", &[0x5a; 4096]),
+        (chunked, b"1000\r\n0123456789abcdef"),
+    ];
+    for (head, piece) in endless {
+        let addr = answer_forever(head, piece);
+        let answer = runtime::run(async {
+            let mut conn = Conn::dial(addr).await.expect("a connection");
+            let request = Request::new(Method::GET, Uri::from_static("/a"));
+            conn.call(&request, Millis::seconds(20)).await
+        })
+        .expect("start the event loop");
+        let is_given_up = matches!(answer, Err(HttpError::TooLarge | HttpError::Malformed));
+        assert!(is_given_up, "{answer:?}");
+    }
+}
+
+#[test]
+fn a_chunk_without_end_is_given_up_at_its_limit() {
+    let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7fffffff\r\n";
+    let addr = answer_forever(head, &[0x5a; 4096]);
+    let chunk = runtime::run(async {
+        let mut conn = Conn::dial(addr).await.expect("a connection");
+        let request = Request::new(Method::GET, Uri::from_static("/a"));
+        conn.writer.request(&request).await.expect("sent");
+        conn.reader.response_head(false).await.expect("a head");
+        conn.reader.chunk().await
+    })
+    .expect("start the event loop");
+    assert!(matches!(chunk, Err(HttpError::TooLarge)), "{chunk:?}");
+}
+
 #[test]
 fn a_connection_whose_answer_ended_with_it_is_not_pooled() {
     let answers: [&[u8]; 2] = [
