Keep to the rate of requests that an endpoint names

Cause: the daemon did not read Server-Limit.

Change: an answer names an endpoint's limit, and one to a request without it ends it; VMs tell each other both. A VM's share is a token bucket of the rate divided by the number of VMs. Where even one request of each VM at once would be too many, only the first VMs in the endpoint's ranking have a share: all buckets together hold 1.5 times the rate and 3 requests. An engine without a token is no first engine of a path, but remains a later one. Callers that no endpoint may take are told when the next token comes.

Ruled out: equal shares alone.

--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -42,7 +42,7 @@
     /// A factor on its cost; above 1 if the engine was slow or failed recently.
     pub penalty: f64,
     /// Whether it has a free slot to be the first engine of a path, which accepts the request and
-    /// streams the answer.
+    /// streams the answer, and this VM's share of its limit allows a request.
     pub can_lead: bool,
 }
 
--- a/src/core/poison/rank.rs
+++ b/src/core/poison/rank.rs
@@ -23,6 +23,12 @@
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 
+    /// Returns the rank of this VM for an endpoint or the reverse; the highest one comes first.
+    #[must_use]
+    pub fn rank_for(self, other: Self) -> u64 {
+        self.score(other.0)
+    }
+
     fn score(self, key: u64) -> u64 {
         mix(self.0 ^ key)
     }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -7,6 +7,7 @@
 
 mod entry;
 mod health;
+mod limit;
 mod marks;
 mod notice;
 mod pause;
@@ -21,6 +22,13 @@
 pub use self::entry::Change;
 pub use self::entry::Entry;
 pub use self::health::Health;
+pub use self::limit::RateError;
+pub use self::limit::RateLimit;
+pub use self::limit::RateNotice;
+pub use self::limit::RateShare;
+pub use self::limit::RateVms;
+pub use self::limit::parse_rate;
+pub use self::limit::share_rate;
 pub use self::marks::Mark;
 pub use self::notice::LeavingNotice;
 pub use self::pause::MAX_PAUSE;
@@ -66,6 +74,7 @@
     last_entry: Option<Entry>,
     health: Health,
     load: EndpointLoad,
+    limit: RateLimit,
     /// The pace of the current mark and when the mark expires.
     pace: Option<(f64, Millis)>,
     last_heard: Millis,
@@ -221,6 +230,7 @@
             last_entry,
             health,
             load: kept.map(|old| old.load).unwrap_or_default(),
+            limit: kept.map(|old| old.limit).unwrap_or_default(),
             pace: kept.and_then(|old| old.pace),
             last_heard: kept.map(|old| old.last_heard).unwrap_or_default(),
             last_probed: kept.map(|old| old.last_probed).unwrap_or_default(),
@@ -382,7 +392,8 @@
                 running,
                 memory_use: load.cells * vms / cells,
                 penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
-                can_lead: running < f64::from(model.slots),
+                can_lead: running < f64::from(model.slots)
+                    && self.limit_wait(now, &entry.endpoint) == Some(Millis(0)),
             });
         }
         stages
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -79,7 +79,10 @@
         };
         tried.push(entry.endpoint.clone());
         let new_conn = ctx.route.kind == RouteKind::Once;
-        edge.roster(|roster| roster.begin_request(&entry.endpoint, 0.0));
+        edge.roster(|roster| {
+            roster.take_limited(edge.now(), &entry.endpoint);
+            roster.begin_request(&entry.endpoint, 0.0);
+        });
         let run_start = edge.now();
         let outcome = attempt(edge, ctx, &entry, new_conn).await;
         edge.roster(|roster| roster.end_request(&entry.endpoint, 0.0));
@@ -127,7 +130,9 @@
         roster
             .serving(&ctx.service, now)
             .filter(|(entry, health, _)| {
-                !tried.contains(&entry.endpoint) && health.paused_for(now).is_none()
+                !tried.contains(&entry.endpoint)
+                    && health.paused_for(now).is_none()
+                    && roster.limit_wait(now, &entry.endpoint) == Some(Millis(0))
             })
             .map(|(entry, health, work)| {
                 let distance = if entry.domain == *home { 0.0 } else { 0.3 };
@@ -259,12 +264,11 @@
 }
 
 /// Returns when the caller of a refused request may come back: as soon as an endpoint that asked for
-/// a pause takes requests again, if all did.
+/// a pause or named a limit takes requests again, if all did.
 fn retry_after(edge: &Edge, ctx: &RequestContext) -> Millis {
     let now = edge.now();
-    let pause = edge.roster(|roster| roster.shortest_pause(now, &ctx.service));
-    pause
-        .filter(|_| pick_endpoint(edge, ctx, &[]).is_none())
+    let wait = edge.roster(|roster| roster.shortest_wait(now, &ctx.service));
+    wait.filter(|_| pick_endpoint(edge, ctx, &[]).is_none())
         .unwrap_or(RETRY_AFTER)
 }
 
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -67,6 +67,8 @@
     pub store_era: HeaderName,
     /// Holds `1` if the endpoint is leaving and takes no new work.
     pub leaving: HeaderName,
+    /// The requests a second that the endpoint takes from all VMs together.
+    pub limit: HeaderName,
     /// The path of engines, each with the layers that it runs.
     pub path: HeaderName,
     /// The address of the engine that made the path refuse the request.
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -61,7 +61,7 @@
 /// Reads what the engine at an address says of itself in an answer.
 fn read_answer(edge: &Edge, addr: SocketAddr, response: &Response) {
     if let Some(endpoint) = edge.roster(|roster| roster.name_at(addr)) {
-        notice::read_answer(edge, &endpoint, response);
+        notice::read_report(edge, &endpoint, response);
     }
 }
 
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -16,6 +16,7 @@
 use crate::core::poison::PartRecord;
 use crate::core::poison::SuspectGossip;
 use crate::core::roster::LeavingNotice;
+use crate::core::roster::RateNotice;
 use crate::io::timeout::within;
 
 /// The size of the receive buffer; a message fits one packet of an ordinary network with room to
@@ -70,8 +71,7 @@
     edge.fleet(|fleet| fleet.receive(now, message));
 }
 
-/// Merges what follows a message, if anything does: requests that crashed endpoints, endpoints that
-/// are leaving, then parts of prompts that crashed endpoints.
+/// Merges what follows a message, if anything does: the [`Sections`] in their order.
 fn receive_records(edge: &Edge, bytes: &[u8]) {
     if bytes.is_empty() {
         return;
@@ -102,23 +102,40 @@
     if bytes.is_empty() {
         return;
     }
-    match postcard::from_bytes::<Vec<PartRecord>>(bytes) {
-        Ok(records) => parts::receive(edge, records, "peer"),
+    match postcard::take_from_bytes::<Vec<PartRecord>>(bytes) {
+        Ok((records, rest)) => {
+            if !records.is_empty() {
+                parts::receive(edge, records, "peer");
+            }
+            receive_limits(edge, rest);
+        }
         Err(error) => log::debug!(error:% = error; "parts_dropped"),
     }
 }
 
+fn receive_limits(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<Vec<RateNotice>>(bytes) {
+        Ok(notices) => notice::receive_limits(edge, &notices),
+        Err(error) => log::debug!(error:% = error; "limits_dropped"),
+    }
+}
+
 /// What follows a message, in this order. VMs of earlier releases ignore what follows the sections
 /// that they know, and a section is left out only if no later one follows.
 struct Sections {
     suspects: SuspectGossip,
     notices: Vec<LeavingNotice>,
     parts: Vec<PartRecord>,
+    limits: Vec<RateNotice>,
 }
 
 fn encode(message: &Message, sections: &Sections) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(message)?;
-    let has_parts = !sections.parts.is_empty();
+    let has_limits = !sections.limits.is_empty();
+    let has_parts = !sections.parts.is_empty() || has_limits;
     let has_notices = !sections.notices.is_empty() || has_parts;
     if !sections.suspects.records.is_empty() || has_notices {
         bytes = postcard::to_extend(&sections.suspects, bytes)?;
@@ -129,6 +146,9 @@
     if has_parts {
         bytes = postcard::to_extend(&sections.parts, bytes)?;
     }
+    if has_limits {
+        bytes = postcard::to_extend(&sections.limits, bytes)?;
+    }
     Ok(bytes)
 }
 
@@ -145,6 +165,7 @@
             suspects: suspect::next_records(&edge),
             notices: notice::next_notices(&edge),
             parts: parts::next_records(&edge),
+            limits: notice::next_limits(&edge),
         };
         match encode(&message, &sections) {
             Ok(bytes) => {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -110,6 +110,7 @@
     monoio::spawn(placement::run(edge.clone()));
     monoio::spawn(probe::run(edge.clone()));
     monoio::spawn(suspect::expire(edge.clone()));
+    monoio::spawn(notice::watch_limits(edge.clone()));
     monoio::spawn(bars::read(edge.clone()));
     monoio::spawn(bars::restore(edge.clone()));
     log::info!(vm:% = settings.vm, domain:% = settings.domain, front:% = settings.front; "started");
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -188,14 +188,14 @@
     }
 
     /// Returns how long until the first engine takes requests again, if there is no path because
-    /// engines asked for a pause.
+    /// engines asked for a pause or named a limit.
     pub fn pause(&self) -> Option<Millis> {
         let now = self.edge.now();
         let service = &self.ctx.service;
-        let pause = self
+        let wait = self
             .edge
-            .roster(|roster| roster.shortest_pause(now, service));
-        pause.filter(|_| self.pick_path().is_none())
+            .roster(|roster| roster.shortest_wait(now, service));
+        wait.filter(|_| self.pick_path().is_none())
     }
 
     /// Decides whether the engines have room for the request, and logs a refusal.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -175,6 +175,9 @@
             }
             return StreamEnd::NotRun;
         };
+        if let Some(first) = path.first() {
+            edge.roster(|roster| roster.take_limited(edge.now(), &first.endpoint));
+        }
         let load = LoadGuard::begin(edge, &path, selector.demand());
         let ended = relay_path(selector, writer, progress, path).await;
         drop(load);
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -78,6 +78,7 @@
             not_run: name("not-run"),
             store_era: name("era"),
             leaving: name("leaving"),
+            limit: name("limit"),
             path: name("path"),
             faulty_addr: name("fault"),
             last_event: name("last-event-id"),
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -79,6 +79,8 @@
     pub says_leaving: bool,
     /// The `Retry-After` with which it refuses all requests but reports and orders.
     pub pause: Option<&'static str>,
+    /// The requests a second that it takes from all VMs together, which all its answers name.
+    pub limit: Option<f64>,
     /// The number of requests of any kind that reached it.
     pub arrivals: u64,
     /// The number of orders that it has accepted.
@@ -161,6 +163,7 @@
             broken: false,
             says_leaving: false,
             pause: None,
+            limit: None,
             arrivals: 0,
             orders: 0,
             fence: 0,
@@ -298,9 +301,18 @@
         {
             set(&mut response.headers, "leaving", "1");
         }
+        if let Reply::Response(response) = &mut reply {
+            self.name_limit(addr, &mut response.headers);
+        }
         (conn, reply)
     }
 
+    fn name_limit(&self, addr: SocketAddr, headers: &mut HeaderMap) {
+        if let Some(Some(limit)) = self.with_endpoint(addr, |endpoint| endpoint.limit) {
+            set(headers, "limit", &limit.to_string());
+        }
+    }
+
     async fn answer_kind(
         &self,
         addr: SocketAddr,
@@ -472,6 +484,7 @@
         if self.with_endpoint(addr, |endpoint| endpoint.says_leaving) == Some(true) {
             set(&mut headers, "leaving", "1");
         }
+        self.name_limit(addr, &mut headers);
         let from = header_text(&request.headers, "last-event-id")
             .parse()
             .unwrap_or(0);
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1236,3 +1236,73 @@
         check_streams_beside(world, HiddenFault::EndlessBody).await;
     });
 }
+
+/// Has endpoints name a limit under a load far above it, and checks their arrivals from the users'
+/// bound on; then ends the limit and checks that all requests are served again.
+async fn check_limit(world: Rc<World>, addrs: &[SocketAddr], path: &'static str) {
+    /// In requests a second, of each endpoint.
+    const LIMIT: f64 = 2.0;
+    const STEP: Millis = Millis(100);
+    const WINDOW_STEPS: usize = 40;
+    // What the users allow in 4 s: one and a half times the limit, and 5 more.
+    let allowed = (1.5 * 4.0 * LIMIT) as usize + 5;
+    let set_limit = |limit| {
+        for addr in addrs {
+            let endpoints = &world.endpoints;
+            endpoints.with_endpoint(*addr, |endpoint| endpoint.limit = limit);
+        }
+    };
+    set_limit(Some(LIMIT));
+    let is_over = Rc::new(Cell::new(false));
+    for caller in 0..24 {
+        let (world, is_over) = (Rc::clone(&world), Rc::clone(&is_over));
+        monoio::spawn(async move {
+            while !is_over.get() {
+                world.call(caller % 3, path, "red-key").await;
+                sleep(Millis(150)).await;
+            }
+        });
+    }
+    sleep(CONTACT_SPAN).await;
+    let mut counts: Vec<Vec<usize>> = Vec::new();
+    for _ in 0..2 * WINDOW_STEPS {
+        counts.push(addrs.iter().map(|addr| world.ran_at(*addr)).collect());
+        sleep(STEP).await;
+    }
+    for (before, after) in counts.iter().zip(&counts[WINDOW_STEPS..]) {
+        for (before, after) in before.iter().zip(after) {
+            let count = after - before;
+            assert!(
+                count <= allowed,
+                "{count} requests in 4 s, {allowed} allowed"
+            );
+        }
+    }
+    let total =
+        counts[2 * WINDOW_STEPS - 1].iter().sum::<usize>() - counts[0].iter().sum::<usize>();
+    let offered = LIMIT * 8.0 * addrs.len() as f64;
+    assert!(total as f64 > 0.5 * offered, "{total} of {offered} served");
+    set_limit(None);
+    is_over.set(true);
+    sleep(CONTACT_SPAN).await;
+    for turn in 0..30 {
+        let answer = world.call(turn % 3, path, "red-key").await;
+        assert_eq!(answer.status, StatusCode::OK, "call {turn} after the limit");
+    }
+}
+
+#[test]
+fn plain_endpoints_get_no_more_requests_than_the_limit_that_they_name() {
+    run(async |world: Rc<World>| {
+        let addrs = world.plain_endpoints();
+        check_limit(world, &addrs, "/post/a").await;
+    });
+}
+
+#[test]
+fn engines_get_no_more_requests_than_the_limit_that_they_name() {
+    run(async |world: Rc<World>| {
+        let addrs = world.first_engines();
+        check_limit(world, &addrs, "/draft/1").await;
+    });
+}
