Bar beginnings of prompts that crash endpoints in cornelwharfd too

It identifies a request by its model and whole prompt as well. One content crashes at most three endpoints of a layer range, but each new prompt with a harmful part is a new content, so it crashes its own three.

Change: the parts of a prompt of tokens are its beginnings of each 16 tokens, up to 1,024. The runs of the suspect table carry them, a crash counts against them and a completed run speaks for them; core/poison/verdict judges as on the edge. A request with a barred beginning is refused as request_barred.

Evidence: prompts_that_share_a_beginning_that_crashes_endpoints_are_barred_on_every_vm on three suspect tables. There was nothing to call before: a table planned each new prompt as shared. Not run with real cores, and a part that follows different beginnings is not recognized there.

--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -11,6 +11,7 @@
 use crate::core::limit;
 use crate::core::limit::Decision;
 use crate::core::limit::Finish;
+use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::session::event::RequestId;
 use crate::error::Code;
@@ -80,6 +81,7 @@
             } => {
                 let layers = self.model_service(&team, &service)?;
                 let digest = RequestDigest::of(&service, &prompt);
+                let parts = PartDigest::beginnings(&service, &prompt).into();
                 let job = ModelCall {
                     prompt,
                     limit,
@@ -92,6 +94,7 @@
                     hop_sent_at: now,
                     faults: BTreeMap::new(),
                     digest,
+                    parts,
                     permit: Permit::None,
                 };
                 (service, Job::Model(Box::new(job)))
--- a/src/core/daemon/model.rs
+++ b/src/core/daemon/model.rs
@@ -181,10 +181,10 @@
             return;
         };
         let alone = idle && matches!(model.permit, Permit::Held { .. });
-        let digest = model.digest;
         let run = Run {
             id,
-            digest,
+            digest: model.digest,
+            parts: Arc::clone(&model.parts),
             endpoint: endpoint.clone(),
             alone,
         };
--- a/src/core/daemon/open.rs
+++ b/src/core/daemon/open.rs
@@ -6,6 +6,7 @@
 use crate::clock::Millis;
 use crate::core::limit::Finish;
 use crate::core::once;
+use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::poison::RunOutcome;
 use crate::core::route::Event;
@@ -81,6 +82,8 @@
     pub(super) faults: BTreeMap<EndpointName, LegOutcome>,
     /// Identifies the request's content if it crashes endpoints.
     pub(super) digest: RequestDigest,
+    /// The parts of the prompt that other requests may share.
+    pub(super) parts: Arc<[PartDigest]>,
     pub(super) permit: Permit,
 }
 
--- a/src/core/daemon/peer.rs
+++ b/src/core/daemon/peer.rs
@@ -48,6 +48,8 @@
     Part(Part),
     /// Gossip about suspects: requests that ran on an endpoint when it crashed.
     Suspects(poison::SuspectGossip),
+    /// Gossip about parts of prompts that were at hand when an endpoint crashed.
+    PromptParts(Vec<poison::PartRecord>),
     /// Asks the home VM of a suspect for a permit to run it.
     MayRun(poison::PermitRequest),
     /// The home VM's answer to a permit request.
@@ -106,6 +108,7 @@
             Body::Hints(hints) => self.apply_hints(now, &from, hints, out),
             Body::Part(part) => self.offer_part(now, &part, out),
             Body::Suspects(gossip) => self.suspects.table.merge(now, gossip),
+            Body::PromptParts(records) => self.suspects.table.parts().merge(now, records),
             Body::MayRun(request) => self.answer_permit_request(now, request, out),
             Body::Granted(answer) => self.permit_answered(now, answer, out),
             Body::Done(returned) => self.suspects.table.accept_return(now, returned),
--- a/src/core/daemon/suspect.rs
+++ b/src/core/daemon/suspect.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +37,8 @@
 
 /// How long a permit request may be unanswered.
 const PERMIT_TIMEOUT: Millis = Millis::seconds(1);
+/// The most records of parts of prompts in one message.
+const MAX_PART_RECORDS: usize = 64;
 /// The interval at which known suspects are sent to peers again.
 const REPEAT_INTERVAL: Millis = Millis::seconds(5);
 
@@ -152,7 +155,12 @@
             return;
         };
         let digest = model.digest;
-        let plan = self.suspects.table.plan(now, &digest, &self.suspects.vms);
+        let parts = Arc::clone(&model.parts);
+        let Suspects { table, vms, .. } = &mut self.suspects;
+        let plan = match table.find_barred_part(now, &parts, vms) {
+            Some(until) => RunPlan::Barred { until },
+            None => table.plan(now, &digest, vms),
+        };
         match plan {
             RunPlan::Shared => self.run_model(now, id, purpose, out),
             RunPlan::WithPermit { home } => self.request_permit(now, id, &home, purpose, out),
@@ -316,6 +324,10 @@
         while let Some(gossip) = self.suspects.table.next_news() {
             self.send_random_peers(URGENT_FANOUT, &gossip, out);
         }
+        while self.suspects.table.parts().has_news() {
+            let records = self.suspects.table.parts().next_records(MAX_PART_RECORDS);
+            self.send_random_peers(URGENT_FANOUT, &records, out);
+        }
         if now < self.suspects.repeat_at {
             return;
         }
@@ -324,6 +336,10 @@
         if let Some(gossip) = self.suspects.table.next_repeat() {
             self.send_random_peers(1, &gossip, out);
         }
+        let records = self.suspects.table.parts().next_records(MAX_PART_RECORDS);
+        if !records.is_empty() {
+            self.send_random_peers(1, &records, out);
+        }
     }
 }
 
--- a/src/core/poison/part.rs
+++ b/src/core/poison/part.rs
@@ -8,6 +8,11 @@
 
 use crate::names::ServiceName;
 
+/// The number of tokens by which the beginnings of a prompt grow.
+const BLOCK_TOKENS: usize = 16;
+/// The most beginnings of a prompt that are told apart, which bounds the work for a long one.
+const MAX_BLOCKS: usize = 64;
+
 /// The first 64 bits of the SHA-256 digest of a part of a prompt and of the service that runs it,
 /// since a part that crashes the engines of one service may be harmless to those of another.
 #[derive(
@@ -23,6 +28,29 @@
         hash.update((service.len() as u64).to_be_bytes());
         hash.update(service.as_str());
         hash.update(id);
+        Self::finish(hash)
+    }
+
+    /// Returns the parts of a prompt of tokens, whose own parts are not named: its beginnings of each
+    /// whole number of blocks, up to [`MAX_BLOCKS`], without the whole prompt.
+    ///
+    /// Requests that share a part after the same beginning share the beginning that ends with it.
+    pub fn beginnings(service: &ServiceName, prompt: &[u32]) -> Vec<Self> {
+        let mut hash = Sha256::new();
+        hash.update((service.len() as u64).to_be_bytes());
+        hash.update(service.as_str());
+        let blocks = prompt.len().saturating_sub(1) / BLOCK_TOKENS;
+        let blocks = prompt.chunks(BLOCK_TOKENS).take(blocks.min(MAX_BLOCKS));
+        let digests = blocks.map(|block| {
+            for token in block {
+                hash.update(token.to_be_bytes());
+            }
+            Self::finish(hash.clone())
+        });
+        digests.collect()
+    }
+
+    fn finish(hash: Sha256) -> Self {
         let bytes: [u8; 32] = hash.finalize().into();
         let first = bytes.iter().take(size_of::<u64>());
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
--- a/src/core/poison/running.rs
+++ b/src/core/poison/running.rs
@@ -1,9 +1,11 @@
 //! The requests that run on each endpoint, from which the suspects of a crash are taken.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::clock::Millis;
 use crate::core::poison::digest::RequestDigest;
+use crate::core::poison::part::PartDigest;
 use crate::core::session::RequestId;
 use crate::names::EndpointName;
 
@@ -18,6 +20,8 @@
     pub id: RequestId,
     /// Identifies the request's content.
     pub digest: RequestDigest,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Arc<[PartDigest]>,
     /// The endpoint that runs the request.
     pub endpoint: EndpointName,
     /// Whether nothing else runs there: the request has a permit, and this VM has no other request
@@ -37,15 +41,28 @@
 }
 
 /// A request that was running when its endpoint crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashSuspect {
     /// Identifies the request's content.
     pub digest: RequestDigest,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Arc<[PartDigest]>,
     /// Whether it was the only request running there.
     pub alone: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// A run that completed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletedRun {
+    /// Identifies the request's content.
+    pub digest: RequestDigest,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Arc<[PartDigest]>,
+    /// When the run started.
+    pub start: Millis,
+}
+
+#[derive(Clone, Debug)]
 struct ActiveRun {
     suspect: CrashSuspect,
     start: Millis,
@@ -66,6 +83,7 @@
         runs.retain(|_, run| run.is_attributable(now));
         let suspect = CrashSuspect {
             digest: run.digest,
+            parts: run.parts,
             alone: run.alone,
         };
         let active = ActiveRun {
@@ -76,7 +94,7 @@
         runs.insert(run.id, active);
     }
 
-    /// Removes a request; returns its digest and start time if it completed. After
+    /// Removes a request; returns its run if that completed. After
     /// [`RunOutcome::Broken`] it is kept, since a crash may be detected later.
     pub fn leave(
         &mut self,
@@ -84,7 +102,7 @@
         id: RequestId,
         endpoint: &EndpointName,
         outcome: RunOutcome,
-    ) -> Option<(RequestDigest, Millis)> {
+    ) -> Option<CompletedRun> {
         let runs = self.endpoints.get_mut(endpoint)?;
         if outcome == RunOutcome::Broken {
             runs.get_mut(&id)?.broken_at = Some(now);
@@ -94,7 +112,11 @@
         if runs.is_empty() {
             self.endpoints.remove(endpoint);
         }
-        (outcome == RunOutcome::Completed).then_some((run.suspect.digest, run.start))
+        (outcome == RunOutcome::Completed).then_some(CompletedRun {
+            digest: run.suspect.digest,
+            parts: run.suspect.parts,
+            start: run.start,
+        })
     }
 
     /// Removes all requests from a crashed endpoint and returns those to suspect.
--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -17,11 +17,15 @@
 use crate::core::poison::message::PermitReturn;
 use crate::core::poison::message::SuspectGossip;
 use crate::core::poison::message::SuspectRecord;
+use crate::core::poison::part::PartDigest;
+use crate::core::poison::part_table::PartTable;
 use crate::core::poison::permit::Permits;
+use crate::core::poison::rank::home_of;
 use crate::core::poison::rank::home_vm;
 use crate::core::poison::running::ActiveRuns;
 use crate::core::poison::running::Run;
 use crate::core::poison::running::RunOutcome;
+use crate::core::poison::verdict::PartCrash;
 use crate::core::session::RequestId;
 use crate::error::Code;
 use crate::error::Failure;
@@ -77,6 +81,7 @@
     entries: BTreeMap<RequestDigest, CrashHistory>,
     active: ActiveRuns,
     permits: Permits,
+    parts: PartTable,
     /// The requests whose history changed since it was last sent to peers.
     unsent: BTreeSet<RequestDigest>,
     /// The last request sent by [`Self::next_repeat`]; `None` to start from the first.
@@ -92,6 +97,7 @@
             entries: BTreeMap::new(),
             active: ActiveRuns::default(),
             permits: Permits::default(),
+            parts: PartTable::default(),
             unsent: BTreeSet::new(),
             cursor: None,
         }
@@ -193,8 +199,9 @@
         endpoint: &EndpointName,
         outcome: RunOutcome,
     ) {
-        if let Some((digest, start)) = self.active.leave(now, id, endpoint, outcome) {
-            self.record_completion(&digest, start);
+        if let Some(run) = self.active.leave(now, id, endpoint, outcome) {
+            self.record_completion(&run.digest, run.start);
+            self.parts.record_survival(now, &run.parts);
         }
     }
 
@@ -210,7 +217,13 @@
     /// Records that an endpoint crashed: its boot id changed, or it refused connections right after
     /// one broke. Every request of this VM that was running there becomes a suspect.
     pub fn endpoint_crashed(&mut self, now: Millis, endpoint: &EndpointName, boot: u64) {
+        let crash = PartCrash {
+            at: now,
+            endpoint: endpoint.clone(),
+            boot,
+        };
         for suspect in self.active.take_crashed(now, endpoint) {
+            self.parts.record_crash(now, &suspect.parts, &crash);
             let incident = Incident {
                 alone: suspect.alone,
                 at: now,
@@ -297,8 +310,34 @@
         barred.map(|(digest, _)| *digest)
     }
 
+    /// Returns the parts of prompts under which endpoints crashed. Only a daemon that records its runs
+    /// in this table uses them.
+    pub fn parts(&mut self) -> &mut PartTable {
+        &mut self.parts
+    }
+
+    /// Returns until when a request is barred because of a part of its prompt; `None` if it may
+    /// run, as far as this VM knows. `vms` are the live VMs, one of which is a part's home and may
+    /// try it.
+    pub fn find_barred_part(
+        &mut self,
+        now: Millis,
+        parts: &[PartDigest],
+        vms: &[Vm],
+    ) -> Option<Millis> {
+        let mut barred = parts.iter().copied();
+        let (part, left) =
+            barred.find_map(|part| Some((part, self.parts.barred_for(now, part)?)))?;
+        let is_home = home_of(part.key(), vms).is_none_or(|home| *home == self.vm);
+        if is_home && self.parts.begin_trial(now, part) {
+            return None;
+        }
+        Some(now + left)
+    }
+
     /// Removes expired histories and permits.
     pub fn expire(&mut self, now: Millis) {
+        self.parts.expire(now);
         self.entries
             .retain(|_, entry| now < entry.newest() + BAR_TTL);
         self.permits.expire(now);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -6,7 +6,14 @@
 use cornelwharf::core::poison::PartCrash;
 use cornelwharf::core::poison::PartDigest;
 use cornelwharf::core::poison::PartTable;
+use cornelwharf::core::poison::RequestDigest;
+use cornelwharf::core::poison::Run;
+use cornelwharf::core::poison::RunOutcome;
+use cornelwharf::core::poison::SuspectTable;
 use cornelwharf::core::poison::TIED_VERDICT;
+use cornelwharf::core::session::RequestId;
+use cornelwharf::names::EndpointName;
+use cornelwharf::names::Vm;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -234,3 +241,67 @@
         }
     }
 }
+
+/// Returns a prompt of 16 tokens that all share, 32 of this kind, and 40 of its own.
+fn prompt(kind: u32, own: u32) -> Vec<u32> {
+    let shared = 0..16;
+    let kind = (0..32).map(|token| 1000 * kind + token);
+    let own = (0..40).map(|token| 1_000_000 + 100 * own + token);
+    shared.chain(kind).chain(own).collect()
+}
+
+#[test]
+fn prompts_that_share_a_beginning_that_crashes_endpoints_are_barred_on_every_vm() {
+    const GUILTY: u32 = 1;
+    const HARMLESS: u32 = 2;
+    let service = "model".into();
+    let vms: Vec<Vm> = ["vm0", "vm1", "vm2"].map(Vm::from).to_vec();
+    let mut tables: Vec<SuspectTable> = vms.iter().cloned().map(SuspectTable::new).collect();
+    let mut serial = 0;
+    let mut begin = |table: &mut SuspectTable, now, endpoint: &EndpointName, kind| {
+        serial += 1;
+        let prompt = prompt(kind, serial);
+        let run = Run {
+            id: RequestId(u64::from(serial)),
+            digest: RequestDigest::of(&service, &prompt),
+            parts: PartDigest::beginnings(&service, &prompt).into(),
+            endpoint: endpoint.clone(),
+            alone: false,
+        };
+        let id = run.id;
+        table.run_started(now, run);
+        id
+    };
+    let mut now = START;
+    for turn in 0..TIED_VERDICT {
+        now += SECOND;
+        let endpoint = EndpointName::from(format!("e{turn}").as_str());
+        let other = EndpointName::from("other");
+        let table = &mut tables[turn % 3];
+        let id = begin(table, now, &other, HARMLESS);
+        table.run_ended(now, id, &other, RunOutcome::Completed);
+        begin(table, now, &endpoint, GUILTY);
+        begin(table, now, &endpoint, HARMLESS);
+        table.endpoint_crashed(now, &endpoint, 1);
+        for _ in 0..3 {
+            for from in 0..3 {
+                let records = tables[from].parts().next_records(64);
+                for table in &mut tables {
+                    table.parts().merge(now, records.clone());
+                }
+            }
+        }
+    }
+    now += Millis::seconds(10);
+    for (vm, table) in tables.iter_mut().enumerate() {
+        let mut is_barred = |kind| {
+            let parts = PartDigest::beginnings(&service, &prompt(kind, 999));
+            let mut parts = parts.into_iter();
+            parts.any(|part| table.parts().barred_for(now, part).is_some())
+        };
+        assert!(is_barred(GUILTY), "vm {vm}");
+        assert!(!is_barred(HARMLESS), "vm {vm}");
+        let harmless = PartDigest::beginnings(&service, &prompt(HARMLESS, 999));
+        assert_eq!(table.find_barred_part(now, &harmless, &vms), None);
+    }
+}
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use cornelwharf::clock::Millis;
 use cornelwharf::core::poison::BAR_TTL;
@@ -231,6 +232,7 @@
         let run = Run {
             id,
             digest,
+            parts: Arc::from([]),
             endpoint: self.names[at].clone(),
             alone: home.is_some(),
         };
@@ -448,6 +450,7 @@
     let run = Run {
         id: RequestId(at),
         digest: digest(1),
+        parts: Arc::from([]),
         endpoint: EndpointName::from("e0"),
         alone,
     };
