--- a/src/core/poison/part_table.rs
+++ b/src/core/poison/part_table.rs
@@ -132,10 +132,13 @@
 
     /// Merges the records of another VM or of the store.
     pub fn merge(&mut self, now: Millis, records: Vec<PartRecord>) {
+        let mut changed = false;
         for record in records {
-            self.merge_record(now, record);
+            changed |= self.merge_record(now, record);
+        }
+        if changed {
+            self.judge();
         }
-        self.judge();
     }
 
     /// Returns whether records changed that [`Self::next_records`] has not returned yet.
@@ -237,14 +240,15 @@
         self.accused.extend(self.bars.keys());
     }
 
-    fn merge_record(&mut self, now: Millis, record: PartRecord) {
+    /// Merges a record; returns whether that changed what this VM knows.
+    fn merge_record(&mut self, now: Millis, record: PartRecord) -> bool {
         let PartRecord { part, history } = record;
         let is_valid = history.crashes().len() <= MAX_CRASHES && !history.crashes().is_empty();
         if !is_valid || history.newest() > now + MAX_CLOCK_SKEW {
-            return;
+            return false;
         }
         if !self.entries.contains_key(&part) && !self.make_room(&history) {
-            return;
+            return false;
         }
         let survived = self.last_survival(part);
         let entry = self.entries.entry(part).or_default();
@@ -254,6 +258,7 @@
         if changed || entry.clears_more_than(&history) {
             self.unsent.insert(part);
         }
+        changed
     }
 
     /// Makes room for a part if the table is full: removes the one with the fewest crashes, the
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -49,6 +49,9 @@
 /// a path has a few hundred bytes at most.
 const REQUEST_LINE_BYTES: usize = 1024;
 
+/// The most parts of a prompt that are told apart, which bounds the work for a long list.
+const MAX_PARTS: usize = 64;
+
 /// What happens to a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnAction {
@@ -275,8 +278,8 @@
 
 fn part_digests(edge: &Edge, request: &Request, service: &ServiceName) -> Vec<PartDigest> {
     let ids = (edge.dialect().shared_parts)(request);
-    let digests = ids.into_iter().map(|id| PartDigest::of(service, id));
-    digests.collect()
+    let ids = ids.into_iter().take(MAX_PARTS);
+    ids.map(|id| PartDigest::of(service, id)).collect()
 }
 
 /// Sends a complete response and records it in the metrics.
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1141,10 +1141,13 @@
     }
     world.wait_for_placement().await;
     for turn in 0..12 {
-        let parts = format!("shared,subject{}", turn % 4);
-        let answer = world.call_with_parts(turn % 3, path, &parts).await;
-        assert_eq!(answer.status, StatusCode::OK, "{parts}: {}", answer.body);
-        assert!(answer.whole, "{parts}: {}", answer.body);
+        let refused = world.call_with_parts(turn % 3, path, parts).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.retry_after.is_some());
+        let sound = format!("shared,subject{}", turn % 4);
+        let answer = world.call_with_parts(turn % 3, path, &sound).await;
+        assert_eq!(answer.status, StatusCode::OK, "{sound}: {}", answer.body);
+        assert!(answer.whole, "{sound}: {}", answer.body);
     }
 }
 
