--- a/src/edge/notice.rs
+++ b/src/edge/notice.rs
@@ -64,8 +64,8 @@
                 log::info!(endpoint:% = endpoint, rate, source = "answer"; "limit_named");
                 edge.metrics().count_notice("limit");
                 edge.trigger_gossip();
+                share_limits(edge);
             }
-            share_limits(edge);
         }
         Err(error) => {
             log::warn!(endpoint:% = endpoint, value = text, error:% = error; "limit_ignored");
