--- a/src/core/daemon/admit.rs
+++ b/src/core/daemon/admit.rs
@@ -81,7 +81,7 @@
             } => {
                 let layers = self.model_service(&team, &service)?;
                 let digest = RequestDigest::of(&service, &prompt);
-                let parts = PartDigest::beginnings(&service, &prompt).into();
+                let parts = PartDigest::prefixes(&service, &prompt).into();
                 let job = ModelCall {
                     prompt,
                     limit,
--- a/src/core/daemon/peer.rs
+++ b/src/core/daemon/peer.rs
@@ -48,7 +48,7 @@
     Part(Part),
     /// Gossip about suspects: requests that ran on an endpoint when it crashed.
     Suspects(poison::SuspectGossip),
-    /// Gossip about parts of prompts that were at hand when an endpoint crashed.
+    /// Gossip about parts of prompts that were present when an endpoint crashed.
     PromptParts(Vec<poison::PartRecord>),
     /// Asks the home VM of a suspect for a permit to run it.
     MayRun(poison::PermitRequest),
--- a/src/core/poison/mod.rs
+++ b/src/core/poison/mod.rs
@@ -6,6 +6,10 @@
 //! suspects spreads slowly and may be lost, so it cannot bound the number of crashed endpoints. The
 //! [`shortlist`] does so without any message: every VM sends the same content to the same few
 //! endpoints only.
+//!
+//! Requests whose contents differ may have a part of their prompts in common that crashes endpoints.
+//! The [`PartTable`] keeps the crashes by [`PartDigest`], and [`find_bars`] decides which parts are
+//! guilty.
 
 mod digest;
 mod history;
--- a/src/core/poison/part.rs
+++ b/src/core/poison/part.rs
@@ -8,9 +8,9 @@
 
 use crate::names::ServiceName;
 
-/// The number of tokens by which the beginnings of a prompt grow.
+/// The number of tokens by which the prefixes of a prompt grow.
 const BLOCK_TOKENS: usize = 16;
-/// The most beginnings of a prompt that are told apart, which bounds the work for a long one.
+/// The largest number of prefixes of a prompt, which bounds the work for a long one.
 const MAX_BLOCKS: usize = 64;
 
 /// The first 64 bits of the SHA-256 digest of a part of a prompt and of the service that runs it,
@@ -31,11 +31,12 @@
         Self::finish(hash)
     }
 
-    /// Returns the parts of a prompt of tokens, whose own parts are not named: its beginnings of each
-    /// whole number of blocks, up to [`MAX_BLOCKS`], without the whole prompt.
+    /// Returns the digests of a prompt's prefixes of 1 to [`MAX_BLOCKS`] blocks, without the whole
+    /// prompt. They stand for the parts of a prompt of tokens, whose parts callers do not name.
     ///
-    /// Requests that share a part after the same beginning share the beginning that ends with it.
-    pub fn beginnings(service: &ServiceName, prompt: &[u32]) -> Vec<Self> {
+    /// Prompts that have a part in common after the same prefix also share the prefix that includes
+    /// it.
+    pub fn prefixes(service: &ServiceName, prompt: &[u32]) -> Vec<Self> {
         let mut hash = Sha256::new();
         hash.update((service.len() as u64).to_be_bytes());
         hash.update(service.as_str());
--- a/src/core/poison/part_table.rs
+++ b/src/core/poison/part_table.rs
@@ -2,7 +2,7 @@
 //!
 //! A crash shows only that one of the requests that had just begun on the endpoint may be guilty, and
 //! a request only that one of its parts may be. The guilty part is found by comparing crashes: it
-//! is at hand at each of its crashes and never in a run that goes on. All VMs exchange both kinds
+//! is present at each of its crashes and never in a run that survives its start. All VMs exchange both kinds
 //! of observations, so they reach the same verdicts (docs/operators/barred-requests.md).
 
 use std::collections::BTreeMap;
@@ -200,7 +200,7 @@
 
     /// Returns whether a request with a barred part may run all the same, and counts that trial.
     ///
-    /// While no run survives, as after a restart of all VMs, a harmless part that is at hand at
+    /// While no run survives, as after a restart of all VMs, a harmless part that is present at
     /// each crash can't be told from the guilty one. Both are barred, so nothing would ever clear
     /// the harmless one. Only the VM that is the part's home may ask, which keeps the trials of a
     /// guilty part few.
--- a/src/core/poison/rank.rs
+++ b/src/core/poison/rank.rs
@@ -23,9 +23,9 @@
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 
-    /// Returns the rank of this VM for an endpoint or the reverse; the highest one comes first.
+    /// Returns the score of a VM for an endpoint; the VM with the highest score comes first.
     #[must_use]
-    pub fn rank_for(self, other: Self) -> u64 {
+    pub fn score_for(self, other: Self) -> u64 {
         self.score(other.0)
     }
 
--- a/src/core/poison/verdict.rs
+++ b/src/core/poison/verdict.rs
@@ -14,11 +14,11 @@
 pub const MAX_CRASHES: usize = 8;
 /// The number of crashes that bar a part if no other part explains them as well.
 pub const CLEAR_VERDICT: usize = 3;
-/// The number of crashes that bar a part although another part was at hand as often (the users'
+/// The number of crashes that bar a part although another part was present as often (the users'
 /// rule on repeats).
 pub const TIED_VERDICT: usize = 5;
-/// How long a surviving run speaks for its parts: clocks of VMs differ, and a part does not turn
-/// harmful within seconds.
+/// How long after a surviving run crashes do not count against its parts: clocks of VMs differ, and
+/// a part does not turn harmful within seconds.
 const SURVIVAL_SPAN: Millis = Millis::seconds(2);
 
 /// A crash of an endpoint right after it began to answer a request with a part.
@@ -68,7 +68,7 @@
         self.crashes.truncate(MAX_CRASHES);
     }
 
-    /// Records a run that survived; returns whether that speaks for the part in more crashes than
+    /// Records a run that survived; returns whether that clears the part of more crashes than
     /// before.
     pub fn clear(&mut self, at: Millis) -> bool {
         let before = self.count_cleared();
@@ -92,7 +92,7 @@
         *self != before
     }
 
-    /// Returns whether a surviving run speaks for the part here and not in another VM's history.
+    /// Returns whether a surviving run clears the part here and not in another VM's history.
     #[must_use]
     pub fn clears_more_than(&self, other: &Self) -> bool {
         self.count_cleared() > other.count_cleared()
@@ -159,7 +159,7 @@
 ///
 /// A crash is explained by the parts of the requests that had just begun there, without those that
 /// survived in a run at about that time or later; if some of them never survived, by these only.
-/// The part at hand at most crashes explains a crash best. [`CLEAR_VERDICT`] crashes that a part
+/// The part present at most crashes explains a crash best. [`CLEAR_VERDICT`] crashes that a part
 /// explains better than all others bar it, and so do [`TIED_VERDICT`] that none explains better.
 #[must_use]
 pub fn find_bars(entries: &BTreeMap<PartDigest, PartHistory>) -> BTreeMap<PartDigest, PartBar> {
--- a/src/core/roster/limit.rs
+++ b/src/core/roster/limit.rs
@@ -36,7 +36,7 @@
 const BURST_SECONDS: f64 = 1.5;
 /// The requests that may arrive at once at any rate.
 const BASE_BURST: f64 = 3.0;
-/// The lowest rate that is reckoned with, in requests a second. Without any request, no answer would
+/// The lowest rate from which shares are computed, in requests a second. Without any request, no answer would
 /// tell that a limit of 0 has ended.
 const MIN_RATE: f64 = 0.05;
 
@@ -192,9 +192,9 @@
     /// Returns the number of VMs before this one in an endpoint's ranking.
     fn rank(&self, endpoint: &EndpointName) -> usize {
         let key = NodeHash::of(endpoint);
-        let own = self.me.rank_for(key);
+        let own = self.me.score_for(key);
         let before = self.others.iter();
-        before.filter(|vm| vm.rank_for(key) > own).count()
+        before.filter(|vm| vm.score_for(key) > own).count()
     }
 }
 
--- a/src/edge/bars.rs
+++ b/src/edge/bars.rs
@@ -1,5 +1,5 @@
-//! Barred requests and parts of prompts in the store, for VMs that start when no other VM is left that knows them
-//! (docs/operators/barred-requests.md).
+//! Barred requests and parts of prompts in the store, for VMs that start when no other VM is left
+//! that knows them (docs/operators/barred-requests.md).
 
 use serde::Serialize;
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -13,6 +13,8 @@
 use cornelwharf::clock::Clock;
 use cornelwharf::clock::Millis;
 use cornelwharf::core::poison::Incident;
+use cornelwharf::core::poison::PartCrash;
+use cornelwharf::core::poison::PartDigest;
 use cornelwharf::core::poison::RequestDigest;
 use cornelwharf::core::roster::Entry;
 use cornelwharf::core::site::Card;
@@ -1309,3 +1311,28 @@
         check_limit(world, &addrs, "/draft/1").await;
     });
 }
+
+#[test]
+fn crashes_that_a_barred_part_explains_do_not_bar_the_contents_beside_it() {
+    run(async |world: Rc<World>| {
+        let edge = &world.edges[0];
+        let content = RequestDigest::of_call("red", "POST", "/post/a", b"{}");
+        let guilty = PartDigest::of(&"ledger".into(), "guilty");
+        for boot in 0..u64::from(CRASH_LIMIT) {
+            record_crash(edge, content, boot);
+        }
+        let refused = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        let now = edge.now();
+        for boot in 0..u64::from(CRASH_LIMIT) {
+            let crash = PartCrash {
+                at: now,
+                endpoint: "e0".into(),
+                boot,
+            };
+            edge.parts(|table| table.record_crash(now, &[guilty], &crash));
+        }
+        let answer = world.call(0, "/post/a", "red-key").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    });
+}
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn a_part_at_hand_at_three_crashes_is_barred_and_those_beside_it_are_not() {
+fn a_part_present_at_three_crashes_is_barred_and_those_beside_it_are_not() {
     let mut table = PartTable::default();
     table.record_survival(START, &parts(&["shared"]));
     for turn in 0..CLEAR_VERDICT as u64 {
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn a_harmless_part_at_hand_at_as_many_crashes_is_cleared_by_a_run_that_goes_on() {
+fn a_harmless_part_present_at_as_many_crashes_is_cleared_by_a_run_that_goes_on() {
     let mut table = PartTable::default();
     for turn in 0..TIED_VERDICT as u64 {
         let at = START + Millis(300 * turn);
@@ -228,7 +228,7 @@
             fleet.run_for(span);
         }
         fleet.run_for(SECOND);
-        // A subject that was at hand at all five crashes too is told apart by its trial.
+        // A subject that was present at all five crashes too is told apart by its trial.
         let barred: Vec<PartDigest> = fleet.tables[0].barred().collect();
         for tried in barred.into_iter().filter(|tried| *tried != part("guilty")) {
             assert!(fleet.tables[0].begin_trial(fleet.now, tried), "seed {seed}");
@@ -251,7 +251,7 @@
 }
 
 #[test]
-fn prompts_that_share_a_beginning_that_crashes_endpoints_are_barred_on_every_vm() {
+fn prompts_that_share_a_prefix_that_crashes_endpoints_are_barred_on_every_vm() {
     const GUILTY: u32 = 1;
     const HARMLESS: u32 = 2;
     let service = "model".into();
@@ -264,7 +264,7 @@
         let run = Run {
             id: RequestId(u64::from(serial)),
             digest: RequestDigest::of(&service, &prompt),
-            parts: PartDigest::beginnings(&service, &prompt).into(),
+            parts: PartDigest::prefixes(&service, &prompt).into(),
             endpoint: endpoint.clone(),
             alone: false,
         };
@@ -295,13 +295,13 @@
     now += Millis::seconds(10);
     for (vm, table) in tables.iter_mut().enumerate() {
         let mut is_barred = |kind| {
-            let parts = PartDigest::beginnings(&service, &prompt(kind, 999));
+            let parts = PartDigest::prefixes(&service, &prompt(kind, 999));
             let mut parts = parts.into_iter();
             parts.any(|part| table.parts().barred_for(now, part).is_some())
         };
         assert!(is_barred(GUILTY), "vm {vm}");
         assert!(!is_barred(HARMLESS), "vm {vm}");
-        let harmless = PartDigest::beginnings(&service, &prompt(HARMLESS, 999));
+        let harmless = PartDigest::prefixes(&service, &prompt(HARMLESS, 999));
         assert_eq!(table.find_barred_part(now, &harmless, &vms), None);
     }
 }
