Log when a VM reaches no endpoint, and why connections failed

Plain requests that could not connect left no line at all.

A VM to which two endpoints failed within 2 s, without an answer over a new connection, asks up to five endpoints for a report. If none answers within 0.2 s, it logs endpoints_lost, and endpoints_regained once one does. Nothing depends on that yet. Connections to endpoints are opened in one place, where tests can put proxies between a VM and its endpoints.

Ruled out as the sign: answers over connections that are already open, since in one of the cuts those lived on.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod pipe;
 pub mod poison;
 pub mod position;
+pub mod reach;
 pub mod roster;
 pub mod route;
 pub mod session;
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -161,6 +161,16 @@
             .collect()
     }
 
+    /// Returns the addresses of the endpoints that may get requests, which a check of this VM's links
+    /// may ask: neither leaving nor in a pause.
+    pub fn reachable(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        let states = self.endpoints.values();
+        states
+            .filter(move |state| state.health.paused_for(now).is_none())
+            .filter_map(move |state| Self::usable(state, now))
+            .map(|entry| entry.addr)
+    }
+
     /// Records that every change before `end` was applied.
     pub fn advance(&mut self, end: Position) {
         self.end = self.end.max(end);
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -5,12 +5,15 @@
 use http::Method;
 use http::StatusCode;
 
+use super::engine;
+use super::engine::Link;
 use super::forward;
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
 use super::front::RequestContext;
 use super::notice;
 use super::parts;
+use super::reach;
 use super::retry;
 use super::state::Edge;
 use super::suspect;
@@ -78,13 +81,13 @@
             );
         };
         tried.push(entry.endpoint.clone());
-        let new_conn = ctx.route.kind == RouteKind::Once;
+        let may_reuse = ctx.route.kind != RouteKind::Once;
         edge.roster(|roster| {
             roster.take_limited(edge.now(), &entry.endpoint);
             roster.begin_request(&entry.endpoint, 0.0);
         });
         let run_start = edge.now();
-        let outcome = attempt(edge, ctx, &entry, new_conn).await;
+        let outcome = attempt(edge, ctx, &entry, may_reuse).await;
         edge.roster(|roster| roster.end_request(&entry.endpoint, 0.0));
         record_outcome(edge, &entry, &outcome);
         if matches!(outcome.ending, Ending::Answered(_)) {
@@ -145,21 +148,19 @@
     })
 }
 
-async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, new_conn: bool) -> Outcome {
+async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, may_reuse: bool) -> Outcome {
     let mut outcome = Outcome {
         ending: Ending::NotRun,
         sent: false,
         response: None,
     };
-    let dial = async {
-        match edge.pool().take_idle(entry.addr) {
-            Some(conn) if !new_conn => Ok(conn),
-            _ => Conn::dial(entry.addr).await,
+    let Link { mut conn, is_new } = match engine::connect(edge, entry.addr, may_reuse).await {
+        Ok(link) => link,
+        Err(error) => {
+            log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "not_connected");
+            return outcome;
         }
     };
-    let Ok(mut conn) = dial.await else {
-        return outcome;
-    };
     let remaining = ctx.remaining(edge.now());
     let info = ForwardInfo {
         endpoint: &entry.endpoint,
@@ -178,6 +179,7 @@
         Ok(Err(error)) => {
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "attempt_broke");
             edge.pool().clear(entry.addr);
+            reach::record_failure(edge, entry.addr);
             let endpoint = (entry.endpoint.clone(), entry.addr);
             let progress = RunProgress {
                 has_begun: true,
@@ -191,6 +193,9 @@
             return outcome;
         }
     };
+    if is_new {
+        reach::record_contact(edge);
+    }
     notice::read_answer(edge, &entry.endpoint, &response);
     outcome.ending = classify(edge, &response);
     if !closes_connection(&response) {
@@ -297,6 +302,7 @@
         tried:? = tried,
         outcome:? = step,
         status = response.status.as_u16(),
+        cut_off = edge.is_cut_off(),
         ms = edge.now().since(ctx.start).0;
         "request"
     );
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -12,6 +12,7 @@
 use super::dialect::OrderAnswer;
 use super::dialect::Report;
 use super::notice;
+use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::io::http::Conn;
@@ -44,6 +45,42 @@
     Dialect(DialectError),
 }
 
+/// A connection to an endpoint.
+#[derive(Debug)]
+pub struct Link {
+    /// The connection.
+    pub conn: Conn,
+    /// Whether it was opened for this request.
+    pub is_new: bool,
+}
+
+/// Takes an idle connection to an endpoint if it `may_reuse` one, or opens a new one.
+///
+/// # Errors
+///
+/// Fails if the connection cannot be opened. No request has been sent then.
+pub async fn connect(edge: &Edge, addr: SocketAddr, may_reuse: bool) -> Result<Link, HttpError> {
+    let idle = if may_reuse {
+        edge.pool().take_idle(addr)
+    } else {
+        None
+    };
+    if let Some(conn) = idle {
+        return Ok(Link {
+            conn,
+            is_new: false,
+        });
+    }
+    let opened = edge.pool().dial(addr).await;
+    if opened.is_err() {
+        reach::record_failure(edge, addr);
+    }
+    Ok(Link {
+        conn: opened?,
+        is_new: true,
+    })
+}
+
 /// Fetches an engine's report.
 ///
 /// # Errors
@@ -58,6 +95,23 @@
     Ok((edge.dialect().parse_report)(&response)?)
 }
 
+/// Fetches an endpoint's report over a new connection, to learn whether it is reached. Any response
+/// shows that, also one without a report.
+///
+/// # Errors
+///
+/// Fails if the connection cannot be opened or breaks, or if no response comes in time.
+pub async fn ask_anew(edge: &Edge, addr: SocketAddr) -> Result<(), EngineError> {
+    let conn = edge.pool().dial(addr).await?;
+    let request = (edge.dialect().report_request)();
+    let response = edge
+        .pool()
+        .call_on(addr, conn, &request, CALL_TIMEOUT)
+        .await?;
+    read_answer(edge, addr, &response);
+    Ok(())
+}
+
 /// Reads what the engine at an address says of itself in an answer.
 fn read_answer(edge: &Edge, addr: SocketAddr, response: &Response) {
     if let Some(endpoint) = edge.roster(|roster| roster.name_at(addr)) {
@@ -111,7 +165,7 @@
         let conn = if attempt == 0 {
             edge.pool().get(addr).await?
         } else {
-            Conn::dial(addr).await?
+            edge.pool().dial(addr).await?
         };
         edge.pool()
             .call_on(addr, conn, &request, PROBE_TIMEOUT)
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -24,6 +24,7 @@
     retries: Counter<u64>,
     crashes: Counter<u64>,
     part_bars: Counter<u64>,
+    cut_offs: Counter<u64>,
     notices: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
@@ -45,6 +46,7 @@
             retries: counter("edge_retries", "Retries asked of the budget, by outcome."),
             crashes: counter("edge_crashes", "Endpoints that crashed under a request."),
             part_bars: counter("edge_part_bars", "Parts of prompts that were barred."),
+            cut_offs: counter("edge_cut_offs", "Times that no endpoint was reached."),
             notices: counter(
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
@@ -89,6 +91,11 @@
         self.part_bars.add(1, &[]);
     }
 
+    /// Counts that the VM no longer reaches any endpoint.
+    pub fn count_cut_off(&self) {
+        self.cut_offs.add(1, &[]);
+    }
+
     /// Counts an endpoint that said that it is leaving or asked for a pause, by kind.
     pub fn count_notice(&self, kind: &'static str) {
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -21,6 +21,7 @@
 mod paths;
 mod placement;
 mod probe;
+mod reach;
 mod registry;
 mod relay;
 mod retry;
@@ -109,6 +110,7 @@
     monoio::spawn(news::poll_peers(edge.clone()));
     monoio::spawn(placement::run(edge.clone()));
     monoio::spawn(probe::run(edge.clone()));
+    monoio::spawn(reach::run(edge.clone()));
     monoio::spawn(suspect::expire(edge.clone()));
     monoio::spawn(notice::watch_limits(edge.clone()));
     monoio::spawn(bars::read(edge.clone()));
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -4,6 +4,7 @@
 
 use super::dialect::Report;
 use super::engine;
+use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::pipe::Part;
@@ -62,6 +63,7 @@
         Err(error) => {
             let ms = edge.now().since(start).0;
             log::info!(endpoint:% = part.endpoint, error:% = error, compared, ms; "endpoint_silent");
+            reach::record_failure(&edge, part.addr);
             mark_down(&edge, &part.endpoint);
         }
     }
--- /dev/null
+++ b/src/edge/reach.rs
@@ -0,0 +1,94 @@
+//! Checks whether this VM reaches any endpoint ([`crate::core::reach`]).
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::engine;
+use super::state::Edge;
+use crate::clock::Millis;
+use crate::core::reach::Reach;
+use crate::io::mailbox::Mailbox;
+use crate::io::timeout::within;
+
+/// How long a check waits for an answer, connecting included. An endpoint answers within a few
+/// milliseconds; a packet that is lost is sent again only after a second.
+const CHECK_TIMEOUT: Millis = Millis(200);
+/// The number of endpoints asked in the first check. With 5 % packet loss, all of their answers are
+/// lost in about one check of 1,000, and half of the endpoints may have crashed.
+const CHECKED: usize = 5;
+/// The number of endpoints asked in each later check.
+const RECHECKED: usize = 2;
+/// The interval between checks while none is reached.
+const RECHECK_INTERVAL: Millis = Millis(400);
+
+/// Records that a connection to an endpoint could not be opened or broke, or that the endpoint did
+/// not answer in time; starts a check if that is due.
+pub fn record_failure(edge: &Edge, addr: SocketAddr) {
+    let now = edge.now();
+    let known = edge.roster(|roster| roster.reachable(now).count());
+    let is_due = edge.reach(|reach| {
+        reach.record_failure(now, addr);
+        reach.begin_check(now, known)
+    });
+    if is_due {
+        monoio::spawn(check(edge.clone(), CHECKED));
+    }
+}
+
+/// Records that an endpoint answered over a new connection.
+pub fn record_contact(edge: &Edge) {
+    let now = edge.now();
+    if let Some(span) = edge.reach(|reach| reach.record_contact(now)) {
+        log::warn!(ms = span.0; "endpoints_regained");
+    }
+}
+
+/// Checks again and again while no endpoint is reached, forever.
+pub async fn run(edge: Edge) {
+    loop {
+        monoio::time::sleep(RECHECK_INTERVAL.duration()).await;
+        if edge.is_cut_off() && edge.reach(Reach::begin_recheck) {
+            check(edge.clone(), RECHECKED).await;
+        }
+    }
+}
+
+/// Asks some endpoints for a report over new connections, those first that have not failed.
+async fn check(edge: Edge, count: usize) {
+    let start = edge.now();
+    let mut targets = edge.roster(|roster| roster.reachable(start).collect::<Vec<_>>());
+    targets.sort_by_cached_key(|addr| {
+        let has_failed = edge.reach(|reach| reach.has_failed(addr));
+        (has_failed, (edge.random() * f64::from(u32::MAX)) as u32)
+    });
+    targets.truncate(count);
+    let answers = Rc::new(Mailbox::new(targets.len().max(1)));
+    for addr in &targets {
+        monoio::spawn(ask(edge.clone(), *addr, Rc::clone(&answers)));
+    }
+    for _ in &targets {
+        let left = CHECK_TIMEOUT - edge.now().since(start);
+        match within(left, answers.receive()).await {
+            Ok(true) => {
+                record_contact(&edge);
+                break;
+            }
+            Ok(false) => {}
+            Err(_) => break,
+        }
+    }
+    let now = edge.now();
+    let asked = targets.len();
+    if asked > 0 && edge.reach(|reach| reach.end_check(now, start)) {
+        log::warn!(asked, ms = now.since(start).0; "endpoints_lost");
+        edge.metrics().count_cut_off();
+    } else {
+        edge.reach(Reach::cancel_check);
+    }
+}
+
+async fn ask(edge: Edge, addr: SocketAddr, answers: Rc<Mailbox<bool>>) {
+    let answer = within(CHECK_TIMEOUT, engine::ask_anew(&edge, addr)).await;
+    // A full mailbox means that the check has ended.
+    let _ = answers.send(answer.is_ok_and(|answer| answer.is_ok()));
+}
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -15,6 +15,8 @@
 
 use super::call::classify;
 use super::call::closes_connection;
+use super::engine;
+use super::engine::Link;
 use super::forward;
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
@@ -26,6 +28,7 @@
 use super::paths::LoadGuard;
 use super::paths::MIN_RETRY_TIME;
 use super::paths::PathSelector;
+use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
@@ -152,6 +155,7 @@
         last = progress.events.last_id().unwrap_or(0),
         first_ms = progress.first_event.map_or(0, |at| at.since(ctx.start).0),
         pause_ms = progress.longest_gap.0,
+        cut_off = edge.is_cut_off(),
         ms = edge.now().since(ctx.start).0,
         outcome:? = ended;
         "stream"
@@ -214,8 +218,8 @@
     let Some(first) = path.first().cloned() else {
         return StreamEnd::NotRun;
     };
-    let conn = match send_request(selector, progress, &path, &first).await {
-        Ok(conn) => conn,
+    let Link { conn, is_new } = match send_request(selector, progress, &path, &first).await {
+        Ok(link) => link,
         Err(ended) => return ended,
     };
     let Conn {
@@ -227,6 +231,9 @@
         Ok(head) => head,
         Err(ended) => return ended,
     };
+    if is_new {
+        reach::record_contact(edge);
+    }
     notice::read_answer(edge, &first.endpoint, &response);
     if let Some(ended) = check_head(selector, progress, &first, &response) {
         return ended;
@@ -276,11 +283,11 @@
     progress: &mut Progress,
     path: &[Part],
     first: &Part,
-) -> Result<Conn, StreamEnd> {
+) -> Result<Link, StreamEnd> {
     let edge = selector.edge;
     let ctx = selector.ctx;
-    let mut conn = match edge.pool().get(first.addr).await {
-        Ok(conn) => conn,
+    let mut link = match engine::connect(edge, first.addr, true).await {
+        Ok(link) => link,
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
             selector.record_failure(first.addr);
@@ -302,8 +309,8 @@
     selector.begin_run();
     let from = progress.events.last_id().unwrap_or(0);
     log::info!(id = ctx.id, path:% = paths::format_path(path), last = from; "path");
-    match conn.writer.request(&request).await {
-        Ok(()) => Ok(conn),
+    match link.conn.writer.request(&request).await {
+        Ok(()) => Ok(link),
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_sent");
             edge.pool().clear(first.addr);
@@ -328,6 +335,7 @@
             log::info!(id, endpoint:% = path[0].endpoint, error:% = error; "head_broke");
             selector.edge.pool().clear(path[0].addr);
             selector.record_failure(path[0].addr);
+            reach::record_failure(selector.edge, path[0].addr);
             selector.check_first(path).await;
             Err(StreamEnd::Broke)
         }
@@ -421,6 +429,7 @@
                 let endpoint = &path[0].endpoint;
                 log::info!(id = ctx.id, endpoint:% = endpoint, error:% = error; "stream_broke");
                 selector.record_failure(path[0].addr);
+                reach::record_failure(edge, path[0].addr);
                 selector.check_first(path).await;
                 return Err(StreamEnd::Broke);
             }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -24,6 +24,7 @@
 use crate::core::poison::PartTable;
 use crate::core::poison::SuspectTable;
 use crate::core::position::Position;
+use crate::core::reach::Reach;
 use crate::core::roster::Roster;
 use crate::core::site::ActiveConfig;
 use crate::core::site::SiteConfig;
@@ -48,6 +49,7 @@
     accepted: RefCell<ActiveConfig>,
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
+    reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
     suspects: RefCell<SuspectTable>,
@@ -96,6 +98,7 @@
             accepted: RefCell::default(),
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
+            reach: RefCell::default(),
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             parts: RefCell::default(),
@@ -180,6 +183,19 @@
         work(&mut self.inner.fleet.borrow_mut())
     }
 
+    /// Runs `work` on what is known of the links to endpoints.
+    pub fn reach<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Reach) -> T,
+    {
+        work(&mut self.inner.reach.borrow_mut())
+    }
+
+    /// Returns whether this VM reaches no endpoint.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach(|reach| reach.is_lost())
+    }
+
     /// Runs `work` on the retry budget of a service.
     pub fn budget<T, F>(&self, service: &ServiceName, work: F) -> T
     where
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -15,7 +15,6 @@
 use crate::core::poison::RequestDigest;
 use crate::core::poison::SuspectGossip;
 use crate::core::poison::SuspectStatus;
-use crate::io::http::Conn;
 use crate::io::timeout::within;
 use crate::names::EndpointName;
 
@@ -81,7 +80,7 @@
     endpoints: &[(EndpointName, SocketAddr)],
 ) -> bool {
     for (endpoint, addr) in endpoints {
-        match within(CHECK_TIMEOUT, Conn::dial(*addr)).await {
+        match within(CHECK_TIMEOUT, edge.pool().dial(*addr)).await {
             Ok(Ok(conn)) => edge.pool().put(*addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
                 record_crash(edge, ctx, progress, endpoint);
--- a/src/io/http/writer.rs
+++ b/src/io/http/writer.rs
@@ -38,7 +38,7 @@
     }
 
     /// Sets the `host` header of requests that do not have one.
-    pub(super) fn set_host(&mut self, host: SocketAddr) {
+    pub(crate) fn set_host(&mut self, host: SocketAddr) {
         self.host = Some(host);
     }
 
--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use derive_more::Debug;
+
 use super::http::Conn;
 use super::http::HttpError;
 use super::http::Request;
@@ -34,17 +36,46 @@
 pub struct Pool {
     clock: Clock,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConn>>>>,
+    #[debug(skip)]
+    resolver: Rc<RefCell<Option<Resolver>>>,
 }
 
+/// Returns the address at which the connections to an address are opened.
+type Resolver = Box<dyn Fn(SocketAddr) -> SocketAddr>;
+
 impl Pool {
     /// Creates an empty pool.
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
             idle: Rc::default(),
+            resolver: Rc::default(),
         }
     }
 
+    /// Has new connections opened at the address that `resolver` returns, such as that of a proxy.
+    pub fn set_resolver<F>(&self, resolver: F)
+    where
+        F: Fn(SocketAddr) -> SocketAddr + 'static,
+    {
+        *self.resolver.borrow_mut() = Some(Box::new(resolver));
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection cannot be opened. No request has been sent then.
+    pub async fn dial(&self, addr: SocketAddr) -> Result<Conn, HttpError> {
+        let target = match &*self.resolver.borrow() {
+            Some(resolver) => resolver(addr),
+            None => addr,
+        };
+        let mut conn = Conn::dial(target).await?;
+        conn.writer.set_host(addr);
+        Ok(conn)
+    }
+
     /// Takes an idle connection out of the pool; `None` if there is none that is recent enough.
     pub fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
         let oldest = self.clock.now() - MAX_IDLE_TIME;
@@ -66,7 +97,7 @@
     pub async fn get(&self, addr: SocketAddr) -> Result<Conn, HttpError> {
         match self.take_idle(addr) {
             Some(conn) => Ok(conn),
-            None => Conn::dial(addr).await,
+            None => self.dial(addr).await,
         }
     }
 
