Failing tests: a VM that reaches no endpoint refuses first tries

Proxies between the first of three daemons and all endpoints hang, reset or close new connections only, while callers, the store and the other daemons reach it. 3 s later the daemon serves 0, 0 and 5 of 12 first tries. It also marks engines as stalled on the other VMs, records six crashes of engines whose connections were reset, and goes on leading, so that a restarted engine gets no layers.

--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,5 +1,8 @@
 //! Three edge daemons, a store, engines and plain endpoints over real sockets, in one event loop.
 
+#[path = "edge/cut.rs"]
+mod cut;
+
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Write;
