Serve callers over other VMs while this one reaches no endpoint

Cause: a VM served callers only over links of its own, and took its lost links for failures of the endpoints. So it refused what other VMs could serve, marked sound engines as stalled on all VMs, recorded crashes where connections were refused on the way, and went on leading the placement.

Change: a VM that reaches no endpoint sends its callers' requests, as they came, to the peer address of a VM that does: of two random ones, the one with fewer tokens in progress and no older configuration. That one handles them like its own callers' requests and never passes them on again; a VM that cannot serve declines, which promises that the request has not run. Running streams move there too, from their last event. So does a request that could not connect to two endpoints. If no VM takes it, it is refused at once.

VMs tell each other that they reach none. Such a VM is not named to callers, does not lead, marks no endpoint and records no crash; when an endpoint answers again, it forgets the failures that it saw meanwhile. Connections that were never opened take no retry.

Why it works: the loss is judged by new connections only, and by a check of several endpoints at once, so neither one dead endpoint nor connections that live on decide it; and any VM that reaches endpoints can serve any caller.

Ruled out: reporting such a VM as not ready. Callers keep its address for seconds, and their first tries would fail all the same.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -4,6 +4,8 @@
 //! not risen for [`ALIVE_TIMEOUT`] is considered gone. The size of a message is bounded, so the
 //! traffic of a VM does not grow with the fleet (docs/PLATFORM.md).
 
+mod cut;
+
 use std::collections::BTreeMap;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
@@ -16,6 +18,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::cut::CutNotice;
 use crate::clock::Millis;
 use crate::core::position::Position;
 use crate::core::roster::Mark;
@@ -151,6 +154,10 @@
     /// The VMs that are not kept any more, and when each was last known.
     forgotten: BTreeMap<Vm, Millis>,
     contacts: Vec<SocketAddr>,
+    /// Whether this VM reaches no endpoint.
+    is_cut_off: bool,
+    /// The VMs that reach no endpoint, by start hash, and when each last said so.
+    cut_off: BTreeMap<u32, Millis>,
     /// When the store last answered any VM, as far as this one knows.
     store_answered: Millis,
     /// Whether the store's list of VMs was read.
@@ -168,6 +175,8 @@
             vms_by_start: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             contacts,
+            is_cut_off: false,
+            cut_off: BTreeMap::new(),
             store_answered: Millis(0),
             has_list: false,
             rng,
@@ -352,16 +361,20 @@
     }
 
     /// Returns the addresses that a caller may connect to: a random sample of the VMs that
-    /// serve callers, and this VM if it does.
+    /// serve callers, and this VM if it does. VMs that reach no endpoint are left out, unless all
+    /// do not.
     pub fn addresses(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut rng = self.rng.clone();
-        let mut list: Vec<SocketAddr> = self
-            .alive(now)
-            .filter(|member| member.ready)
-            .map(|member| member.front)
-            .sample(&mut rng, MAX_ADDRESSES - 1);
+        let ready = self.alive(now).filter(|member| member.ready);
+        let (reaching, cut_off): (Vec<&Member>, Vec<&Member>) =
+            ready.partition(|member| self.reaches_endpoints(now, member));
+        let is_listed = self.me.ready && (!self.is_cut_off || reaching.is_empty());
+        let is_any_reaching = !reaching.is_empty() || (self.me.ready && !self.is_cut_off);
+        let fit = if is_any_reaching { reaching } else { cut_off };
+        let fit = fit.into_iter().map(|member| member.front);
+        let mut list: Vec<SocketAddr> = fit.sample(&mut rng, MAX_ADDRESSES - 1);
         self.rng = rng;
-        if self.me.ready {
+        if is_listed {
             list.push(self.me.front);
         }
         list
@@ -410,10 +423,13 @@
     }
 
     /// Returns whether this VM should send orders to the endpoints: it is the first by name of
-    /// those that serve callers and reach the store.
+    /// those that serve callers and reach the store and endpoints.
     pub fn is_leader(&self, now: Millis) -> bool {
-        let before = |member: &Member| member.may_lead() && member.vm < self.me.vm;
-        self.me.may_lead() && !self.alive(now).any(before)
+        let before = |member: &Member| {
+            let may_lead = member.may_lead() && self.reaches_endpoints(now, member);
+            may_lead && member.vm < self.me.vm
+        };
+        self.me.may_lead() && !self.is_cut_off && !self.alive(now).any(before)
     }
 
     /// Returns the peer address of a random VM with a newer configuration or newer endpoints than
--- a/src/core/roster/health.rs
+++ b/src/core/roster/health.rs
@@ -94,8 +94,8 @@
         self.down || now < self.avoid_until || now < self.paused_until
     }
 
-    /// Returns the health of an endpoint whose entry lapsed and was written again: only the pause
-    /// that it asked for still holds.
+    /// Returns the health of an endpoint of which nothing is known any more, as after its entry lapsed
+    /// and was written again: only the pause that it asked for still holds.
     #[must_use]
     pub fn after_lapse(&self) -> Self {
         Self {
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -418,6 +418,23 @@
         }
     }
 
+    /// Forgets the failures of all endpoints and this VM's own marks, but no pause that one asked for.
+    pub fn forget_failures(&mut self) {
+        for state in self.endpoints.values_mut() {
+            state.health = state.health.after_lapse();
+            if std::mem::take(&mut state.watched) {
+                state.pace = None;
+            }
+        }
+    }
+
+    /// Returns whether any endpoint showed a sign of life after `since`.
+    pub fn has_heard_since(&self, since: Millis) -> bool {
+        self.endpoints
+            .values()
+            .any(|state| state.last_heard > since)
+    }
+
     /// Records that some endpoint answered a probe that was sent at `start`.
     pub fn record_probe_answer(&mut self, start: Millis) {
         self.last_answered_probe = self.last_answered_probe.max(start);
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -5,6 +5,8 @@
 use http::Method;
 use http::StatusCode;
 
+use super::detour;
+use super::detour::DetourFault;
 use super::engine;
 use super::engine::Link;
 use super::forward;
@@ -64,9 +66,38 @@
 
 async fn run_attempts(edge: &Edge, ctx: &RequestContext) -> Response {
     let mut tried: Vec<EndpointName> = Vec::new();
-    let mut sent = 0;
+    let mut sent = ctx.detour.map_or(0, |info| info.attempts);
     let mut ran = false;
+    let mut unreached = 0;
+    let mut has_detoured = false;
     loop {
+        let is_lost = edge.is_cut_off();
+        if (is_lost || !has_detoured) && ctx.needs_detour(edge, unreached) {
+            has_detoured = true;
+            match detour::call(edge, ctx, sent).await {
+                Ok(response) if ran && is_refusal(edge, &response) => {
+                    return finish(edge, ctx, &tried, NextStep::Fail, None);
+                }
+                Ok(response) => {
+                    return finish(edge, ctx, &tried, NextStep::Relay, Some(response));
+                }
+                Err(DetourFault::NotTaken) if is_lost && !ran => {
+                    return finish(edge, ctx, &tried, NextStep::Refuse, None);
+                }
+                Err(DetourFault::NotTaken) if !is_lost => {}
+                Err(fault) => {
+                    sent += 1;
+                    ran = true;
+                    let may_go_on = fault == DetourFault::Unknown
+                        && ctx.route.may_repeat()
+                        && sent < ctx.route.attempts
+                        && ctx.remaining(edge.now()) > MIN_RETRY_TIME;
+                    if !may_go_on || !retry::take_retry(edge, ctx) {
+                        return finish(edge, ctx, &tried, NextStep::Fail, None);
+                    }
+                }
+            }
+        }
         let Some(entry) = pick_endpoint(edge, ctx, &tried) else {
             return finish(
                 edge,
@@ -95,12 +126,14 @@
             parts::record_survival(edge, ctx);
         }
         sent += u32::from(outcome.sent);
+        unreached += usize::from(!outcome.sent);
         ran |= outcome.ending == Ending::Unknown;
         let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
         let is_barred = suspect::is_barred(edge, ctx);
         let allowed =
             sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
-        let has_other = allowed && pick_endpoint(edge, ctx, &tried).is_some();
+        let may_detour = !has_detoured && ctx.needs_detour(edge, unreached);
+        let has_other = allowed && (may_detour || pick_endpoint(edge, ctx, &tried).is_some());
         let state = RetryState {
             can_repeat: ctx.route.may_repeat(),
             can_retry: has_other,
@@ -207,6 +240,14 @@
     outcome
 }
 
+/// Returns whether another VM's response is a refusal: the request has not run there.
+fn is_refusal(edge: &Edge, response: &Response) -> bool {
+    let is_signed = response
+        .headers
+        .contains_key(&edge.dialect().headers.signature);
+    response.status == StatusCode::SERVICE_UNAVAILABLE && !is_signed
+}
+
 /// Classifies an endpoint's response.
 ///
 /// An endpoint may state that it did not run the request. Otherwise only a signed response counts
--- a/src/edge/forward.rs
+++ b/src/edge/forward.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use http::header;
 
+use super::detour;
 use super::dialect::Headers;
 use super::state::Edge;
 use crate::clock::Millis;
@@ -73,6 +74,7 @@
     let headers = &mut copy.headers;
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::EXPECT);
+    headers.remove(detour::HEADER);
     for name in [
         &names.team,
         &names.expected_endpoint,
@@ -100,7 +102,8 @@
     copy
 }
 
-fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+/// Sets a header, unless the value has characters that no header may have.
+pub fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => {
             headers.insert(name.clone(), value);
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -12,6 +12,8 @@
 
 use super::ACCEPT_AFTER_STOP;
 use super::call;
+use super::detour;
+use super::detour::DetourInfo;
 use super::forward;
 use super::parts;
 use super::relay;
@@ -52,6 +54,9 @@
 /// The most parts of a prompt that are told apart, which bounds the work for a long list.
 const MAX_PARTS: usize = 64;
 
+/// The endpoints that a request may fail to reach before another VM is asked to serve it.
+const MAX_UNREACHED: usize = 2;
+
 /// What happens to a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnAction {
@@ -86,9 +91,17 @@
     pub start: Millis,
     /// When the caller or the route times out, whichever is earlier.
     pub deadline: Millis,
+    /// Set if another VM accepted the request and reaches no endpoint.
+    pub detour: Option<DetourInfo>,
 }
 
 impl RequestContext {
+    /// Returns whether to have another VM serve the request: this one reaches no endpoint, or opened
+    /// no connection to `unreached` endpoints for it.
+    pub fn needs_detour(&self, edge: &Edge, unreached: usize) -> bool {
+        self.detour.is_none() && (edge.is_cut_off() || unreached >= MAX_UNREACHED)
+    }
+
     /// Returns the time left until the deadline, 0 once it has passed.
     pub fn remaining(&self, now: Millis) -> Millis {
         self.deadline.since(now)
@@ -120,7 +133,7 @@
             Err(error) => return reject_malformed(&mut conn, from, &error).await,
         };
         let guard = edge.begin_request();
-        let action = handle(&edge, &mut conn, request).await;
+        let action = handle(&edge, &mut conn, request, None).await;
         drop(guard);
         if action == ConnAction::Close {
             conn.writer.close().await;
@@ -129,6 +142,37 @@
     }
 }
 
+/// Serves a request of another VM, which accepted it and reaches no endpoint.
+pub async fn serve_detour(
+    edge: &Edge,
+    conn: &mut Conn,
+    request: Request,
+    info: DetourInfo,
+) -> ConnAction {
+    let guard = edge.begin_request();
+    let action = match detour::find_objection(edge, info) {
+        Some(reason) => {
+            let id = request.header(&edge.dialect().headers.request_id);
+            log::info!(id = id.unwrap_or("-"), status = 503, reason; "detour_refused");
+            let bodiless = request.method == Method::HEAD;
+            respond(edge, conn, detour::decline(reason), bodiless, edge.now()).await
+        }
+        None => handle(edge, conn, request, Some(info)).await,
+    };
+    drop(guard);
+    action
+}
+
+/// Returns the limits on requests of other VMs: at least those on requests of callers.
+pub fn peer_bounds(edge: &Edge) -> Bounds {
+    let (own, default) = (bounds(edge), Bounds::default());
+    Bounds {
+        max_head: own.max_head.max(default.max_head) + REQUEST_LINE_BYTES,
+        max_body: own.max_body.max(default.max_body),
+        ..default
+    }
+}
+
 /// Returns the limits on requests by the configuration in force, or the defaults without one.
 fn bounds(edge: &Edge) -> Bounds {
     edge.site().map_or_else(Bounds::default, |site| Bounds {
@@ -156,7 +200,12 @@
     }
 }
 
-async fn handle(edge: &Edge, conn: &mut Conn, request: Request) -> ConnAction {
+async fn handle(
+    edge: &Edge,
+    conn: &mut Conn,
+    request: Request,
+    detour: Option<DetourInfo>,
+) -> ConnAction {
     let start = edge.now();
     let bodiless = request.method == Method::HEAD;
     let names = &edge.dialect().headers;
@@ -236,8 +285,11 @@
         site,
         request,
         route,
+        detour,
     };
-    edge.budget(&ctx.service, |budget| budget.record_request(start));
+    if ctx.detour.is_none() {
+        edge.budget(&ctx.service, |budget| budget.record_request(start));
+    }
     if let Some(wait) = find_bar(edge, &ctx) {
         return respond(edge, conn, forward::refusal(wait), bodiless, start).await;
     }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -10,6 +10,7 @@
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
+use crate::core::fleet::CutNotice;
 use crate::core::fleet::HEARTBEAT_INTERVAL;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
@@ -117,12 +118,25 @@
     if bytes.is_empty() {
         return;
     }
-    match postcard::from_bytes::<Vec<RateNotice>>(bytes) {
-        Ok(notices) => notice::receive_limits(edge, &notices),
+    match postcard::take_from_bytes::<Vec<RateNotice>>(bytes) {
+        Ok((notices, rest)) => {
+            notice::receive_limits(edge, &notices);
+            receive_cuts(edge, rest);
+        }
         Err(error) => log::debug!(error:% = error; "limits_dropped"),
     }
 }
 
+fn receive_cuts(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<Vec<CutNotice>>(bytes) {
+        Ok(notices) => edge.fleet(|fleet| fleet.receive_cut_notices(edge.now(), &notices)),
+        Err(error) => log::debug!(error:% = error; "cuts_dropped"),
+    }
+}
+
 /// What follows a message, in this order. VMs of earlier releases ignore what follows the sections
 /// that they know, and a section is left out only if no later one follows.
 struct Sections {
@@ -130,11 +144,13 @@
     notices: Vec<LeavingNotice>,
     parts: Vec<PartRecord>,
     limits: Vec<RateNotice>,
+    cuts: Vec<CutNotice>,
 }
 
 fn encode(message: &Message, sections: &Sections) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(message)?;
-    let has_limits = !sections.limits.is_empty();
+    let has_cuts = !sections.cuts.is_empty();
+    let has_limits = !sections.limits.is_empty() || has_cuts;
     let has_parts = !sections.parts.is_empty() || has_limits;
     let has_notices = !sections.notices.is_empty() || has_parts;
     if !sections.suspects.records.is_empty() || has_notices {
@@ -149,6 +165,9 @@
     if has_limits {
         bytes = postcard::to_extend(&sections.limits, bytes)?;
     }
+    if has_cuts {
+        bytes = postcard::to_extend(&sections.cuts, bytes)?;
+    }
     Ok(bytes)
 }
 
@@ -166,6 +185,7 @@
             notices: notice::next_notices(&edge),
             parts: parts::next_records(&edge),
             limits: notice::next_limits(&edge),
+            cuts: edge.fleet(|fleet| fleet.cut_notices(now)),
         };
         match encode(&message, &sections) {
             Ok(bytes) => {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -25,6 +25,7 @@
     crashes: Counter<u64>,
     part_bars: Counter<u64>,
     cut_offs: Counter<u64>,
+    detours: Counter<u64>,
     notices: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
@@ -47,6 +48,7 @@
             crashes: counter("edge_crashes", "Endpoints that crashed under a request."),
             part_bars: counter("edge_part_bars", "Parts of prompts that were barred."),
             cut_offs: counter("edge_cut_offs", "Times that no endpoint was reached."),
+            detours: counter("edge_detours", "Requests that another VM answered."),
             notices: counter(
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
@@ -96,6 +98,11 @@
         self.cut_offs.add(1, &[]);
     }
 
+    /// Counts a request that another VM answered.
+    pub fn count_detour(&self) {
+        self.detours.add(1, &[]);
+    }
+
     /// Counts an endpoint that said that it is leaving or asked for a pause, by kind.
     pub fn count_notice(&self, kind: &'static str) {
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 
 mod bars;
 mod call;
+mod detour;
 pub mod dialect;
 mod engine;
 mod feed;
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -7,6 +7,7 @@
 use super::dialect::LayerOrder;
 use super::dialect::OrderAnswer;
 use super::engine;
+use super::reach;
 use super::state::Edge;
 use crate::core::pipe::Span;
 use crate::core::roster::Entry;
@@ -82,6 +83,8 @@
         Ok(report) => report,
         Err(error) => {
             log::warn!(endpoint:% = entry.endpoint, error:% = error; "order_not_sent");
+            // A leader that reaches no endpoint has to learn it, so that another VM leads.
+            reach::confirm(edge).await;
             return OrderResult::NotSent;
         }
     };
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -56,6 +56,8 @@
     excluded: Vec<SocketAddr>,
     may_retry: bool,
     is_retry_taken: bool,
+    /// The engines to which no connection could be opened.
+    unreached: usize,
     run: Run,
 }
 
@@ -78,10 +80,21 @@
             excluded: Vec::new(),
             may_retry: false,
             is_retry_taken: false,
+            unreached: 0,
             run: Run::default(),
         }
     }
 
+    /// Records that no connection to an engine could be opened.
+    pub fn record_unreached(&mut self) {
+        self.unreached += 1;
+    }
+
+    /// Returns the number of engines to which no connection could be opened.
+    pub fn unreached(&self) -> usize {
+        self.unreached
+    }
+
     /// Records that the request starts to run on a new or changed path.
     pub fn begin_run(&mut self) {
         self.run = Run {
@@ -287,6 +300,11 @@
         };
         let id = &self.ctx.id;
         let since = watch.last_event();
+        let is_any_heard = self.edge.roster(|roster| roster.has_heard_since(since));
+        if self.edge.is_cut_off() && !is_any_heard {
+            log::info!(id, endpoint:% = first.endpoint, reason = "cut_off"; "path_silent");
+            return false;
+        }
         let is_down = |part: &&Part| self.edge.roster(|roster| roster.is_down(&part.endpoint));
         if is_down(&&first) {
             let quiet = self.edge.now().since(since).0;
@@ -362,7 +380,7 @@
         let now = self.edge.now();
         let may_leave = self.may_retry
             && self.ctx.remaining(now) >= MIN_RETRY_TIME
-            && self.pick_path().is_some();
+            && (self.ctx.needs_detour(self.edge, 0) || self.pick_path().is_some());
         self.is_retry_taken = may_leave && self.take_retry();
         self.is_retry_taken
     }
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -64,7 +64,9 @@
             let ms = edge.now().since(start).0;
             log::info!(endpoint:% = part.endpoint, error:% = error, compared, ms; "endpoint_silent");
             reach::record_failure(&edge, part.addr);
-            mark_down(&edge, &part.endpoint);
+            if compared || reach::confirm(&edge).await {
+                mark_down(&edge, &part.endpoint);
+            }
         }
     }
 }
@@ -113,6 +115,9 @@
 pub async fn run(edge: Edge) {
     loop {
         monoio::time::sleep(PROBE_INTERVAL.duration()).await;
+        if edge.is_cut_off() {
+            continue;
+        }
         for (endpoint, addr) in edge.roster(|roster| roster.probe_targets(edge.now())) {
             monoio::spawn(probe_again(edge.clone(), endpoint, addr));
         }
@@ -124,6 +129,7 @@
     let down = edge.roster(|roster| roster.is_down(&endpoint));
     match report {
         Ok(report) => record_report(&edge, &endpoint, report.pace),
+        Err(_) if edge.is_cut_off() => {}
         Err(_) => mark(&edge, &endpoint, None),
     }
     if down && !edge.roster(|roster| roster.is_down(&endpoint)) {
--- a/src/edge/reach.rs
+++ b/src/edge/reach.rs
@@ -7,6 +7,7 @@
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::reach::Reach;
+use crate::core::roster::Roster;
 use crate::io::mailbox::Mailbox;
 use crate::io::timeout::within;
 
@@ -20,6 +21,8 @@
 const RECHECKED: usize = 2;
 /// The interval between checks while none is reached.
 const RECHECK_INTERVAL: Millis = Millis(400);
+/// How often a task looks whether the check of another one has ended.
+const POLL_INTERVAL: Millis = Millis(10);
 
 /// Records that a connection to an endpoint could not be opened or broke, or that the endpoint did
 /// not answer in time; starts a check if that is due.
@@ -40,9 +43,24 @@
     let now = edge.now();
     if let Some(span) = edge.reach(|reach| reach.record_contact(now)) {
         log::warn!(ms = span.0; "endpoints_regained");
+        edge.fleet(|fleet| fleet.set_cut_off(false));
+        // What failed during the cut may have failed because of it.
+        edge.roster(Roster::forget_failures);
+        edge.trigger_gossip();
     }
 }
 
+/// Checks whether an endpoint is reached, or waits for a check that is in progress.
+pub async fn confirm(edge: &Edge) -> bool {
+    if edge.reach(Reach::begin_recheck) {
+        check(edge.clone(), CHECKED).await;
+    }
+    while edge.reach(|reach| reach.is_checking()) {
+        monoio::time::sleep(POLL_INTERVAL.duration()).await;
+    }
+    !edge.is_cut_off()
+}
+
 /// Checks again and again while no endpoint is reached, forever.
 pub async fn run(edge: Edge) {
     loop {
@@ -82,6 +100,8 @@
     if asked > 0 && edge.reach(|reach| reach.end_check(now, start)) {
         log::warn!(asked, ms = now.since(start).0; "endpoints_lost");
         edge.metrics().count_cut_off();
+        edge.fleet(|fleet| fleet.set_cut_off(true));
+        edge.trigger_gossip();
     } else {
         edge.reach(Reach::cancel_check);
     }
--- a/src/edge/registry.rs
+++ b/src/edge/registry.rs
@@ -5,7 +5,11 @@
 
 use http::StatusCode;
 
+use super::detour;
+use super::detour::DetourInfo;
 use super::dialect::ControlQuery;
+use super::front;
+use super::front::ConnAction;
 use super::news;
 use super::state::Edge;
 use crate::clock::Millis;
@@ -45,7 +49,15 @@
 
 async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
     loop {
-        match conn.reader.request().await {
+        let bounds = || front::peer_bounds(&edge);
+        match conn.reader.request_with_bounds(bounds).await {
+            Ok(Some(request)) if let Some(info) = detour_info(&request) => {
+                let action = front::serve_detour(&edge, &mut conn, request, info).await;
+                if action == ConnAction::Close {
+                    conn.writer.close().await;
+                    return;
+                }
+            }
             Ok(Some(request)) => {
                 let response = respond(&edge, &request);
                 if conn.writer.response(&response, false).await.is_err() {
@@ -61,6 +73,19 @@
     }
 }
 
+/// Returns what another VM states in a request that this one is to serve; `None` if it is no such
+/// request.
+fn detour_info(request: &Request) -> Option<DetourInfo> {
+    let text = request.header(&detour::HEADER)?;
+    match text.parse() {
+        Ok(info) => Some(info),
+        Err(error) => {
+            log::warn!(value = text, error:% = error; "detour_malformed");
+            None
+        }
+    }
+}
+
 fn respond(edge: &Edge, request: &Request) -> Response {
     match (edge.dialect().parse_query)(request) {
         Some(ControlQuery::Ready) if edge.is_ready() => Response::new(StatusCode::OK),
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -15,6 +15,9 @@
 
 use super::call::classify;
 use super::call::closes_connection;
+use super::detour;
+use super::detour::DetourFault;
+use super::detour::Taken;
 use super::engine;
 use super::engine::Link;
 use super::forward;
@@ -57,6 +60,8 @@
 enum StreamEnd {
     /// The stream is complete.
     Done,
+    /// The request was not sent, as no connection could be opened.
+    NotSent,
     /// The engines did not run the request.
     NotRun,
     /// The stream broke, or its path stalled.
@@ -81,6 +86,8 @@
     not_run: u32,
     /// Whether a path may have run the request.
     ran: bool,
+    /// Whether other VMs were asked to serve it.
+    has_detoured: bool,
     first_event: Option<Millis>,
     last_event: Millis,
     /// The longest time between two events.
@@ -109,10 +116,16 @@
         return respond(edge, conn, forward::refusal(RETRY_AFTER), false, ctx.start).await;
     };
     let mut selector = PathSelector::new(edge, ctx, model);
-    if let Decision::Refuse(wait) = selector.admit() {
+    // The VM that serves it decides whether the engines have room.
+    if !ctx.needs_detour(edge, 0)
+        && let Decision::Refuse(wait) = selector.admit()
+    {
         return respond(edge, conn, forward::refusal(wait), false, ctx.start).await;
     }
-    let mut progress = Progress::default();
+    let mut progress = Progress {
+        paths: ctx.detour.map_or(0, |info| info.attempts),
+        ..Progress::default()
+    };
     let Conn { reader, writer } = conn;
     let ended = {
         let mut gone = pin!(reader.closed());
@@ -128,7 +141,7 @@
         StreamEnd::Done | StreamEnd::Failed(_) if edge.stopping().is_none() => ConnAction::Keep,
         StreamEnd::Done | StreamEnd::Failed(_) | StreamEnd::Left => ConnAction::Close,
         _ if progress.is_started => ConnAction::Close,
-        StreamEnd::NotRun if !progress.ran => {
+        StreamEnd::NotRun | StreamEnd::NotSent if !progress.ran => {
             let wait = selector.pause().unwrap_or(RETRY_AFTER);
             respond(edge, conn, forward::refusal(wait), false, ctx.start).await
         }
@@ -136,7 +149,7 @@
             let response = Response::new(StatusCode::GATEWAY_TIMEOUT);
             respond(edge, conn, response, false, ctx.start).await
         }
-        StreamEnd::NotRun | StreamEnd::Broke => {
+        StreamEnd::NotRun | StreamEnd::NotSent | StreamEnd::Broke => {
             let response = Response::new(StatusCode::BAD_GATEWAY);
             respond(edge, conn, response, false, ctx.start).await
         }
@@ -170,7 +183,7 @@
     let edge = selector.edge;
     let ctx = selector.ctx;
     loop {
-        let Some(path) = selector.pick_path() else {
+        let Some(ended) = try_path(selector, writer, progress).await else {
             let has_time = ctx.remaining(edge.now()) >= MIN_RETRY_TIME;
             if progress.is_started && has_time && !selector.is_barred() {
                 monoio::time::sleep(PATH_POLL.duration()).await;
@@ -179,16 +192,10 @@
             }
             return StreamEnd::NotRun;
         };
-        if let Some(first) = path.first() {
-            edge.roster(|roster| roster.take_limited(edge.now(), &first.endpoint));
-        }
-        let load = LoadGuard::begin(edge, &path, selector.demand());
-        let ended = relay_path(selector, writer, progress, path).await;
-        drop(load);
         progress.events.discard_partial();
         let now = edge.now();
         let more = match ended {
-            StreamEnd::NotRun => {
+            StreamEnd::NotSent | StreamEnd::NotRun => {
                 progress.not_run += 1;
                 progress.not_run < MAX_NOT_RUN
             }
@@ -201,10 +208,126 @@
         if !more || ctx.remaining(now) < MIN_RETRY_TIME {
             return ended;
         }
-        if selector.is_barred() || !selector.take_retry() {
+        // What no engine got is no retry.
+        let is_sent = ended != StreamEnd::NotSent;
+        if selector.is_barred() || (is_sent && !selector.take_retry()) {
+            return ended;
+        }
+    }
+}
+
+/// Sends the request along a path of engines, or has another VM serve it, and relays the response;
+/// `None` if there is neither.
+async fn try_path(
+    selector: &mut PathSelector<'_>,
+    writer: &mut Writer,
+    progress: &mut Progress,
+) -> Option<StreamEnd> {
+    let edge = selector.edge;
+    let may_detour = edge.is_cut_off() || !progress.has_detoured;
+    if may_detour && selector.ctx.needs_detour(edge, selector.unreached()) {
+        progress.has_detoured = true;
+        let ended = relay_detour(selector, writer, progress).await;
+        if ended.is_some() || edge.is_cut_off() {
             return ended;
         }
     }
+    let path = selector.pick_path()?;
+    if let Some(first) = path.first() {
+        edge.roster(|roster| roster.take_limited(edge.now(), &first.endpoint));
+    }
+    let load = LoadGuard::begin(edge, &path, selector.demand());
+    let ended = relay_path(selector, writer, progress, path).await;
+    drop(load);
+    Some(ended)
+}
+
+/// Has another VM serve the request, and relays its response; `None` if no VM takes it.
+async fn relay_detour(
+    selector: &mut PathSelector<'_>,
+    writer: &mut Writer,
+    progress: &mut Progress,
+) -> Option<StreamEnd> {
+    let edge = selector.edge;
+    let ctx = selector.ctx;
+    let last = progress.events.last_id().map(HeaderValue::from);
+    let sent = detour::send(edge, ctx, progress.paths, last.as_ref()).await;
+    if sent
+        .as_ref()
+        .is_err_and(|fault| *fault == DetourFault::NotTaken)
+    {
+        return None;
+    }
+    progress.paths += 1;
+    selector.set_attempts(progress.paths);
+    let taken = match sent {
+        Ok(taken) => taken,
+        Err(DetourFault::Late) => return Some(StreamEnd::Late),
+        Err(_) => return Some(StreamEnd::Broke),
+    };
+    let status = taken.head.status;
+    if !status.is_success() {
+        // A refusal is passed on with its time to come back, unless the request may have run.
+        if status == StatusCode::SERVICE_UNAVAILABLE && (progress.ran || progress.is_started) {
+            progress.paths -= 1;
+            return Some(StreamEnd::NotRun);
+        }
+        return Some(
+            relay_failure(selector, writer, progress, taken.conn.reader, taken.head).await,
+        );
+    }
+    if !progress.is_started {
+        let mut headers = taken.head.headers.clone();
+        forward::strip_hop_headers(&mut headers);
+        if writer.start(status, &headers).await.is_err() {
+            return Some(StreamEnd::Left);
+        }
+        progress.is_started = true;
+    }
+    Some(relay_detour_events(selector, writer, progress, taken).await)
+}
+
+/// Relays the events of a stream that another VM serves until it ends.
+async fn relay_detour_events(
+    selector: &PathSelector<'_>,
+    writer: &mut Writer,
+    progress: &mut Progress,
+    taken: Taken,
+) -> StreamEnd {
+    let edge = selector.edge;
+    let ctx = selector.ctx;
+    let Taken { peer, mut conn, .. } = taken;
+    loop {
+        match detour::wait(edge, ctx, peer, conn.reader.chunk()).await {
+            Ok(Ok(Some(part))) => {
+                if !progress.events.push(&part) {
+                    return StreamEnd::Broke;
+                }
+                let whole = progress.events.take();
+                if whole.is_empty() {
+                    continue;
+                }
+                progress.record_event(edge, ctx);
+                if writer.chunk(&whole).await.is_err() {
+                    return StreamEnd::Left;
+                }
+            }
+            Ok(Ok(None)) if progress.events.is_complete() && conn.reader.has_marked_end() => {
+                edge.metrics()
+                    .record_answer(200, edge.now().since(ctx.start));
+                edge.pool().put(peer, conn);
+                return match writer.finish().await {
+                    Ok(()) => StreamEnd::Done,
+                    Err(_) => StreamEnd::Left,
+                };
+            }
+            Err(DetourFault::Late) => return StreamEnd::Late,
+            Ok(Ok(None) | Err(_)) | Err(_) => {
+                log::info!(id = ctx.id, peer:% = peer; "detour_broke");
+                return StreamEnd::Broke;
+            }
+        }
+    }
 }
 
 /// Sends the request along one path and relays the response.
@@ -291,7 +414,8 @@
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
             selector.record_failure(first.addr);
-            return Err(StreamEnd::NotRun);
+            selector.record_unreached();
+            return Err(StreamEnd::NotSent);
         }
     };
     let last = progress.events.last_id().map(HeaderValue::from);
@@ -454,7 +578,8 @@
     if reader.has_marked_end() {
         return true;
     }
-    progress.events.count() > 0 && !selector.check_first(path).await
+    // Without a link to any endpoint, a crash cannot be told.
+    progress.events.count() > 0 && !selector.check_first(path).await && !selector.edge.is_cut_off()
 }
 
 async fn read_head(mut reader: Reader) -> (Reader, Result<Response, HttpError>) {
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -7,6 +7,7 @@
 use super::engine::is_refusal;
 use super::front::RequestContext;
 use super::parts;
+use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::Incident;
@@ -70,7 +71,8 @@
 /// Checks the endpoints whose connections broke or that fell silent under a request, and records
 /// the first that refuses connections as crashed; returns whether one does.
 ///
-/// Only a refusal shows that the process ended. A connection may also be reset on the way, and an
+/// Only a refusal shows that the process ended, and only if another endpoint is reached: where the
+/// links of this VM are lost, all connections may be refused on the way. A connection may also be reset on the way, and an
 /// endpoint that is cut off does not answer. One run counts as one crash, however many endpoints
 /// of its path ended, since they may have ended for the same other reason.
 pub async fn check_endpoints(
@@ -83,6 +85,10 @@
         match within(CHECK_TIMEOUT, edge.pool().dial(*addr)).await {
             Ok(Ok(conn)) => edge.pool().put(*addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
+                if !reach::confirm(edge).await {
+                    log::info!(id = ctx.id, endpoint:% = endpoint, reason = "cut_off"; "crash_not_recorded");
+                    return false;
+                }
                 record_crash(edge, ctx, progress, endpoint);
                 return true;
             }
