Failing tests: what an endpoint says while a connection opens does not bind

An endpoint asks for a pause, or says that it leaves, while a daemon opens a connection to it for a request that chose it before. The request is sent all the same, plain or to an engine. Opening may take up to 1 s, twice what is allowed.

--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -2,6 +2,8 @@
 
 #[path = "edge/cut.rs"]
 mod cut;
+#[path = "edge/pause.rs"]
+mod pause;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
