Check an endpoint again once a connection to it is open

An endpoint that had asked a VM for a pause, or said that it leaves, could get requests that had chosen it before.

Cause: the choice of an endpoint is checked before its connection opens, which may take up to 1 s, and not afterwards. What it says in an answer in between bound only later choices.

Change: once a new connection is open, the endpoint is checked again: gone, leaving or in a pause, it gets nothing, the connection is kept for later, and the request goes elsewhere without taking a retry or counting as a failure.

Why it works: the check and the write are one step of the event loop, so no answer can be read in between.

--- a/src/core/roster/notice.rs
+++ b/src/core/roster/notice.rs
@@ -79,6 +79,15 @@
         self.endpoints.get(endpoint)?.health.paused_for(now)
     }
 
+    /// Returns whether an endpoint takes requests from this VM: it is neither gone nor leaving, and
+    /// asked for no pause that still holds.
+    pub fn takes_requests(&self, now: Millis, endpoint: &EndpointName) -> bool {
+        let state = self.endpoints.get(endpoint);
+        state.is_some_and(|state| {
+            Self::usable(state, now).is_some() && state.health.paused_for(now).is_none()
+        })
+    }
+
     /// Returns the shortest pause that an endpoint of a service asked for; `None` if none did.
     ///
     /// A caller whose request no endpoint may get is told to come back after that time.
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -8,6 +8,7 @@
 use super::detour;
 use super::detour::DetourFault;
 use super::engine;
+use super::engine::ConnectError;
 use super::engine::Link;
 use super::forward;
 use super::forward::ForwardInfo;
@@ -48,6 +49,8 @@
 struct Outcome {
     ending: Ending,
     sent: bool,
+    /// Whether no connection could be opened.
+    is_unreached: bool,
     response: Option<Response>,
 }
 
@@ -126,7 +129,7 @@
             parts::record_survival(edge, ctx);
         }
         sent += u32::from(outcome.sent);
-        unreached += usize::from(!outcome.sent);
+        unreached += usize::from(outcome.is_unreached);
         ran |= outcome.ending == Ending::Unknown;
         let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
         let is_barred = suspect::is_barred(edge, ctx);
@@ -185,11 +188,20 @@
     let mut outcome = Outcome {
         ending: Ending::NotRun,
         sent: false,
+        is_unreached: false,
         response: None,
     };
-    let Link { mut conn, is_new } = match engine::connect(edge, entry.addr, may_reuse).await {
+    let Link { mut conn, is_new } = match engine::connect(
+        edge,
+        &entry.endpoint,
+        entry.addr,
+        may_reuse,
+    )
+    .await
+    {
         Ok(link) => link,
         Err(error) => {
+            outcome.is_unreached = matches!(error, ConnectError::Http(_));
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "not_connected");
             return outcome;
         }
@@ -299,6 +311,9 @@
         Ending::Unknown => "unknown",
     };
     edge.metrics().count_attempt(label);
+    if !outcome.sent && !outcome.is_unreached {
+        return;
+    }
     edge.roster(|roster| {
         if let Some(health) = roster.health(&entry.endpoint) {
             match outcome.ending {
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -21,6 +21,7 @@
 use crate::io::http::Response;
 use crate::io::mailbox::Mailbox;
 use crate::io::timeout::within;
+use crate::names::EndpointName;
 
 /// The timeout of a call, connecting included. The platform's engines answer at once, and a report
 /// on a stalled path must arrive before the callers time out.
@@ -54,12 +55,29 @@
     pub is_new: bool,
 }
 
+/// Why there is no connection on which to send an endpoint a request.
+#[derive(Debug, Display, Error, From)]
+pub enum ConnectError {
+    /// The connection could not be opened.
+    #[display("{_0}")]
+    Http(HttpError),
+    /// The endpoint left or asked for a pause while the connection was being opened.
+    #[display("the endpoint takes no requests any more")]
+    Withdrawn,
+}
+
 /// Takes an idle connection to an endpoint if it `may_reuse` one, or opens a new one.
 ///
 /// # Errors
 ///
-/// Fails if the connection cannot be opened. No request has been sent then.
-pub async fn connect(edge: &Edge, addr: SocketAddr, may_reuse: bool) -> Result<Link, HttpError> {
+/// Fails if the connection cannot be opened, or if the endpoint takes no requests once it is open.
+/// No request has been sent then.
+pub async fn connect(
+    edge: &Edge,
+    endpoint: &EndpointName,
+    addr: SocketAddr,
+    may_reuse: bool,
+) -> Result<Link, ConnectError> {
     let idle = if may_reuse {
         edge.pool().take_idle(addr)
     } else {
@@ -75,10 +93,13 @@
     if opened.is_err() {
         reach::record_failure(edge, addr);
     }
-    Ok(Link {
-        conn: opened?,
-        is_new: true,
-    })
+    let conn = opened?;
+    let now = edge.now();
+    if !edge.roster(|roster| roster.takes_requests(now, endpoint)) {
+        edge.pool().put(addr, conn);
+        return Err(ConnectError::Withdrawn);
+    }
+    Ok(Link { conn, is_new: true })
 }
 
 /// Fetches an engine's report.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -19,6 +19,7 @@
 use super::detour::DetourFault;
 use super::detour::Taken;
 use super::engine;
+use super::engine::ConnectError;
 use super::engine::Link;
 use super::forward;
 use super::forward::ForwardInfo;
@@ -409,8 +410,12 @@
 ) -> Result<Link, StreamEnd> {
     let edge = selector.edge;
     let ctx = selector.ctx;
-    let mut link = match engine::connect(edge, first.addr, true).await {
+    let mut link = match engine::connect(edge, &first.endpoint, first.addr, true).await {
         Ok(link) => link,
+        Err(error @ ConnectError::Withdrawn) => {
+            log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
+            return Err(StreamEnd::NotSent);
+        }
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
             selector.record_failure(first.addr);
