Respect the pause that a plain endpoint asks cornelwharfd for

What callers saw: nothing reported. cornelwharfd sent an endpoint that had answered 503 with retry-after the next call at once.

Cause: the answer's retry-after was passed on to nobody; a refusal counted only as not run.

Change: the endpoint gets nothing from that VM until its pause ends, as first or as further choice; neither a success nor a report ends it. A call that no endpoint may get is refused with the time when the first pause ends.

Evidence: an_endpoint_that_asked_for_a_pause_gets_no_work_until_it_ends; the event that it plays did not exist before, so it was not seen to fail.

Not covered: engines of models state their load in reports instead, and whether they leave; those bind already.

--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -262,6 +262,7 @@
         for action in self.call(id, kind) {
             if let Action::Send { id, attempt, .. } = action {
                 let answer = PlainAnswer {
+                    pause: None,
                     refused: false,
                     record: None,
                 };
--- a/src/core/daemon/event.rs
+++ b/src/core/daemon/event.rs
@@ -145,6 +145,8 @@
 pub struct PlainAnswer {
     /// Whether the endpoint states that it refused the call without executing it.
     pub refused: bool,
+    /// How long the endpoint asked this VM to send it nothing; `None` if it did not.
+    pub pause: Option<Millis>,
     /// The answer to record and replay; `None` if the call has no idempotency key.
     pub record: Option<once::Answer>,
 }
--- a/src/core/daemon/plain.rs
+++ b/src/core/daemon/plain.rs
@@ -203,6 +203,10 @@
         let Some(sending) = self.take_sending(id, attempt) else {
             return;
         };
+        if let Some(pause) = answer.pause {
+            self.router
+                .apply(now, &sending.endpoint, route::Event::Paused(pause));
+        }
         if answer.refused {
             self.attempt_ended(now, &sending, Outcome::Unrun);
             self.try_another(now, id, sending.endpoint, out);
--- a/src/core/route/mod.rs
+++ b/src/core/route/mod.rs
@@ -108,6 +108,8 @@
     Cached(CacheEvent),
     /// The endpoint is leaving or has crashed (true), or is available again (false).
     Leaving(bool),
+    /// The endpoint asked this VM to send it nothing for this long.
+    Paused(Millis),
 }
 
 /// Routes the requests of one VM.
@@ -170,6 +172,7 @@
             Event::Ended { took, outcome } => view.ended(now, took, outcome),
             Event::Cached(change) => view.prefix.apply(&change),
             Event::Leaving(leaving) => view.leaving = leaving,
+            Event::Paused(pause) => view.pause(now + pause),
         }
     }
 
@@ -395,9 +398,9 @@
     layer: Option<u32>,
 ) -> NoCapacity {
     let views = pool.into_iter().flat_map(|one| one.views.values());
-    let first_return = views.filter_map(|view| view.health.ejected_until()).min();
-    let retry_after = first_return.map_or(DEFAULT_RETRY, |ejected_until| {
-        ejected_until.since(now).max(Millis(1))
+    let first_return = views.filter_map(|view| view.returns_at(now)).min();
+    let retry_after = first_return.map_or(DEFAULT_RETRY, |returns_at| {
+        returns_at.since(now).max(Millis(1))
     });
     NoCapacity {
         service: service.clone(),
--- a/src/core/route/view.rs
+++ b/src/core/route/view.rs
@@ -80,6 +80,8 @@
     pub prefix: PrefixSet,
     /// Whether the endpoint is leaving or has crashed, so that it gets no new work.
     pub leaving: bool,
+    /// Until when the endpoint asked this VM to send it nothing.
+    paused_until: Millis,
     pub(super) layers: Option<Layers>,
     pub(super) slots: u32,
     pub(super) delay: Millis,
@@ -109,6 +111,7 @@
             health: Health::default(),
             prefix: PrefixSet::default(),
             leaving: false,
+            paused_until: Millis(0),
             layers: endpoint.layers,
             slots: endpoint.slots,
             delay: endpoint.delay,
@@ -135,7 +138,21 @@
     /// Returns whether the endpoint may get new work.
     #[must_use]
     pub fn usable(&self, now: Millis) -> bool {
-        !self.leaving && self.health.usable(now)
+        !self.leaving && now >= self.paused_until && self.health.usable(now)
+    }
+
+    /// Records that the endpoint asked this VM to send it nothing until the given time. Neither a
+    /// success nor a report ends that.
+    pub fn pause(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Returns when the endpoint's pause ends and its ejection ends or ended; `None` if it has
+    /// neither.
+    #[must_use]
+    pub fn returns_at(&self, now: Millis) -> Option<Millis> {
+        let paused_until = Some(self.paused_until).filter(|until| *until > now);
+        self.health.ejected_until().max(paused_until)
     }
 
     /// Returns how many of this VM's requests are in progress.
--- a/src/io/serve/plain.rs
+++ b/src/io/serve/plain.rs
@@ -13,6 +13,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::EXPECT;
 use http::header::HOST;
+use http::header::RETRY_AFTER;
 use http::header::TE;
 use http::header::TRAILER;
 use http::header::UPGRADE;
@@ -29,6 +30,7 @@
 use crate::core::daemon::PlainFault;
 use crate::core::once;
 use crate::core::once::CallDigest;
+use crate::core::roster::parse_pause;
 use crate::error::Code;
 use crate::error::Failure;
 use crate::io::command::Command;
@@ -302,7 +304,11 @@
                 .headers
                 .contains_key(&KEY_HEADER)
                 .then(|| to_record(&response));
-            let answer = PlainAnswer { refused, record };
+            let answer = PlainAnswer {
+                refused,
+                pause: read_pause(&response),
+                record,
+            };
             shell.feed(Event::Answered {
                 id,
                 attempt,
@@ -317,6 +323,21 @@
     }
 }
 
+/// Returns how long an endpoint wants nothing from this VM, by the `retry-after` of a 503 answer.
+fn read_pause(response: &Response) -> Option<Millis> {
+    if response.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = response.header(&RETRY_AFTER)?;
+    match parse_pause(text) {
+        Ok(pause) => Some(pause),
+        Err(error) => {
+            log::warn!(value = text, error:% = error; "pause_ignored");
+            None
+        }
+    }
+}
+
 /// Returns the form of an answer that is recorded for its idempotency key. Of an answer that is too
 /// large, only the status and a digest are recorded.
 fn to_record(response: &Response) -> once::Answer {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -143,6 +143,31 @@
     assert_eq!(none.retry_after, Millis(500));
 }
 
+#[test]
+fn an_endpoint_that_asked_for_a_pause_gets_no_work_until_it_ends() {
+    let endpoints = ["a", "b"].map(|name| endpoint(name, 0, 4, 100));
+    let (mut router, names) = router(1, 4, &endpoints);
+    let requirements = Requirements {
+        cost: 1,
+        prefix: &[],
+        avoid: &[],
+    };
+    router.apply(NOW, &names[0], Event::Started { cost: 1 });
+    router.apply(NOW, &names[0], Event::Paused(Millis(3000)));
+    router.apply(NOW, &names[0], Event::Paused(Millis(1000)));
+    router.apply(NOW, &names[0], ended(Outcome::Ok));
+    for _ in 0..200 {
+        let picked = router.pick(NOW + Millis(2999), &service(), &names, &requirements);
+        assert_eq!(picked.unwrap(), names[1]);
+    }
+    let none = router
+        .pick(NOW, &service(), &names[..1], &requirements)
+        .unwrap_err();
+    assert_eq!(none.retry_after, Millis(3000));
+    let picked = router.pick(NOW + Millis(3000), &service(), &names[..1], &requirements);
+    assert!(picked.is_ok());
+}
+
 #[test]
 fn one_successful_probe_ends_an_ejection() {
     let (mut router, names) = router(1, 4, &[endpoint("a", 0, 4, 100)]);
--- a/tests/world/endpoints.rs
+++ b/tests/world/endpoints.rs
@@ -243,6 +243,7 @@
         if consume(&mut self.endpoints.faults.refuse) {
             let answer = PlainAnswer {
                 refused: true,
+                pause: None,
                 record: None,
             };
             let event = Event::Answered {
@@ -267,6 +268,7 @@
         };
         let answer = PlainAnswer {
             refused: false,
+            pause: None,
             record: Some(record),
         };
         let (delay, event) = if silent {
