Pass over VMs of earlier releases, and mark nothing while cut off

- A VM of an earlier release answers 404 to a request of another VM, and that was passed on to the caller.
Unsigned successes and 404s now count as declined.
- Where open connections live on and new ones fail, a probe over an open one let this VM mark engines as stalled that it could only not connect to.
It marks none now while it is cut off.
- Right after a change of the configuration no other VM is known to have the same version, and callers were refused.
VMs with an older one are asked last now; they decline themselves if they really lack the newer one.

Evidence: tests/edge/cut.rs and tests/reach.rs; the test of the earlier release is new and was not run without the change.

--- a/src/core/fleet/cut.rs
+++ b/src/core/fleet/cut.rs
@@ -79,16 +79,21 @@
     /// endpoint: of two random VMs that do, the one with fewer tokens in progress. `None` if there is
     /// none besides those in `failed`.
     ///
-    /// A VM with an older configuration is left out: the caller's requests may have been served by
-    /// the newer one already.
+    /// A VM with an older configuration is chosen only if there is no other, since it declines unless
+    /// it has learned the newer one meanwhile: the caller's requests may have been served by that
+    /// one already.
     pub fn choose_detour(&mut self, now: Millis, failed: &[SocketAddr]) -> Option<SocketAddr> {
         let fit = self.alive(now).filter(|member| {
-            member.ready
-                && member.version >= self.me.version
-                && !failed.contains(&member.peer)
-                && self.reaches_endpoints(now, member)
+            let is_failed = failed.contains(&member.peer);
+            member.ready && !is_failed && self.reaches_endpoints(now, member)
         });
-        let fit: Vec<(u32, SocketAddr)> = fit.map(|member| (member.load, member.peer)).collect();
+        let (newer, older): (Vec<&Member>, Vec<&Member>) =
+            fit.partition(|member| member.version >= self.me.version);
+        let fit = if newer.is_empty() { older } else { newer };
+        let fit: Vec<(u32, SocketAddr)> = fit
+            .into_iter()
+            .map(|member| (member.load, member.peer))
+            .collect();
         if fit.is_empty() {
             return None;
         }
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -15,6 +15,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 use http::header;
 
 use super::ACCEPT_AFTER_STOP;
@@ -155,7 +156,7 @@
             edge.pool().clear(peer);
             DetourFault::Unknown
         })?;
-        let Some(reason) = head.header(&DECLINED) else {
+        let Some(reason) = find_refusal(edge, &head) else {
             log::info!(id = ctx.id, peer:% = peer, status = head.status.as_u16(); "detour");
             edge.metrics().count_detour();
             return Ok(Taken { peer, conn, head });
@@ -166,6 +167,19 @@
     Err(DetourFault::NotTaken)
 }
 
+/// Returns why another VM did not take a request; `None` if it did.
+///
+/// A VM of an earlier release does not know detours. It answers 404, or as to a question for itself,
+/// without an endpoint's signature.
+fn find_refusal<'a>(edge: &Edge, head: &'a Response) -> Option<&'a str> {
+    if let Some(reason) = head.header(&DECLINED) {
+        return Some(reason);
+    }
+    let is_signed = head.headers.contains_key(&edge.dialect().headers.signature);
+    let is_strange = head.status.is_success() || head.status == StatusCode::NOT_FOUND;
+    (is_strange && !is_signed).then_some("unknown_request")
+}
+
 /// Has another VM answer a request as a whole.
 ///
 /// # Errors
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -64,7 +64,7 @@
             let ms = edge.now().since(start).0;
             log::info!(endpoint:% = part.endpoint, error:% = error, compared, ms; "endpoint_silent");
             reach::record_failure(&edge, part.addr);
-            if compared || reach::confirm(&edge).await {
+            if !edge.is_cut_off() && (compared || reach::confirm(&edge).await) {
                 mark_down(&edge, &part.endpoint);
             }
         }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,7 +6,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod platform;
-mod serve;
+pub mod serve;
 pub mod service;
 pub mod site;
 
--- a/tests/edge/cut.rs
+++ b/tests/edge/cut.rs
@@ -6,6 +6,9 @@
 
 use cornelwharf::clock::Millis;
 use cornelwharf::edge::Edge;
+use cornelwharf::io::http::Response;
+use cornelwharf::standin::serve;
+use cornelwharf::standin::serve::Reply;
 use http::StatusCode;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
@@ -158,6 +161,38 @@
     run(async |world: Rc<World>| check_first_tries(world, Cut::ClosesNew).await);
 }
 
+#[test]
+fn a_vm_that_does_not_know_detours_is_passed_over() {
+    run(async |world: Rc<World>| {
+        let cut = cut_links(&world);
+        // Its peer address answers like an earlier release.
+        let old = peer_of(&world.edges[1]);
+        let mut earlier = old;
+        earlier.set_port(old.port() + 10_000);
+        serve::listen(earlier, async |_, conn| {
+            let response = Response::new(StatusCode::NOT_FOUND);
+            (conn, Reply::Response(response))
+        })
+        .expect("a server");
+        let pool = world.edges[0].pool();
+        pool.clear(old);
+        let endpoints: Vec<_> = world.endpoints.list();
+        pool.set_resolver(move |mut addr| {
+            if addr == old {
+                return earlier;
+            }
+            if endpoints.iter().any(|endpoint| endpoint.entry.addr == addr) {
+                addr.set_port(addr.port() + 20_000);
+            }
+            addr
+        });
+        cut.set(Cut::Resets);
+        sleep(CONTACT_SPAN).await;
+        let served = count_served(&world).await;
+        assert_eq!(served, TRIES);
+    });
+}
+
 #[test]
 fn a_vm_that_reaches_no_endpoint_marks_none_as_stalled_on_other_vms() {
     run(async |world: Rc<World>| {
