--- a/src/core/reach.rs
+++ b/src/core/reach.rs
@@ -3,7 +3,7 @@
 //! A VM may lose its links to all endpoints while callers and other VMs still reach it. One failed
 //! endpoint does not show that, and neither do answers over connections that were opened before: a
 //! fault may spare those. So several failures without an answer over a new connection make a check
-//! due, and the check decides (docs/ROUTING.md).
+//! due, and the check decides (docs/PLATFORM.md).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
