One name for cut-off VMs, the decision after a detour as others, and three tests

From reading the change again:

- What a VM is that reaches no endpoint had two names in the code ("lost", "cut off"); it is cut off now.
A refusal by another VM is recognized in one place, by its status and the missing signature; streams looked at the status only.
- A plain request that no VM took, or whose VM failed, is decided by next_step like any other attempt, in place of arms of its own.
One of these counted a request as sent that was not.
Comments say which load a decision answers, and name no times that no run showed.

--- a/src/core/fleet/cut.rs
+++ b/src/core/fleet/cut.rs
@@ -28,7 +28,7 @@
 }
 
 impl Fleet {
-    /// Records whether this VM reaches any endpoint.
+    /// Records whether this VM reaches no endpoint.
     pub fn set_cut_off(&mut self, is_cut_off: bool) {
         self.is_cut_off = is_cut_off;
     }
@@ -41,13 +41,13 @@
     /// Returns the notices for the next message, this VM's own first, then the newest.
     pub fn cut_notices(&mut self, now: Millis) -> Vec<CutNotice> {
         let ttl = self.notice_ttl();
-        self.cut_off.retain(|_, at| now.since(*at) < ttl);
+        self.cut_vms.retain(|_, at| now.since(*at) < ttl);
         let own = self.is_cut_off.then(|| CutNotice {
             start_hash: start_hash(&self.me),
             age: Millis(0),
         });
         let mut known: Vec<CutNotice> = self
-            .cut_off
+            .cut_vms
             .iter()
             .map(|(start_hash, at)| CutNotice {
                 start_hash: *start_hash,
@@ -63,7 +63,7 @@
         let ttl = self.notice_ttl();
         for notice in notices.iter().filter(|notice| notice.age < ttl) {
             let at = now - notice.age;
-            let known = self.cut_off.entry(notice.start_hash).or_insert(at);
+            let known = self.cut_vms.entry(notice.start_hash).or_insert(at);
             *known = (*known).max(at);
         }
     }
@@ -71,7 +71,7 @@
     /// Returns whether a VM reaches endpoints, as far as this one knows.
     pub(super) fn reaches_endpoints(&self, now: Millis, member: &Member) -> bool {
         let ttl = self.notice_ttl();
-        let last = self.cut_off.get(&start_hash(member));
+        let last = self.cut_vms.get(&start_hash(member));
         last.is_none_or(|at| now.since(*at) >= ttl)
     }
 
@@ -79,6 +79,9 @@
     /// endpoint: of two random VMs that do, the one with fewer tokens in progress. `None` if there is
     /// none besides those in `failed`.
     ///
+    /// This answers the load of callers at many VMs that are cut off at once, as most of a domain may
+    /// be: the choice is not bound to a domain, and follows the load that the others report.
+    ///
     /// A VM with an older configuration is chosen only if there is no other, since it declines unless
     /// it has learned the newer one meanwhile: the caller's requests may have been served by that
     /// one already.
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -157,7 +157,7 @@
     /// Whether this VM reaches no endpoint.
     is_cut_off: bool,
     /// The VMs that reach no endpoint, by start hash, and when each last said so.
-    cut_off: BTreeMap<u32, Millis>,
+    cut_vms: BTreeMap<u32, Millis>,
     /// When the store last answered any VM, as far as this one knows.
     store_answered: Millis,
     /// Whether the store's list of VMs was read.
@@ -176,7 +176,7 @@
             forgotten: BTreeMap::new(),
             contacts,
             is_cut_off: false,
-            cut_off: BTreeMap::new(),
+            cut_vms: BTreeMap::new(),
             store_answered: Millis(0),
             has_list: false,
             rng,
@@ -361,8 +361,8 @@
     }
 
     /// Returns the addresses that a caller may connect to: a random sample of the VMs that
-    /// serve callers, and this VM if it does. VMs that reach no endpoint are left out, unless all
-    /// do not.
+    /// serve callers, and this VM if it does. VMs that reach no endpoint are left out, unless
+    /// no VM reaches one.
     pub fn addresses(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut rng = self.rng.clone();
         let ready = self.alive(now).filter(|member| member.ready);
--- a/src/core/poison/part_table.rs
+++ b/src/core/poison/part_table.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash shows only that one of the requests that had just begun on the endpoint may be guilty, and
 //! a request only that one of its parts may be. The guilty part is found by comparing crashes: it
-//! is present at each of its crashes and never in a run that survives its start. All VMs exchange both kinds
-//! of observations, so they reach the same verdicts (docs/operators/barred-requests.md).
+//! is present at each of its crashes and never in a run that survives its start. All VMs exchange
+//! both kinds of observations, so they reach the same verdicts (docs/operators/barred-requests.md).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/src/core/reach.rs
+++ b/src/core/reach.rs
@@ -4,6 +4,9 @@
 //! endpoint does not show that, and neither do answers over connections that were opened before: a
 //! fault may spare those. So several failures without an answer over a new connection make a check
 //! due, and the check decides (docs/PLATFORM.md).
+//!
+//! This answers the load of callers at a VM during such a fault: their requests fail here within
+//! seconds, while other VMs could serve them. Without requests nothing fails, and nothing is checked.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,7 +24,7 @@
     /// The endpoints that failed since the last contact, and when each last did.
     failed: BTreeMap<SocketAddr, Millis>,
     last_contact: Millis,
-    lost_since: Option<Millis>,
+    cut_since: Option<Millis>,
     is_checking: bool,
 }
 
@@ -34,11 +37,11 @@
     }
 
     /// Records that an endpoint answered over a new connection. Returns for how long none was
-    /// reached, if the links were lost.
+    /// reached, if the VM was cut off.
     pub fn record_contact(&mut self, now: Millis) -> Option<Millis> {
         self.failed.clear();
         self.last_contact = now;
-        self.lost_since.take().map(|since| now.since(since))
+        self.cut_since.take().map(|since| now.since(since))
     }
 
     /// Returns whether to check now if any endpoint is reached, with `known` endpoints in all. If so,
@@ -46,7 +49,7 @@
     pub fn begin_check(&mut self, now: Millis, known: usize) -> bool {
         self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
         let is_due = self.failed.len() >= MIN_FAILED.min(known.max(1));
-        let begins = is_due && !self.is_checking && self.lost_since.is_none();
+        let begins = is_due && !self.is_checking && self.cut_since.is_none();
         self.is_checking |= begins;
         begins
     }
@@ -57,22 +60,17 @@
         !std::mem::replace(&mut self.is_checking, true)
     }
 
-    /// Records the end of a check that began at `start`. Returns whether it showed that the links are
-    /// lost, which were not before.
-    pub fn end_check(&mut self, now: Millis, start: Millis) -> bool {
+    /// Records the end of a check that began at `start` and asked so many endpoints. Returns whether it
+    /// showed that the VM is cut off, which it was not before; with none to ask, it shows nothing.
+    pub fn end_check(&mut self, now: Millis, start: Millis, asked: usize) -> bool {
         self.is_checking = false;
-        if self.last_contact >= start || self.lost_since.is_some() {
+        if asked == 0 || self.last_contact >= start || self.cut_since.is_some() {
             return false;
         }
-        self.lost_since = Some(now);
+        self.cut_since = Some(now);
         true
     }
 
-    /// Records that a check ended without a result.
-    pub const fn cancel_check(&mut self) {
-        self.is_checking = false;
-    }
-
     /// Returns whether a check is in progress.
     #[must_use]
     pub const fn is_checking(&self) -> bool {
@@ -81,8 +79,8 @@
 
     /// Returns whether the last check reached no endpoint, and none has answered since.
     #[must_use]
-    pub const fn is_lost(&self) -> bool {
-        self.lost_since.is_some()
+    pub const fn is_cut_off(&self) -> bool {
+        self.cut_since.is_some()
     }
 
     /// Returns whether an endpoint failed since the last contact.
--- a/src/core/roster/limit.rs
+++ b/src/core/roster/limit.rs
@@ -36,8 +36,8 @@
 const BURST_SECONDS: f64 = 1.5;
 /// The requests that may arrive at once at any rate.
 const BASE_BURST: f64 = 3.0;
-/// The lowest rate from which shares are computed, in requests a second. Without any request, no answer would
-/// tell that a limit of 0 has ended.
+/// The lowest rate from which shares are computed, in requests a second. Without any request, no
+/// answer would tell that a limit of 0 has ended.
 const MIN_RATE: f64 = 0.05;
 
 /// The error for a limit that is not a number of requests a second.
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -6,7 +6,6 @@
 use http::StatusCode;
 
 use super::detour;
-use super::detour::DetourFault;
 use super::engine;
 use super::engine::ConnectError;
 use super::engine::Link;
@@ -74,31 +73,39 @@
     let mut unreached = 0;
     let mut has_detoured = false;
     loop {
-        let is_lost = edge.is_cut_off();
-        if (is_lost || !has_detoured) && ctx.needs_detour(edge, unreached) {
+        let is_cut_off = edge.is_cut_off();
+        if (is_cut_off || !has_detoured) && ctx.needs_detour(edge, unreached) {
             has_detoured = true;
-            match detour::call(edge, ctx, sent).await {
-                Ok(response) if ran && is_refusal(edge, &response) => {
+            let fault = match detour::call(edge, ctx, sent).await {
+                Ok(response) if ran && detour::is_refused(edge, &response) => {
                     return finish(edge, ctx, &tried, NextStep::Fail, None);
                 }
                 Ok(response) => {
                     return finish(edge, ctx, &tried, NextStep::Relay, Some(response));
                 }
-                Err(DetourFault::NotTaken) if is_lost && !ran => {
-                    return finish(edge, ctx, &tried, NextStep::Refuse, None);
-                }
-                Err(DetourFault::NotTaken) if !is_lost => {}
-                Err(fault) => {
-                    sent += 1;
-                    ran = true;
-                    let may_go_on = fault == DetourFault::Unknown
-                        && ctx.route.may_repeat()
-                        && sent < ctx.route.attempts
-                        && ctx.remaining(edge.now()) > MIN_RETRY_TIME;
-                    if !may_go_on || !retry::take_retry(edge, ctx) {
-                        return finish(edge, ctx, &tried, NextStep::Fail, None);
-                    }
-                }
+                Err(fault) => fault,
+            };
+            let ending = fault.ending();
+            let was_sent = ending == Ending::Unknown;
+            sent += u32::from(was_sent);
+            ran |= was_sent;
+            let has_time = ctx.remaining(edge.now()) > MIN_RETRY_TIME;
+            let can_retry = if was_sent {
+                sent < ctx.route.attempts && has_time
+            } else {
+                !is_cut_off
+            };
+            let state = RetryState {
+                can_repeat: ctx.route.may_repeat(),
+                can_retry,
+                may_have_run: ran,
+            };
+            let mut step = next_step(ending, state);
+            if step == NextStep::Retry && was_sent && !retry::take_retry(edge, ctx) {
+                step = NextStep::Fail;
+            }
+            if step != NextStep::Retry {
+                return finish(edge, ctx, &tried, step, None);
             }
         }
         let Some(entry) = pick_endpoint(edge, ctx, &tried) else {
@@ -252,14 +259,6 @@
     outcome
 }
 
-/// Returns whether another VM's response is a refusal: the request has not run there.
-fn is_refusal(edge: &Edge, response: &Response) -> bool {
-    let is_signed = response
-        .headers
-        .contains_key(&edge.dialect().headers.signature);
-    response.status == StatusCode::SERVICE_UNAVAILABLE && !is_signed
-}
-
 /// Classifies an endpoint's response.
 ///
 /// An endpoint may state that it did not run the request. Otherwise only a signed response counts
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -25,6 +25,7 @@
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::consts::MAX_BODY_BYTES;
+use crate::core::attempt::Ending;
 use crate::core::site::RouteKind;
 use crate::io::http::Conn;
 use crate::io::http::HttpError;
@@ -37,9 +38,10 @@
 /// The header with which a VM declines such a request, which has not run; holds the reason.
 const DECLINED: HeaderName = HeaderName::from_static("x-cornelwharf-declined");
 
-/// The most VMs that one request is sent to. Each one that declines costs about 2 ms.
+/// The most VMs that one request is sent to. Each one that declines delays it by a round trip.
 const MAX_PEERS: usize = 4;
-/// How long opening a connection to another VM may take; across regions it takes about 50 ms.
+/// How long opening a connection to another VM may take. A lost packet is sent again only after a
+/// second, and then the request is better off at a third VM.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// How often a request that waits for another VM checks whether that one is still alive.
 const ALIVE_POLL: Millis = Millis(200);
@@ -98,6 +100,25 @@
     Late,
 }
 
+impl DetourFault {
+    /// Returns how the attempt to have another VM serve the request ended.
+    #[must_use]
+    pub const fn ending(self) -> Ending {
+        match self {
+            Self::NotTaken => Ending::NotRun,
+            Self::Unknown | Self::Late => Ending::Unknown,
+        }
+    }
+}
+
+/// Returns whether another VM refused a request that it took, which has not run there.
+pub fn is_refused(edge: &Edge, response: &Response) -> bool {
+    let is_signed = response
+        .headers
+        .contains_key(&edge.dialect().headers.signature);
+    response.status == StatusCode::SERVICE_UNAVAILABLE && !is_signed
+}
+
 /// Returns why this VM does not serve a request of another one; `None` if it does.
 pub fn find_objection(edge: &Edge, info: DetourInfo) -> Option<&'static str> {
     if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
@@ -156,7 +177,7 @@
             edge.pool().clear(peer);
             DetourFault::Unknown
         })?;
-        let Some(reason) = find_refusal(edge, &head) else {
+        let Some(reason) = read_decline(edge, &head) else {
             log::info!(id = ctx.id, peer:% = peer, status = head.status.as_u16(); "detour");
             edge.metrics().count_detour();
             return Ok(Taken { peer, conn, head });
@@ -171,7 +192,7 @@
 ///
 /// A VM of an earlier release does not know detours. It answers 404, or as to a question for itself,
 /// without an endpoint's signature.
-fn find_refusal<'a>(edge: &Edge, head: &'a Response) -> Option<&'a str> {
+fn read_decline<'a>(edge: &Edge, head: &'a Response) -> Option<&'a str> {
     if let Some(reason) = head.header(&DECLINED) {
         return Some(reason);
     }
--- a/src/edge/reach.rs
+++ b/src/edge/reach.rs
@@ -97,13 +97,11 @@
     }
     let now = edge.now();
     let asked = targets.len();
-    if asked > 0 && edge.reach(|reach| reach.end_check(now, start)) {
+    if edge.reach(|reach| reach.end_check(now, start, asked)) {
         log::warn!(asked, ms = now.since(start).0; "endpoints_lost");
         edge.metrics().count_cut_off();
         edge.fleet(|fleet| fleet.set_cut_off(true));
         edge.trigger_gossip();
-    } else {
-        edge.reach(Reach::cancel_check);
     }
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -193,7 +193,7 @@
 
     /// Returns whether this VM reaches no endpoint.
     pub fn is_cut_off(&self) -> bool {
-        self.reach(|reach| reach.is_lost())
+        self.reach(|reach| reach.is_cut_off())
     }
 
     /// Runs `work` on the retry budget of a service.
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -71,10 +71,10 @@
 /// Checks the endpoints whose connections broke or that fell silent under a request, and records
 /// the first that refuses connections as crashed; returns whether one does.
 ///
-/// Only a refusal shows that the process ended, and only if another endpoint is reached: where the
-/// links of this VM are lost, all connections may be refused on the way. A connection may also be reset on the way, and an
-/// endpoint that is cut off does not answer. One run counts as one crash, however many endpoints
-/// of its path ended, since they may have ended for the same other reason.
+/// Only a refusal shows that the process ended, and only if another endpoint is reached: where this
+/// VM is cut off, all connections may be refused on the way. A connection may also be reset on the
+/// way, and an endpoint that is cut off does not answer. One run counts as one crash, however many
+/// endpoints of its path ended, since they may have ended for the same other reason.
 pub async fn check_endpoints(
     edge: &Edge,
     ctx: &RequestContext,
--- a/tests/edge/cut.rs
+++ b/tests/edge/cut.rs
@@ -6,6 +6,7 @@
 
 use cornelwharf::clock::Millis;
 use cornelwharf::edge::Edge;
+use cornelwharf::io::http::Conn;
 use cornelwharf::io::http::Response;
 use cornelwharf::standin::serve;
 use cornelwharf::standin::serve::Reply;
@@ -19,6 +20,7 @@
 use super::CONTACT_SPAN;
 use super::World;
 use super::run;
+use super::set_unframed;
 use super::sleep;
 
 /// The first tries sent to the daemon that is cut off.
@@ -237,6 +239,28 @@
     });
 }
 
+#[test]
+fn an_unframed_stream_that_ends_at_its_start_while_links_are_lost_is_not_complete() {
+    run(async |world: Rc<World>| {
+        set_unframed(&world);
+        let cut = cut_links(&world);
+        let mut conn = Conn::dial(world.fronts[0]).await.expect("a connection");
+        let request = world.request("/sole/1", "red-key");
+        conn.writer.request(&request).await.expect("sent");
+        conn.reader.response_head(false).await.expect("a head");
+        conn.reader.chunk().await.expect("an event");
+        cut.set(Cut::Resets);
+        let is_whole = loop {
+            match conn.reader.chunk().await {
+                Ok(Some(_)) => {}
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        assert!(!is_whole);
+    });
+}
+
 #[test]
 fn layers_are_placed_while_the_leader_reaches_no_endpoint() {
     run(async |world: Rc<World>| {
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -71,17 +71,22 @@
 }
 
 #[test]
-fn links_are_lost_only_if_no_endpoint_answers_during_the_check() {
+fn a_vm_is_cut_off_only_if_no_endpoint_answers_during_the_check() {
     let mut reach = Reach::default();
     assert!(reach.begin_recheck());
     reach.record_contact(Millis(120));
-    assert!(!reach.end_check(Millis(200), Millis(100)));
-    assert!(!reach.is_lost());
+    assert!(!reach.end_check(Millis(200), Millis(100), 5));
+    assert!(!reach.is_cut_off());
     assert!(reach.begin_recheck());
-    assert!(reach.end_check(Millis(500), Millis(300)));
-    assert!(reach.is_lost());
+    assert!(
+        !reach.end_check(Millis(250), Millis(240), 0),
+        "none was asked"
+    );
+    assert!(reach.begin_recheck());
+    assert!(reach.end_check(Millis(500), Millis(300), 5));
+    assert!(reach.is_cut_off());
     assert_eq!(reach.record_contact(Millis(900)), Some(Millis(400)));
-    assert!(!reach.is_lost());
+    assert!(!reach.is_cut_off());
 }
 
 #[test]
@@ -139,3 +144,41 @@
     let all = [addr(1), addr(2), addr(3), addr(4)];
     assert_eq!(own.choose_detour(now, &all), None);
 }
+
+#[test]
+fn callers_of_many_vms_that_are_cut_off_do_not_overload_a_few_others() {
+    /// The others know the load of a VM as it was some requests ago.
+    const STALE_REQUESTS: u64 = 20;
+    const REQUESTS: u64 = 2000;
+    let mut cut_off: Vec<Fleet> = (1..=8).map(fleet).collect();
+    let mut loads = [0_u32; 7];
+    let reaching = |loads: &[u32; 7]| -> Vec<Member> {
+        let members = loads.iter().zip(9..);
+        let member = |(load, index): (&u32, u8)| Member {
+            load: *load,
+            ..member(index, 5)
+        };
+        members.map(member).collect()
+    };
+    for request in 0..REQUESTS {
+        let now = Millis(100 + request);
+        if request % STALE_REQUESTS == 0 {
+            for own in &mut cut_off {
+                let mut message = fleet(20).next_message(now, Vec::new()).0;
+                message.from.ready = false;
+                message.others = reaching(&loads);
+                for member in &mut message.others {
+                    member.heartbeat = 2 + request;
+                }
+                own.receive(now, message);
+            }
+        }
+        let own = &mut cut_off[(request % 8) as usize];
+        let peer = own.choose_detour(now, &[]).expect("a VM");
+        let index = (0..7).find(|index| addr(9 + index) == peer).expect("known");
+        loads[usize::from(index)] += 100;
+    }
+    let mean = REQUESTS as u32 * 100 / 7;
+    let busiest = loads.iter().max().expect("loads");
+    assert!(*busiest * 10 <= mean * 12, "{loads:?}");
+}
