Move a request's context and its answer below the callers' connections

RequestContext, ConnAction and respond now live in edge/context. No change of behaviour; checked by the compiler (cargo check).

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use http::StatusCode;
 
+use super::context::RequestContext;
 use super::detour;
 use super::engine;
 use super::engine::ConnectError;
@@ -12,7 +13,6 @@
 use super::forward;
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
-use super::front::RequestContext;
 use super::notice;
 use super::parts;
 use super::reach;
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -19,9 +19,9 @@
 use http::header;
 
 use super::ACCEPT_AFTER_STOP;
+use super::context::RequestContext;
 use super::forward;
 use super::forward::set_header;
-use super::front::RequestContext;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::consts::MAX_BODY_BYTES;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 
 mod bars;
 mod call;
+mod context;
 mod detour;
 pub mod dialect;
 mod engine;
--- a/src/edge/parts.rs
+++ b/src/edge/parts.rs
@@ -2,7 +2,7 @@
 //! it tells other VMs, and whether a request may run (docs/operators/barred-requests.md).
 
 use super::bars;
-use super::front::RequestContext;
+use super::context::RequestContext;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::PartCrash;
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use super::context::RequestContext;
 use super::dialect::OrderAnswer;
 use super::engine;
-use super::front::RequestContext;
 use super::parts;
 use super::probe;
 use super::retry;
--- a/src/edge/registry.rs
+++ b/src/edge/registry.rs
@@ -5,11 +5,11 @@
 
 use http::StatusCode;
 
+use super::context::ConnAction;
 use super::detour;
 use super::detour::DetourInfo;
 use super::dialect::ControlQuery;
 use super::front;
-use super::front::ConnAction;
 use super::news;
 use super::state::Edge;
 use crate::clock::Millis;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -17,15 +17,15 @@
 
 use super::call::classify;
 use super::call::closes_connection;
+use super::context::ConnAction;
+use super::context::RequestContext;
+use super::context::respond;
 use super::engine;
 use super::engine::ConnectError;
 use super::engine::Link;
 use super::forward;
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
-use super::front::ConnAction;
-use super::front::RequestContext;
-use super::front::respond;
 use super::notice;
 use super::paths;
 use super::paths::LoadGuard;
--- a/src/edge/retry.rs
+++ b/src/edge/retry.rs
@@ -1,6 +1,6 @@
 //! Retries of requests, taken from the budget that all VMs share.
 
-use super::front::RequestContext;
+use super::context::RequestContext;
 use super::state::Edge;
 
 /// Takes a retry of a request from the budget, and logs the decision with its inputs; returns
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use super::bars;
+use super::context::RequestContext;
 use super::engine::is_refusal;
-use super::front::RequestContext;
 use super::parts;
 use super::reach;
 use super::state::Edge;
