Types of the load of the whole fleet, and paths of engines with room

What the parts on room, order, waiting and returns exchange: the load of one VM or a sum over several, by engine, by class of callers and by promised return. PathSelector::pick_path_within chooses among engines that have memory for the request. Neither is used yet; compiled only.

--- /dev/null
+++ b/src/core/load/mod.rs
@@ -0,0 +1,138 @@
+//! The load of the whole fleet, as each VM knows it: what all VMs together run on each engine, what
+//! callers ask for by priority and customer, and which returns were promised to refused callers.
+//!
+//! A single VM of a large fleet has zero or one request on an engine, which says nothing of the
+//! engine's load. So each VM reports what it has in progress to a hub, hubs exchange their sums, and
+//! each VM gets the total a few times a second (docs/design/room.md).
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Identifies a name in messages. After a collision two names share an entry, so that both look more
+/// loaded than they are.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct NameHash(u32);
+
+impl NameHash {
+    /// Returns the hash of a name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        Self(hasher.finish() as u32)
+    }
+}
+
+/// What runs on an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// The requests whose path has the engine in it.
+    pub running: u32,
+    /// Those of them whose path begins at the engine.
+    pub leading: u32,
+    /// The tokens of these requests times the layers that they use.
+    pub cells: u64,
+}
+
+/// The callers whose load is counted together.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ClassKey {
+    /// The service that they call.
+    pub service: NameHash,
+    /// The priority of their requests, 0 highest.
+    pub priority: u8,
+    /// The customer; the default for requests without one.
+    pub customer: NameHash,
+}
+
+/// What the callers of a class ask for and have.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassLoad {
+    /// The size of the requests that arrive each second, admitted or not: tokens, or requests for a
+    /// plain service.
+    pub offered: u32,
+    /// The size of the requests in progress, in the same unit.
+    pub held: u32,
+    /// The size of the requests that wait for room, in the same unit.
+    pub waiting: u32,
+}
+
+/// Identifies the promised returns of a service in one span of time. VMs have no common clock, so
+/// [`Self::slot`] counts spans of [`RETURN_SLOT_MS`] since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ReturnKey {
+    /// The service that the callers were refused by.
+    pub service: NameHash,
+    /// The span of time in which they were told to come back.
+    pub slot: u64,
+}
+
+/// The length of a [`ReturnKey::slot`], in milliseconds.
+pub const RETURN_SLOT_MS: u64 = 250;
+
+/// The load of one VM, or the sum over several.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// What runs on each engine, by the hash of its name.
+    pub engines: BTreeMap<NameHash, EngineLoad>,
+    /// What each class asks for and has.
+    pub classes: BTreeMap<ClassKey, ClassLoad>,
+    /// The size of the requests whose callers were told to come back, in tokens or plain requests.
+    pub returns: BTreeMap<ReturnKey, u32>,
+}
+
+impl Load {
+    /// Adds another load to this one.
+    pub fn add(&mut self, other: &Self) {
+        for (engine, load) in &other.engines {
+            let sum = self.engines.entry(*engine).or_default();
+            sum.running = sum.running.saturating_add(load.running);
+            sum.leading = sum.leading.saturating_add(load.leading);
+            sum.cells = sum.cells.saturating_add(load.cells);
+        }
+        for (class, load) in &other.classes {
+            let sum = self.classes.entry(*class).or_default();
+            sum.offered = sum.offered.saturating_add(load.offered);
+            sum.held = sum.held.saturating_add(load.held);
+            sum.waiting = sum.waiting.saturating_add(load.waiting);
+        }
+        for (key, size) in &other.returns {
+            let sum = self.returns.entry(*key).or_default();
+            *sum = sum.saturating_add(*size);
+        }
+    }
+
+    /// Subtracts a load that was added to this one before; what would become negative becomes 0.
+    pub fn subtract(&mut self, other: &Self) {
+        for (engine, load) in &other.engines {
+            if let Some(sum) = self.engines.get_mut(engine) {
+                sum.running = sum.running.saturating_sub(load.running);
+                sum.leading = sum.leading.saturating_sub(load.leading);
+                sum.cells = sum.cells.saturating_sub(load.cells);
+            }
+        }
+        for (class, load) in &other.classes {
+            if let Some(sum) = self.classes.get_mut(class) {
+                sum.offered = sum.offered.saturating_sub(load.offered);
+                sum.held = sum.held.saturating_sub(load.held);
+                sum.waiting = sum.waiting.saturating_sub(load.waiting);
+            }
+        }
+        for (key, size) in &other.returns {
+            if let Some(sum) = self.returns.get_mut(key) {
+                *sum = sum.saturating_sub(*size);
+            }
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod limit;
+pub mod load;
 pub mod member;
 pub mod once;
 pub mod order;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -46,6 +46,17 @@
     pub can_lead: bool,
 }
 
+impl Stage {
+    /// Returns whether the engine has memory for a request on all of its layers, if requests may fill
+    /// up to `limit` of its request memory.
+    #[must_use]
+    pub fn fits(&self, model: &Model, demand: Demand, limit: f64) -> bool {
+        let layers = self.span.len();
+        let cells = (demand.prompt + demand.answer) * f64::from(layers);
+        self.memory_use + cells / model.kv_capacity(self.card, layers).max(1.0) <= limit
+    }
+}
+
 /// One engine of a path and the layers that it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -200,6 +200,15 @@
         )
     }
 
+    /// Chooses a path of engines that each have memory for the request, if requests like it may fill
+    /// up to `limit` of an engine's request memory; `None` if there is none.
+    pub fn pick_path_within(&self, limit: f64) -> Option<Vec<Part>> {
+        let demand = self.demand();
+        let mut stages = self.stages();
+        stages.retain(|stage| stage.fits(self.model, demand, limit));
+        choose_path(&stages, self.model, &self.edge.settings().domain, demand)
+    }
+
     /// Returns how long until the first engine takes requests again, if there is no path because
     /// engines asked for a pause or named a limit.
     pub fn pause(&self) -> Option<Millis> {
