Exchange the load of engines between VMs, and choose paths by it

Cause: a VM took its own count times the number of VMs for the load of an engine. With 13 VMs a VM that serves the callers of others refused first tries from 15 streams on, though the engines had room; with 132 VMs the estimate was 0 or 132, so engines ran out of memory while the total fitted.

Paths use the total, and a random share of what others have probably sent since, so that VMs with the same view choose differently.

--- a/src/core/admit/mod.rs
+++ b/src/core/admit/mod.rs
@@ -122,6 +122,12 @@
         Decision::Refuse(Millis(wait.clamp(min, max) as u64))
     }
 
+    /// Returns the mean duration of requests, in milliseconds.
+    #[must_use]
+    pub const fn mean_duration(&self) -> f64 {
+        self.mean_duration
+    }
+
     /// Updates the mean duration with that of a request that ended.
     pub fn record_duration(&mut self, duration: Millis) {
         self.mean_duration += (duration.0 as f64 - self.mean_duration) * DURATION_WEIGHT;
--- /dev/null
+++ b/src/core/fleet/hubs.rs
@@ -0,0 +1,56 @@
+//! Which VMs add up the load of the others.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::Fleet;
+use super::Member;
+use crate::clock::Millis;
+use crate::names::Domain;
+use crate::names::Vm;
+
+/// The VMs of a domain that may be hubs, so that one takes over at once when the other is gone.
+const HUBS_PER_DOMAIN: usize = 2;
+
+/// The VMs to exchange loads with, by their peer addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hubs {
+    /// The hubs of this VM's domain, which may include itself, the preferred one first.
+    pub near: Vec<SocketAddr>,
+    /// The hubs of the other domains.
+    pub far: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Records the share of a core that a VM has, in thousandths.
+    pub fn record_capacity(&mut self, vm: &Vm, capacity: u16) {
+        self.capacities.insert(vm.clone(), capacity);
+    }
+
+    /// Returns the hubs of each domain: the VMs with the largest share of a core, as far as it is
+    /// known, and among equal ones the first by name. A hub sends messages to every VM of its domain,
+    /// which would take a small VM much of its time.
+    pub fn hubs(&self, now: Millis) -> Hubs {
+        let mut domains: BTreeMap<&Domain, Vec<&Member>> = BTreeMap::new();
+        let me = std::iter::once(&self.me);
+        for member in me.chain(self.alive(now)).filter(|member| member.ready) {
+            domains.entry(&member.domain).or_default().push(member);
+        }
+        let mut hubs = Hubs::default();
+        for (domain, mut members) in domains {
+            members.sort_by_key(|member| {
+                let capacity = self.capacities.get(&member.vm).copied().unwrap_or(0);
+                (Reverse(capacity), &member.vm)
+            });
+            let ranked = members.iter().take(HUBS_PER_DOMAIN);
+            let addrs = ranked.map(|member| member.peer);
+            if *domain == self.me.domain {
+                hubs.near.extend(addrs);
+            } else {
+                hubs.far.extend(addrs);
+            }
+        }
+        hubs
+    }
+}
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! traffic of a VM does not grow with the fleet (docs/PLATFORM.md).
 
 mod cut;
+mod hubs;
 
 use std::collections::BTreeMap;
 use std::hash::DefaultHasher;
@@ -19,6 +20,7 @@
 use serde::Serialize;
 
 pub use self::cut::CutNotice;
+pub use self::hubs::Hubs;
 use crate::clock::Millis;
 use crate::core::position::Position;
 use crate::core::roster::Mark;
@@ -154,6 +156,8 @@
     /// The VMs that are not kept any more, and when each was last known.
     forgotten: BTreeMap<Vm, Millis>,
     contacts: Vec<SocketAddr>,
+    /// The share of a core that each VM has, in thousandths, where it is known.
+    capacities: BTreeMap<Vm, u16>,
     /// Whether this VM reaches no endpoint.
     is_cut_off: bool,
     /// The VMs that reach no endpoint, by start hash, and when each last said so.
@@ -175,6 +179,7 @@
             vms_by_start: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             contacts,
+            capacities: BTreeMap::new(),
             is_cut_off: false,
             cut_vms: BTreeMap::new(),
             store_answered: Millis(0),
--- a/src/core/load/mod.rs
+++ b/src/core/load/mod.rs
@@ -5,6 +5,8 @@
 //! engine's load. So each VM reports what it has in progress to a hub, hubs exchange their sums, and
 //! each VM gets the total a few times a second (docs/design/room.md).
 
+mod exchange;
+
 use std::collections::BTreeMap;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
@@ -13,6 +15,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::exchange::Exchange;
+pub use self::exchange::LoadError;
+pub use self::exchange::LoadMessage;
+pub use self::exchange::REPORT_INTERVAL;
+
 /// Identifies a name in messages. After a collision two names share an entry, so that both look more
 /// loaded than they are.
 #[derive(
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -16,6 +16,7 @@
 pub use self::place::Engine;
 pub use self::place::plan_placement;
 pub use self::place::repair_placement;
+pub use self::spread::expect_arrivals;
 pub use self::spread::spread_load;
 pub use self::watch::StallTimer;
 
--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -33,6 +33,35 @@
     }
 }
 
+/// Adds to each engine the requests that other VMs have probably sent there since its load was
+/// reported: `arrivals` is their number as a share of those in progress, and `draw` returns random
+/// numbers from 0 to 1.
+///
+/// This answers the load in which many VMs choose by the same report: all would take the same engine,
+/// which is the cheapest until the next one. Fast engines attract most requests, so each engine gets
+/// an exponentially distributed number, on average in proportion to its speed. The spread grows with
+/// the age of the reports; the number of VMs adds nothing to it, as each has the fewer requests the
+/// more they are.
+pub fn expect_arrivals<F>(stages: &mut [Stage], model: &Model, arrivals: f64, mut draw: F)
+where
+    F: FnMut() -> f64,
+{
+    let speed = |stage: &Stage| f64::from(stage.span.len()) / stage.card.pace;
+    let speeds: f64 = stages.iter().map(speed).sum();
+    let cells = |stage: &Stage| model.kv_capacity(stage.card, stage.span.len()).max(1.0);
+    let used = stages.iter().map(|stage| stage.memory_use * cells(stage));
+    let new_cells = arrivals * used.sum::<f64>() / speeds.max(1e-9);
+    let running = stages
+        .iter()
+        .map(|stage| stage.running * f64::from(stage.span.len()));
+    let new_running = arrivals * running.sum::<f64>() / speeds.max(1e-9);
+    for stage in stages {
+        let share = speed(stage) * -(1.0 - draw()).ln();
+        stage.memory_use += new_cells * share / cells(stage);
+        stage.running += new_running * share / f64::from(stage.span.len().max(1));
+    }
+}
+
 /// Returns the tokens for which an engine has memory beside its layers.
 fn token_room(stage: &Stage, model: &Model) -> f64 {
     let layers = stage.span.len();
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -35,6 +35,7 @@
 pub use self::pause::PauseError;
 pub use self::pause::parse_pause;
 use crate::clock::Millis;
+use crate::core::load::EngineLoad;
 use crate::core::pipe::Span;
 use crate::core::pipe::Stage;
 use crate::core::position::Position;
@@ -369,17 +370,20 @@
         })
     }
 
-    /// Returns the engines of a service as stages from which paths are built. Each of `vms` VMs is
-    /// assumed to put the same load on them as this one.
-    pub fn stages(
+    /// Returns the engines of a service as stages from which paths are built; `load` returns what all
+    /// VMs run on an engine.
+    pub fn stages<F>(
         &self,
         service: &ServiceName,
         model: &Model,
         now: Millis,
-        vms: f64,
-    ) -> Vec<Stage> {
+        load: F,
+    ) -> Vec<Stage>
+    where
+        F: Fn(&EndpointName) -> EngineLoad,
+    {
         let mut stages = Vec::new();
-        for (entry, health, load) in self.serving(service, now) {
+        for (entry, health, _) in self.serving(service, now) {
             let state = self.endpoints.get(&entry.endpoint);
             let pace = state.and_then(|state| state.pace.filter(|(_, until)| now < *until));
             let (Some(span), Some(kind)) = (entry.span, entry.kind.as_ref()) else {
@@ -392,17 +396,17 @@
                 continue;
             }
             let cells = model.kv_capacity(*card, span.len()).max(1.0);
-            let running = f64::from(load.running) * vms;
+            let load = load(&entry.endpoint);
             stages.push(Stage {
                 endpoint: entry.endpoint.clone(),
                 addr: entry.addr,
                 domain: entry.domain.clone(),
                 span,
                 card: *card,
-                running,
-                memory_use: load.cells * vms / cells,
+                running: f64::from(load.running),
+                memory_use: load.cells as f64 / cells,
                 penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
-                can_lead: running < f64::from(model.slots)
+                can_lead: load.leading < model.slots
                     && self.limit_wait(now, &entry.endpoint) == Some(Millis(0)),
             });
         }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -5,6 +5,7 @@
 
 use monoio::net::udp::UdpSocket;
 
+use super::load;
 use super::notice;
 use super::parts;
 use super::state::Edge;
@@ -20,9 +21,9 @@
 use crate::core::roster::RateNotice;
 use crate::io::timeout::within;
 
-/// The size of the receive buffer; a message fits one packet of an ordinary network with room to
-/// spare.
-const MAX_MESSAGE_BYTES: usize = 8192;
+/// The size of the receive buffer, that of the largest datagram. A gossip message fits one packet of an
+/// ordinary network; the load of hundreds of engines takes several.
+const MAX_MESSAGE_BYTES: usize = 65_536;
 /// The least time between two messages, even when there is news.
 const MIN_INTERVAL: Millis = Millis(40);
 /// The pause between two attempts to write this VM's record to the store or to read the others'.
@@ -36,7 +37,8 @@
 pub fn start(edge: &Edge) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(edge.settings().peer)?);
     monoio::spawn(receive_messages(edge.clone(), Rc::clone(&socket)));
-    monoio::spawn(send_messages(edge.clone(), socket));
+    monoio::spawn(send_messages(edge.clone(), Rc::clone(&socket)));
+    monoio::spawn(load::run(edge.clone(), socket));
     monoio::spawn(sync_members(edge.clone()));
     Ok(())
 }
@@ -50,6 +52,9 @@
             buf = vec![0; MAX_MESSAGE_BYTES];
             continue;
         };
+        if load::receive(&edge, from, &buf[..size]) {
+            continue;
+        }
         match postcard::take_from_bytes::<Message>(&buf[..size]) {
             Ok((message, rest)) => {
                 receive(&edge, message);
@@ -228,7 +233,11 @@
 
 async fn write_member(edge: &Edge) -> bool {
     let me = edge.fleet(|fleet| fleet.me().clone());
-    let Ok(value) = postcard::to_stdvec(&me) else {
+    let capacity = edge.settings().capacity();
+    edge.fleet(|fleet| fleet.record_capacity(&me.vm, capacity));
+    // VMs of earlier releases ignore what follows the description.
+    let value = postcard::to_stdvec(&me).and_then(|bytes| postcard::to_extend(&capacity, bytes));
+    let Ok(value) = value else {
         return false;
     };
     let topic = edge.dialect().topics.vms;
@@ -249,12 +258,18 @@
     match edge.store().newest(topic).await {
         Ok((records, _)) => {
             for record in records {
-                let member = record
-                    .value
-                    .and_then(|value| postcard::from_bytes::<Member>(&value).ok());
-                if let Some(member) = member {
-                    edge.fleet(|fleet| fleet.add_listed(edge.now(), member));
-                }
+                let Some(value) = record.value else {
+                    continue;
+                };
+                let Ok((member, rest)) = postcard::take_from_bytes::<Member>(&value) else {
+                    continue;
+                };
+                // Records of earlier releases end here.
+                let capacity = postcard::from_bytes::<u16>(rest).unwrap_or(0);
+                edge.fleet(|fleet| {
+                    fleet.record_capacity(&member.vm, capacity);
+                    fleet.add_listed(edge.now(), member);
+                });
             }
             true
         }
--- /dev/null
+++ b/src/edge/load.rs
@@ -0,0 +1,60 @@
+//! Exchange of the VMs' loads over the gossip socket (docs/design/room.md).
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use monoio::net::udp::UdpSocket;
+
+use super::state::Edge;
+use crate::core::load::LoadMessage;
+use crate::core::load::REPORT_INTERVAL;
+
+/// Sends this VM's load to its hub, and what it owes other VMs if it is a hub, periodically.
+pub async fn run(edge: Edge, socket: Rc<UdpSocket>) {
+    let mut hub = None;
+    loop {
+        monoio::time::sleep(REPORT_INTERVAL.duration()).await;
+        let now = edge.now();
+        let hubs = edge.fleet(|fleet| fleet.hubs(now));
+        let me = edge.settings().peer;
+        let messages =
+            edge.load(|exchange| exchange.next_messages(now, &me, &hubs.near, &hubs.far));
+        let chosen = edge.load(|exchange| exchange.hub().copied());
+        if chosen != hub {
+            log::info!(hub:? = chosen, near:? = hubs.near, far:? = hubs.far; "hub_chosen");
+            hub = chosen;
+        }
+        for (addr, message) in messages {
+            send(&socket, addr, &message).await;
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, message: &LoadMessage) {
+    let bytes = match message.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:% = error; "load_not_encoded");
+            return;
+        }
+    };
+    if let (Err(error), _) = socket.send_to(bytes, to).await {
+        log::debug!(to:% = to, error:% = error; "load_not_sent");
+    }
+}
+
+/// Merges a message if the bytes are one; returns whether they are.
+pub fn receive(edge: &Edge, from: SocketAddr, bytes: &[u8]) -> bool {
+    match LoadMessage::decode(bytes) {
+        Some(Ok(message)) => {
+            let now = edge.now();
+            edge.load(|exchange| exchange.receive(now, from, message));
+        }
+        Some(Err(error)) => {
+            edge.metrics().count_load_message("dropped");
+            log::debug!(from:% = from, error:% = error; "load_dropped");
+        }
+        None => return false,
+    }
+    true
+}
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -28,6 +28,7 @@
     detours: Counter<u64>,
     notices: Counter<u64>,
     store_calls: Counter<u64>,
+    load_messages: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
 }
@@ -53,6 +54,10 @@
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
             ),
+            load_messages: counter(
+                "edge_load_messages",
+                "Messages on the load of VMs, by outcome.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -78,6 +83,12 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a message on the load of VMs, by outcome.
+    pub fn count_load_message(&self, outcome: &'static str) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.load_messages.add(1, &[outcome]);
+    }
+
     /// Counts a retry that was asked of the budget, by outcome.
     pub fn count_retry(&self, outcome: &'static str) {
         self.retries.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod forward;
 mod front;
 mod gossip;
+mod load;
 mod metrics;
 mod news;
 mod notice;
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -15,11 +15,13 @@
 use crate::core::admit::Decision;
 use crate::core::admit::Occupancy;
 use crate::core::admit::token_capacity;
+use crate::core::load::NameHash;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::StallTimer;
 use crate::core::pipe::choose_path;
+use crate::core::pipe::expect_arrivals;
 use crate::core::pipe::reroute;
 use crate::core::pipe::spread_load;
 use crate::core::site::Model;
@@ -255,11 +257,17 @@
 
     fn stages(&self) -> Vec<Stage> {
         let now = self.edge.now();
-        let vms = self.edge.fleet(|fleet| fleet.serving_count(now)) as f64;
         let service = &self.ctx.service;
-        let mut stages = self
-            .edge
-            .roster(|roster| roster.stages(service, self.model, now, vms));
+        let mut stages = self.edge.load(|exchange| {
+            let load = |endpoint: &EndpointName| exchange.engine(now, NameHash::of(endpoint)).0;
+            self.edge
+                .roster(|roster| roster.stages(service, self.model, now, load))
+        });
+        if let Some(age) = self.edge.load(|exchange| exchange.age(now)) {
+            let mean = self.edge.admission(|controller| controller.mean_duration());
+            let arrivals = age.0 as f64 / mean.max(1.0);
+            expect_arrivals(&mut stages, self.model, arrivals, || self.edge.random());
+        }
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
@@ -429,19 +437,23 @@
 pub struct LoadGuard {
     edge: Edge,
     tokens: u32,
-    /// Each engine with the request's tokens times the layers that it runs.
-    parts: Vec<(EndpointName, f64)>,
+    /// Each engine with whether the path begins there, and the request's tokens times the layers that
+    /// it runs.
+    parts: Vec<(NameHash, bool, u64)>,
 }
 
 impl LoadGuard {
     /// Adds a request to the load of its engines and of this VM.
     pub fn begin(edge: &Edge, path: &[Part], demand: Demand) -> Self {
         let tokens = demand.prompt + demand.answer;
-        let cells = |part: &Part| (part.endpoint.clone(), tokens * f64::from(part.span.len()));
-        let parts: Vec<_> = path.iter().map(cells).collect();
-        edge.roster(|roster| {
-            for (endpoint, cells) in &parts {
-                roster.begin_request(endpoint, *cells);
+        let claim = |(index, part): (usize, &Part)| {
+            let cells = tokens * f64::from(part.span.len());
+            (NameHash::of(&part.endpoint), index == 0, cells as u64)
+        };
+        let parts: Vec<_> = path.iter().enumerate().map(claim).collect();
+        edge.load(|exchange| {
+            for (engine, leading, cells) in &parts {
+                exchange.begin_request(*engine, *leading, *cells);
             }
         });
         let tokens = tokens as u32;
@@ -460,9 +472,9 @@
             let load = &mut fleet.me().load;
             *load = load.saturating_sub(self.tokens);
         });
-        self.edge.roster(|roster| {
-            for (endpoint, cells) in &self.parts {
-                roster.end_request(endpoint, *cells);
+        self.edge.load(|exchange| {
+            for (engine, leading, cells) in &self.parts {
+                exchange.end_request(*engine, *leading, *cells);
             }
         });
     }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -34,6 +34,10 @@
     pub contacts: Vec<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// The share of a core that this VM has, from which the VMs choose those that sum up the load of
+    /// the others; 0 if it is not known.
+    #[serde(default)]
+    pub share: f64,
     /// The limits that the platform sets.
     pub bounds: Bounds,
 }
@@ -91,6 +95,12 @@
         Ok(serde_saphyr::from_str(text)?)
     }
 
+    /// Returns the share of a core that this VM has, in thousandths.
+    #[must_use]
+    pub fn capacity(&self) -> u16 {
+        (self.share * 1000.0) as u16
+    }
+
     /// Returns the addresses on which other VMs may be reached.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
         let port = self.peer.port();
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::RngExt;
@@ -21,6 +22,8 @@
 use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
+use crate::core::load::Exchange;
+use crate::core::load::NameHash;
 use crate::core::poison::PartTable;
 use crate::core::poison::SuspectTable;
 use crate::core::position::Position;
@@ -49,6 +52,7 @@
     accepted: RefCell<ActiveConfig>,
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
+    load: RefCell<Exchange<SocketAddr>>,
     reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
@@ -84,6 +88,7 @@
             has_store: false,
             load: 0,
         };
+        let start = NameHash::of(&format!("{}@{}", settings.vm, me.boot));
         let peers = settings.peers().filter(|addr| *addr != settings.peer);
         let fleet = Fleet::new(me, peers.collect(), ChaCha8Rng::seed_from_u64(rng.random()));
         let bounds = settings.bounds;
@@ -98,6 +103,7 @@
             accepted: RefCell::default(),
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
+            load: RefCell::new(Exchange::new(start)),
             reach: RefCell::default(),
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
@@ -183,6 +189,14 @@
         work(&mut self.inner.fleet.borrow_mut())
     }
 
+    /// Runs `work` on the load of this VM and of the others.
+    pub fn load<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Exchange<SocketAddr>) -> T,
+    {
+        work(&mut self.inner.load.borrow_mut())
+    }
+
     /// Runs `work` on what is known of the links to endpoints.
     pub fn reach<T, F>(&self, work: F) -> T
     where
