Play the arrivals since the last report before a path is chosen

Cause: VMs that choose by the same report take the same path until the next one. In a load test (132 VMs, 290 streams a second, reports 200 ms old) 17% of the streams met an engine without memory.

Change: what others have probably sent since is played in batches along the paths that they would choose, the memory's cost rises from 0.6 of its use on, and loads are exchanged every 100 ms.

--- a/src/core/load/exchange.rs
+++ b/src/core/load/exchange.rs
@@ -15,18 +15,18 @@
 use crate::clock::Millis;
 
 /// The interval between two reports of a VM, and between two messages of a hub.
-pub const REPORT_INTERVAL: Millis = Millis(200);
+pub const REPORT_INTERVAL: Millis = Millis(100);
 /// How long a report or a sum counts. Three messages in a row are rarely lost, and the requests of a
 /// VM that is gone end soon after.
 const REPORT_TTL: Millis = Millis(1000);
 /// How long a total is used; with an older one this VM relies on its own load.
 const TOTAL_TTL: Millis = Millis(2000);
 /// How many reports in a row a hub may leave without a total before another one is used.
-const MAX_UNANSWERED: u32 = 4;
+const MAX_UNANSWERED: u32 = 6;
 /// How long a hub that sent no total is not used.
 const SILENT_TTL: Millis = Millis::seconds(5);
 /// The number of own reports that are kept to subtract them from the totals that include them.
-const MAX_REPORTS: usize = 24;
+const MAX_REPORTS: usize = 32;
 /// The largest number of reports and sums that a hub keeps.
 const MAX_SENDERS: usize = 1024;
 /// What such a message begins with. VMs of earlier releases take it for the length of a name that is
@@ -297,7 +297,8 @@
         }
         self.silent.retain(|(_, until)| now < *until);
         let is_silent = |hub: &A| self.silent.iter().any(|(silent, _)| silent == hub);
-        let hub = near.iter().find(|hub| !is_silent(hub)).cloned();
+        let answering = near.iter().find(|hub| !is_silent(hub));
+        let hub = answering.or(near.first()).cloned();
         let unanswered = match (&self.hub, &hub) {
             (Some((old, unanswered)), Some(new)) if old == new && new != me => unanswered + 1,
             _ => 0,
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -17,10 +17,12 @@
 /// The fixed cost of each engine in a path, in milliseconds per token: the token waits for the
 /// engine's next forward pass.
 const HOP_COST_MS: f64 = 0.4;
-/// The share of an engine's request memory above which its cost is multiplied.
-const HIGH_MEMORY_USE: f64 = 0.85;
-/// The factor on the cost of an engine above [`HIGH_MEMORY_USE`].
-const HIGH_MEMORY_FACTOR: f64 = 8.0;
+/// The share of an engine's request memory from which its cost rises: requests that were sent by other
+/// VMs since its load was reported take the rest.
+const HIGH_MEMORY_USE: f64 = 0.6;
+/// How fast the cost rises from [`HIGH_MEMORY_USE`] on: by this factor for each tenth of the memory. The
+/// slowest engines then take requests before the fastest run out of memory.
+const MEMORY_COST_FACTOR: f64 = 3.0;
 
 /// An engine that a path may use, with its present load.
 #[derive(Clone, Debug)]
@@ -234,11 +236,8 @@
     let step = model.step + (model.sequence + context) * stage.running;
     let token = share * stage.card.pace * step + HOP_COST_MS;
     let prompt = share * stage.card.read * demand.prompt / model.reading;
-    let memory_factor = if stage.memory_use > HIGH_MEMORY_USE {
-        HIGH_MEMORY_FACTOR
-    } else {
-        1.0
-    };
+    let high = (stage.memory_use - HIGH_MEMORY_USE).max(0.0);
+    let memory_factor = MEMORY_COST_FACTOR.powf(high * 10.0);
     (token * demand.answer + prompt) * stage.penalty * memory_factor
 }
 
--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -1,10 +1,19 @@
 //! Spreading of requests by VMs that do not know each other's load yet.
 
+use super::Demand;
 use super::Stage;
+use super::choose_path;
 use crate::core::site::Model;
+use crate::names::Domain;
 
 /// The share of an engine's request memory that all VMs together should fill.
 const TARGET_USE: f64 = 0.7;
+/// The requests that are played together, and the largest number of such batches: each takes a search
+/// for a path, and a small VM has a tenth of a core.
+const REQUESTS_PER_BATCH: f64 = 8.0;
+const MAX_BATCHES: f64 = 8.0;
+/// The margin for requests that begin and end at random, in standard deviations of their number.
+const RANDOM_MARGIN: f64 = 1.5;
 /// How much more than the mean engine a fast one costs a request that it is not offered to: the
 /// least and the largest factor.
 const AVOIDANCE: (f64, f64) = (1.2, 2.0);
@@ -33,35 +42,62 @@
     }
 }
 
-/// Adds to each engine the requests that other VMs have probably sent there since its load was
-/// reported: `arrivals` is their number as a share of those in progress, and `draw` returns random
-/// numbers from 0 to 1.
+/// Moves the engines' load from the time of its report to now: removes what has probably ended since,
+/// and adds what other VMs have probably sent since. `turnover` is the share of the requests in
+/// progress that ended and began in that time, and `draw` returns random numbers from 0 to 1.
 ///
-/// This answers the load in which many VMs choose by the same report: all would take the same engine,
-/// which is the cheapest until the next one. Fast engines attract most requests, so each engine gets
-/// an exponentially distributed number, on average in proportion to its speed. The spread grows with
-/// the age of the reports; the number of VMs adds nothing to it, as each has the fewer requests the
-/// more they are.
-pub fn expect_arrivals<F>(stages: &mut [Stage], model: &Model, arrivals: f64, mut draw: F)
+/// This answers the load in which many VMs choose by the same report: all would take the path that was
+/// the cheapest then, until the next report. So the arrivals are played: in batches, each from a
+/// random domain, along the path that a VM there would choose next. The older the report, the more
+/// arrivals are played, and the further VMs with the same view spread; the number of VMs doesn't
+/// matter, as all of them together make up the arrivals.
+pub fn expect_arrivals<F>(stages: &mut [Stage], model: &Model, turnover: f64, mut draw: F)
 where
     F: FnMut() -> f64,
 {
-    let speed = |stage: &Stage| f64::from(stage.span.len()) / stage.card.pace;
-    let speeds: f64 = stages.iter().map(speed).sum();
-    let cells = |stage: &Stage| model.kv_capacity(stage.card, stage.span.len()).max(1.0);
-    let used = stages.iter().map(|stage| stage.memory_use * cells(stage));
-    let new_cells = arrivals * used.sum::<f64>() / speeds.max(1e-9);
-    let running = stages
-        .iter()
-        .map(|stage| stage.running * f64::from(stage.span.len()));
-    let new_running = arrivals * running.sum::<f64>() / speeds.max(1e-9);
-    for stage in stages {
-        let share = speed(stage) * -(1.0 - draw()).ln();
-        stage.memory_use += new_cells * share / cells(stage);
-        stage.running += new_running * share / f64::from(stage.span.len().max(1));
+    let turnover = turnover.clamp(0.0, 1.0);
+    let demand = Demand {
+        prompt: model.usual.0,
+        answer: model.usual.1,
+    };
+    let tokens = (demand.prompt + demand.answer).max(1.0);
+    let cells: f64 = stages.iter().map(|stage| used_cells(stage, model)).sum();
+    let arrivals = turnover * cells / (tokens * f64::from(model.layers.max(1)));
+    for stage in stages.iter_mut() {
+        let changes = 2.0 * turnover * stage.running;
+        let layers = f64::from(stage.span.len());
+        let capacity = model.kv_capacity(stage.card, stage.span.len()).max(1.0);
+        stage.running *= 1.0 - turnover;
+        stage.memory_use *= 1.0 - turnover;
+        stage.memory_use += RANDOM_MARGIN * changes.sqrt() * tokens * layers / capacity;
+    }
+    let batches = (arrivals / REQUESTS_PER_BATCH).ceil().min(MAX_BATCHES);
+    let size = arrivals / batches;
+    let mut homes: Vec<Domain> = stages.iter().map(|stage| stage.domain.clone()).collect();
+    homes.sort_unstable();
+    homes.dedup();
+    for _ in 0..batches as usize {
+        let home = &homes[(draw() * homes.len() as f64) as usize % homes.len()];
+        let Some(path) = choose_path(stages, model, home, demand) else {
+            return;
+        };
+        // Batches differ in size, as requests do not come at even intervals.
+        let size = size * 2.0 * draw();
+        for part in path {
+            if let Some(stage) = stages.iter_mut().find(|stage| stage.addr == part.addr) {
+                let layers = f64::from(part.span.len());
+                let capacity = model.kv_capacity(stage.card, stage.span.len()).max(1.0);
+                stage.running += size;
+                stage.memory_use += size * tokens * layers / capacity;
+            }
+        }
     }
 }
 
+fn used_cells(stage: &Stage, model: &Model) -> f64 {
+    stage.memory_use * model.kv_capacity(stage.card, stage.span.len()).max(0.0)
+}
+
 /// Returns the tokens for which an engine has memory beside its layers.
 fn token_room(stage: &Stage, model: &Model) -> f64 {
     let layers = stage.span.len();
