--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod order;
 pub mod packed;
 pub mod pipe;
+pub mod plain;
 pub mod poison;
 pub mod position;
 pub mod reach;
--- /dev/null
+++ b/src/core/plain/mod.rs
@@ -0,0 +1,16 @@
+//! Calls to plain services, which one endpoint runs and answers as a whole: the endpoint for each
+//! call, by what all VMs have there and what fails there, and the wait for room
+//! (docs/design/plain.md).
+
+mod choice;
+mod errors;
+mod room;
+
+pub use self::choice::Candidate;
+pub use self::choice::Choice;
+pub use self::choice::Draws;
+pub use self::choice::choose;
+pub use self::errors::ErrorCount;
+pub use self::errors::ErrorNotice;
+pub use self::errors::ErrorTable;
+pub use self::errors::Standing;
