--- a/src/core/plain/choice.rs
+++ b/src/core/plain/choice.rs
@@ -50,6 +50,15 @@
     pub test: f64,
 }
 
+/// The attempt for which an endpoint is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Whether no endpoint may have run the call, and [`super::Room`] found room for it.
+    pub is_first: bool,
+    /// Whether another endpoint may run the call if this one fails.
+    pub may_repeat: bool,
+}
+
 /// The outcome of a choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -86,64 +95,62 @@
         .collect()
 }
 
-/// Chooses the endpoint for a call. `may_repeat` tells whether another endpoint may run it if this
-/// one fails, which holds for the first attempt of an idempotent call.
+/// Chooses the endpoint for an attempt.
 ///
 /// This answers the load of hundreds of VMs that choose by the same old counts: endpoints are drawn
 /// in proportion to their free slots, then to the room in their queues, so that calls sent at the
 /// same time spread as the room does instead of all going where the least was. An endpoint that
 /// fails more than the others gets a bounded share of the calls that may run again, and otherwise
 /// only work that no other could run.
-pub fn choose(candidates: &[Candidate], may_repeat: bool, draws: Draws) -> Choice {
+pub fn choose(candidates: &[Candidate], attempt: Attempt, draws: Draws) -> Choice {
     if candidates.is_empty() {
         return Choice::Absent;
     }
     let running = estimate_running(candidates);
     let free = |index: usize, per_slot: u32| {
-        let candidate = &candidates[index];
-        let slots = f64::from(candidate.slots);
-        if candidate.slots == 0 {
-            return 1.0;
+        let slots = f64::from(candidates[index].slots);
+        if slots > 0.0 {
+            (slots * f64::from(per_slot) - running[index]).max(0.0) / slots
+        } else {
+            1.0
         }
-        (slots * f64::from(per_slot) - running[index]).max(0.0) / slots
     };
-    let draw = |is_fit: &dyn Fn(&Candidate) -> bool, per_slot: u32| {
-        let weights: Vec<f64> = candidates
-            .iter()
-            .enumerate()
-            .map(|(index, candidate)| {
-                let home = if candidate.is_home { HOME_WEIGHT } else { 1.0 };
-                let fit = f64::from(u8::from(is_fit(candidate)));
-                fit * home * free(index, per_slot) / (candidate.penalty * candidate.penalty)
-            })
-            .collect();
+    let draw = |is_fit: fn(&Candidate) -> bool, per_slot: Option<u32>| {
+        let weight = |(index, candidate): (usize, &Candidate)| {
+            let home = if candidate.is_home { HOME_WEIGHT } else { 1.0 };
+            let room = per_slot.map_or(1.0, |per_slot| free(index, per_slot));
+            let fit = f64::from(u8::from(is_fit(candidate)));
+            fit * home * room / (candidate.penalty * candidate.penalty)
+        };
+        let weights: Vec<f64> = candidates.iter().enumerate().map(weight).collect();
         pick_weighted(&weights, draws.pick)
     };
-    if may_repeat && draws.test < TEST_SHARE {
-        let is_tested = |candidate: &Candidate| candidate.stands_out && !candidate.is_avoided;
-        if let Some(index) = draw(&is_tested, 1) {
-            return Choice::Send(index);
-        }
-    }
-    let has_good = candidates.iter().any(Candidate::is_good);
-    let good = draw(&Candidate::is_good, 1).or_else(|| draw(&Candidate::is_good, CALLS_PER_SLOT));
-    if let Some(index) = good {
-        return Choice::Send(index);
-    }
-    // A call that runs at most once had better wait than go where calls fail.
-    if has_good && !may_repeat {
-        return Choice::Full;
-    }
+    let is_tested = |candidate: &Candidate| candidate.stands_out && !candidate.is_avoided;
     let is_up = |candidate: &Candidate| !candidate.is_avoided;
-    let others = draw(&is_up, CALLS_PER_SLOT).or_else(|| draw(&|_| true, CALLS_PER_SLOT));
-    others.map_or(Choice::Full, Choice::Send)
+    let full = Some(CALLS_PER_SLOT);
+    let may_test = attempt.is_first && attempt.may_repeat;
+    let has_good = candidates.iter().any(Candidate::is_good);
+    let chosen = None
+        .or_else(|| draw(is_tested, Some(1)).filter(|_| may_test && draws.test < TEST_SHARE))
+        .or_else(|| draw(Candidate::is_good, Some(1)))
+        .or_else(|| draw(Candidate::is_good, full))
+        // A call that runs at most once had better wait than go where calls fail.
+        .or_else(|| draw(is_up, full).filter(|_| !has_good || may_test))
+        .or_else(|| draw(Candidate::is_good, None).filter(|_| attempt.is_first))
+        .or_else(|| draw(is_up, None).filter(|_| !has_good))
+        .or_else(|| draw(|_| true, None).filter(|_| !has_good));
+    chosen.map_or(Choice::Full, Choice::Send)
 }
 
 fn pick_weighted(weights: &[f64], draw: f64) -> Option<usize> {
     let total: f64 = weights.iter().sum();
     let mut left = draw * total;
     let mut last = None;
-    for (index, weight) in weights.iter().enumerate().filter(|(_, weight)| **weight > 0.0) {
+    for (index, weight) in weights
+        .iter()
+        .enumerate()
+        .filter(|(_, weight)| **weight > 0.0)
+    {
         last = Some(index);
         if left < *weight {
             break;
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -15,6 +15,9 @@
 use super::forward::forward_request;
 use super::notice;
 use super::parts;
+use super::plain;
+use super::plain::CallGuard;
+use super::plain::pick_endpoint;
 use super::reach;
 use super::retry;
 use super::state::Edge;
@@ -108,7 +111,15 @@
                 return finish(edge, ctx, &tried, step, None);
             }
         }
-        let Some(entry) = pick_endpoint(edge, ctx, &tried) else {
+        if sent == 0
+            && tried.is_empty()
+            && let Err(wait) = plain::wait_for_room(edge, ctx).await
+        {
+            let response = forward::refusal(wait);
+            log_request(edge, ctx, &tried, NextStep::Refuse, &response);
+            return response;
+        }
+        let Some(entry) = pick_endpoint(edge, ctx, &tried, sent) else {
             return finish(
                 edge,
                 ctx,
@@ -123,15 +134,14 @@
         };
         tried.push(entry.endpoint.clone());
         let may_reuse = ctx.route.kind != RouteKind::Once;
-        edge.roster(|roster| {
-            roster.take_limited(edge.now(), &entry.endpoint);
-            roster.begin_request(&entry.endpoint, 0.0);
-        });
+        edge.roster(|roster| roster.take_limited(edge.now(), &entry.endpoint));
+        let guard = CallGuard::new(edge, &entry.endpoint);
         let run_start = edge.now();
         let outcome = attempt(edge, ctx, &entry, may_reuse).await;
-        edge.roster(|roster| roster.end_request(&entry.endpoint, 0.0));
-        record_outcome(edge, &entry, &outcome);
+        drop(guard);
+        record_outcome(edge, ctx, &entry, &outcome);
         if matches!(outcome.ending, Ending::Answered(_)) {
+            plain::record_duration(edge, ctx, edge.now().since(run_start));
             suspect::record_completion(edge, ctx, run_start);
             parts::record_survival(edge, ctx);
         }
@@ -143,7 +153,7 @@
         let allowed =
             sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
         let may_detour = !has_detoured && ctx.needs_detour(edge, unreached);
-        let has_other = allowed && (may_detour || pick_endpoint(edge, ctx, &tried).is_some());
+        let has_other = allowed && (may_detour || pick_endpoint(edge, ctx, &tried, sent).is_some());
         let state = RetryState {
             can_repeat: ctx.route.may_repeat(),
             can_retry: has_other,
@@ -163,34 +173,6 @@
     }
 }
 
-/// Chooses the endpoint with the lowest cost, without those in `tried` and those that asked for a
-/// pause.
-///
-/// The cost grows with this VM's requests in progress at the endpoint and with its failures; an
-/// endpoint in another domain costs slightly more, and a random part spreads equal ones. This
-/// assumes that the endpoints of a service are alike.
-fn pick_endpoint(edge: &Edge, ctx: &RequestContext, tried: &[EndpointName]) -> Option<Entry> {
-    let now = edge.now();
-    let home = &edge.settings().domain;
-    edge.roster(|roster| {
-        roster
-            .serving(&ctx.service, now)
-            .filter(|(entry, health, _)| {
-                !tried.contains(&entry.endpoint)
-                    && health.paused_for(now).is_none()
-                    && roster.limit_wait(now, &entry.endpoint) == Some(Millis(0))
-            })
-            .map(|(entry, health, work)| {
-                let distance = if entry.domain == *home { 0.0 } else { 0.3 };
-                let load = (1.0 + f64::from(work.running)) * health.penalty() + distance;
-                let avoidance = if health.is_avoided(now) { 1000.0 } else { 0.0 };
-                (avoidance + load + edge.random() * 0.6, entry)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, entry)| entry.clone())
-    })
-}
-
 async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, may_reuse: bool) -> Outcome {
     let mut outcome = Outcome {
         ending: Ending::NotRun,
@@ -301,7 +283,7 @@
     Err(HttpError::Malformed)
 }
 
-fn record_outcome(edge: &Edge, entry: &Entry, outcome: &Outcome) {
+fn record_outcome(edge: &Edge, ctx: &RequestContext, entry: &Entry, outcome: &Outcome) {
     let now = edge.now();
     let label = match outcome.ending {
         Ending::Answered(_) => "answered",
@@ -313,6 +295,13 @@
     if !outcome.sent && !outcome.is_unreached {
         return;
     }
+    match outcome.ending {
+        Ending::Answered(status) => plain::record_call(edge, ctx, entry, status >= 500),
+        Ending::Unknown => plain::record_call(edge, ctx, entry, true),
+        // An endpoint that is full or leaving says so. It fails only if it can't be reached.
+        Ending::NotRun if outcome.is_unreached => plain::record_call(edge, ctx, entry, true),
+        Ending::NotRun => {}
+    }
     edge.roster(|roster| {
         if let Some(health) = roster.health(&entry.endpoint) {
             match outcome.ending {
@@ -328,8 +317,8 @@
 fn retry_after(edge: &Edge, ctx: &RequestContext) -> Millis {
     let now = edge.now();
     let wait = edge.roster(|roster| roster.shortest_wait(now, &ctx.service));
-    wait.filter(|_| pick_endpoint(edge, ctx, &[]).is_none())
-        .unwrap_or(RETRY_AFTER)
+    wait.filter(|_| pick_endpoint(edge, ctx, &[], 0).is_none())
+        .unwrap_or_else(|| RETRY_AFTER.min(ctx.remaining(now) - MIN_RETRY_TIME))
 }
 
 fn finish(
@@ -348,6 +337,17 @@
         _ if ctx.remaining(edge.now()) == Millis(0) => Response::new(StatusCode::GATEWAY_TIMEOUT),
         _ => Response::new(StatusCode::BAD_GATEWAY),
     };
+    log_request(edge, ctx, tried, step, &response);
+    response
+}
+
+fn log_request(
+    edge: &Edge,
+    ctx: &RequestContext,
+    tried: &[EndpointName],
+    step: NextStep,
+    response: &Response,
+) {
     log::info!(
         id = ctx.id,
         content = ctx.content.short(),
@@ -361,5 +361,4 @@
         ms = edge.now().since(ctx.start).0;
         "request"
     );
-    response
 }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -8,6 +8,7 @@
 use super::load;
 use super::notice;
 use super::parts;
+use super::plain;
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
@@ -15,6 +16,7 @@
 use crate::core::fleet::HEARTBEAT_INTERVAL;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
+use crate::core::plain::ErrorNotice;
 use crate::core::poison::PartRecord;
 use crate::core::poison::SuspectGossip;
 use crate::core::roster::LeavingNotice;
@@ -136,12 +138,28 @@
     if bytes.is_empty() {
         return;
     }
-    match postcard::from_bytes::<Vec<CutNotice>>(bytes) {
-        Ok(notices) => edge.fleet(|fleet| fleet.receive_cut_notices(edge.now(), &notices)),
+    match postcard::take_from_bytes::<Vec<CutNotice>>(bytes) {
+        Ok((notices, rest)) => {
+            edge.fleet(|fleet| fleet.receive_cut_notices(edge.now(), &notices));
+            receive_errors(edge, rest);
+        }
         Err(error) => log::debug!(error:% = error; "cuts_dropped"),
     }
 }
 
+fn receive_errors(edge: &Edge, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    match postcard::take_from_bytes::<Vec<ErrorNotice>>(bytes) {
+        Ok((notices, _)) => plain::receive(edge, &notices),
+        Err(error) => {
+            log::debug!(error:% = error; "errors_dropped");
+            edge.metrics().count_dropped_notices(1);
+        }
+    }
+}
+
 /// What follows a message, in this order. VMs of earlier releases ignore what follows the sections
 /// that they know, and a section is left out only if no later one follows.
 struct Sections {
@@ -150,11 +168,13 @@
     parts: Vec<PartRecord>,
     limits: Vec<RateNotice>,
     cuts: Vec<CutNotice>,
+    errors: Vec<ErrorNotice>,
 }
 
 fn encode(message: &Message, sections: &Sections) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(message)?;
-    let has_cuts = !sections.cuts.is_empty();
+    let has_errors = !sections.errors.is_empty();
+    let has_cuts = !sections.cuts.is_empty() || has_errors;
     let has_limits = !sections.limits.is_empty() || has_cuts;
     let has_parts = !sections.parts.is_empty() || has_limits;
     let has_notices = !sections.notices.is_empty() || has_parts;
@@ -173,6 +193,9 @@
     if has_cuts {
         bytes = postcard::to_extend(&sections.cuts, bytes)?;
     }
+    if has_errors {
+        bytes = postcard::to_extend(&sections.errors, bytes)?;
+    }
     Ok(bytes)
 }
 
@@ -191,6 +214,7 @@
             parts: parts::next_records(&edge),
             limits: notice::next_limits(&edge),
             cuts: edge.fleet(|fleet| fleet.cut_notices(now)),
+            errors: plain::next_notices(&edge),
         };
         match encode(&message, &sections) {
             Ok(bytes) => {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -27,6 +27,10 @@
     cut_offs: Counter<u64>,
     detours: Counter<u64>,
     notices: Counter<u64>,
+    standings: Counter<u64>,
+    dropped_notices: Counter<u64>,
+    rooms: Counter<u64>,
+    room_wait: Histogram<f64>,
     store_calls: Counter<u64>,
     load_messages: Counter<u64>,
     first_event: Histogram<f64>,
@@ -58,6 +62,19 @@
                 "edge_load_messages",
                 "Messages on the load of VMs, by outcome.",
             ),
+            standings: counter(
+                "edge_failing_endpoints",
+                "Plain endpoints found to fail more calls than the others, or no longer to, by outcome.",
+            ),
+            dropped_notices: counter(
+                "edge_dropped_error_notices",
+                "Notices of failed calls that could not be read or made no sense.",
+            ),
+            rooms: counter(
+                "edge_room_waits",
+                "Calls that waited for room in a plain service or found none, by outcome.",
+            ),
+            room_wait: histogram("edge_room_wait", "Time that such calls waited."),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -119,6 +136,23 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a plain endpoint that was found to fail more calls than the others, or no longer to.
+    pub fn count_standing(&self, stands_out: bool) {
+        let outcome = if stands_out { "failing" } else { "recovered" };
+        self.standings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts notices of failed calls that could not be read or made no sense.
+    pub fn count_dropped_notices(&self, count: u64) {
+        self.dropped_notices.add(count, &[]);
+    }
+
+    /// Counts a call that waited for room or found none, by outcome, and records how long it waited.
+    pub fn record_room(&self, outcome: &'static str, wait: Millis) {
+        self.rooms.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.room_wait.record(wait.0 as f64, &[]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -23,6 +23,7 @@
 mod parts;
 mod paths;
 mod placement;
+mod plain;
 mod probe;
 mod reach;
 mod registry;
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -24,6 +25,8 @@
 use crate::core::fleet::Member;
 use crate::core::load::Exchange;
 use crate::core::load::NameHash;
+use crate::core::plain::ErrorTable;
+use crate::core::plain::Room;
 use crate::core::poison::PartTable;
 use crate::core::poison::SuspectTable;
 use crate::core::position::Position;
@@ -53,6 +56,8 @@
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
     load: RefCell<Exchange<SocketAddr>>,
+    errors: RefCell<ErrorTable>,
+    rooms: RefCell<BTreeMap<ServiceName, Room>>,
     reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
@@ -104,6 +109,8 @@
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
             load: RefCell::new(Exchange::new(start)),
+            errors: RefCell::new(ErrorTable::new(start)),
+            rooms: RefCell::default(),
             reach: RefCell::default(),
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
@@ -197,6 +204,23 @@
         work(&mut self.inner.load.borrow_mut())
     }
 
+    /// Runs `work` on the counts of failed calls of this VM and of the others.
+    pub fn errors<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut ErrorTable) -> T,
+    {
+        work(&mut self.inner.errors.borrow_mut())
+    }
+
+    /// Runs `work` on the calls that wait for room in a plain service.
+    pub fn room<T, F>(&self, service: &ServiceName, work: F) -> T
+    where
+        F: FnOnce(&mut Room) -> T,
+    {
+        let mut rooms = self.inner.rooms.borrow_mut();
+        work(rooms.entry(service.clone()).or_default())
+    }
+
     /// Runs `work` on what is known of the links to endpoints.
     pub fn reach<T, F>(&self, work: F) -> T
     where
