--- a/src/core/plain/errors.rs
+++ b/src/core/plain/errors.rs
@@ -36,17 +36,17 @@
 /// The fewest calls of the endpoints that another one is compared with.
 const MIN_BASE: f64 = 3.0;
 /// The fewest failed calls by which an endpoint stands out: two may be chance.
-const MIN_FAILED: f64 = 2.4;
+const MIN_FAILED: f64 = 2.0;
 /// The least difference to the share of failed calls of the others by which an endpoint stands out;
 /// below, avoiding it costs more than the calls that fail.
 const MIN_EXCESS: f64 = 0.08;
 /// The difference in standard deviations by which an endpoint stands out, by its newest calls.
-const FAST_SIGMAS: f64 = 2.5;
+const FAST_SIGMAS: f64 = 2.2;
 /// The same by the calls of some seconds, in which chance has more attempts.
 const SLOW_SIGMAS: f64 = 3.0;
 /// The difference in standard deviations below which it stands out no longer. This is lower, as an
 /// endpoint that is avoided has few calls.
-const STAY_SIGMAS: f64 = 1.5;
+const STAY_SIGMAS: f64 = 1.0;
 
 /// Calls and failed calls that decay over time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/src/core/plain/room.rs
+++ b/src/core/plain/room.rs
@@ -183,10 +183,19 @@
             return Admission::Wait;
         }
         self.waiting.remove(&ticket);
-        self.next_return = self.next_return.max(start) + interval;
+        self.next_return = self.next_return.max(start);
+        Admission::Refuse(self.book_return(now, limits.deadline, draw))
+    }
+
+    /// Returns when the caller of a refused call may come back, and books this return: one for each
+    /// call that this VM may send at its pace, so that those who come back find room. What is left of
+    /// the time until the deadline is enough for a call.
+    pub fn book_return(&mut self, now: Millis, deadline: Millis, draw: f64) -> Millis {
+        let interval = self.interval(now);
+        self.next_return = self.next_return.max(now) + interval;
         let spread = Millis((interval.0 as f64 * draw) as u64);
-        let left = limits.deadline.since(now + duration);
-        Admission::Refuse((self.next_return + spread).since(now).min(left))
+        let left = deadline.since(now + Millis(self.mean_duration as u64));
+        (self.next_return + spread).since(now).min(left)
     }
 }
 
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -318,11 +318,12 @@
 }
 
 /// Returns when the caller of a refused request may come back: as soon as an endpoint that asked for
-/// a pause or named a limit takes requests again, if all did.
+/// a pause or named a limit takes requests again, if all did, or at the pace of this VM's calls.
 fn retry_after(edge: &Edge, ctx: &RequestContext) -> Millis {
     let now = edge.now();
     let wait = edge.roster(|roster| roster.shortest_wait(now, &ctx.service));
     wait.filter(|_| pick_endpoint(edge, ctx, &[], 0).is_none())
+        .or_else(|| plain::book_return(edge, ctx))
         .unwrap_or_else(|| RETRY_AFTER.min(ctx.remaining(now) - MIN_RETRY_TIME))
 }
 
--- a/src/edge/plain.rs
+++ b/src/edge/plain.rs
@@ -264,6 +264,17 @@
     );
 }
 
+/// Returns when the caller of a call that an endpoint rejected may come back; `None` if this VM
+/// doesn't pace its calls.
+pub fn book_return(edge: &Edge, ctx: &RequestContext) -> Option<Millis> {
+    let now = edge.now();
+    let draw = edge.random();
+    edge.room(&ctx.service, |room| {
+        let is_paced = room.interval(now) > Millis(0);
+        is_paced.then(|| room.book_return(now, ctx.deadline, draw))
+    })
+}
+
 /// Returns the counts for the next message to other VMs.
 pub fn next_notices(edge: &Edge) -> Vec<ErrorNotice> {
     let now = edge.now();
