--- a/src/core/limit/fair.rs
+++ b/src/core/fair.rs
@@ -9,45 +9,67 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
-use super::Request;
-use super::RequestId;
-use crate::core::config::object::Priority;
 use crate::names::Team;
 
 /// The tag units per token step, so that the division by a weight loses little precision.
 const TAG_UNIT: u64 = 1024;
-/// How often a waiting class may be skipped before it is served: urgent, normal, batch. This keeps
-/// the lower classes from starving.
-const MAX_SKIPS: [u32; CLASS_COUNT] = [u32::MAX, 8, 16];
 /// The factor by which the typical weight of waiting teams decays per tick. The slow decay keeps
 /// teams in the estimates that wait only now and then.
 const TYPICAL_DECAY: f64 = 0.995;
-const CLASS_COUNT: usize = 3;
+
+/// What the place of a queued request depends on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Unique in the queue.
+    pub id: u64,
+    /// The index of the priority class, 0 most urgent.
+    pub class: usize,
+    /// The calling team.
+    pub team: Team,
+    /// The team's weight.
+    pub weight: u32,
+    /// The expected work, in the same unit for all requests.
+    pub cost: u32,
+}
 
 #[derive(Clone, Debug)]
-struct Waiting {
+struct Waiting<T> {
     start_tag: u64,
-    request: Request,
+    job: Job,
+    item: T,
 }
 
 /// The queued requests of one team in one class.
-#[derive(Clone, Debug, Default)]
-struct TeamQueue {
+#[derive(Clone, Debug)]
+struct TeamQueue<T> {
     finish_tag: u64,
     weight: u64,
     queued_cost: u64,
-    requests: VecDeque<Waiting>,
+    requests: VecDeque<Waiting<T>>,
+}
+
+impl<T> Default for TeamQueue<T> {
+    fn default() -> Self {
+        Self {
+            finish_tag: 0,
+            weight: 0,
+            queued_cost: 0,
+            requests: VecDeque::new(),
+        }
+    }
 }
 
 /// The queued requests of one priority class.
-#[derive(Clone, Debug, Default)]
-struct Class {
+#[derive(Clone, Debug)]
+struct Class<T> {
+    /// How often the class may be skipped in a row before it is served.
+    max_skips: u32,
     virtual_time: u64,
     /// The total cost of the queued requests.
     queued_cost: u64,
     /// How often the class was skipped in a row while it had queued requests.
     skips: u32,
-    teams: BTreeMap<Team, TeamQueue>,
+    teams: BTreeMap<Team, TeamQueue<T>>,
     /// The start tag of the first request of each team that has any.
     heads: BTreeSet<(u64, Team)>,
     /// The total weight of the teams with queued requests.
@@ -56,35 +78,58 @@
     typical_weight: f64,
 }
 
-impl Class {
-    fn push(&mut self, request: Request) {
-        let queue = self.teams.entry(request.team.clone()).or_default();
+impl<T> Class<T> {
+    fn new(max_skips: u32) -> Self {
+        Self {
+            max_skips,
+            virtual_time: 0,
+            queued_cost: 0,
+            skips: 0,
+            teams: BTreeMap::new(),
+            heads: BTreeSet::new(),
+            waiting_weight: 0,
+            typical_weight: 0.0,
+        }
+    }
+
+    fn push(&mut self, job: Job, item: T) {
+        let queue = self.teams.entry(job.team.clone()).or_default();
         let start_tag = queue.finish_tag.max(self.virtual_time);
-        let cost = u64::from(request.cost.max(1));
-        queue.finish_tag = start_tag + charge(&request);
+        let cost = u64::from(job.cost.max(1));
+        queue.finish_tag = start_tag + charge(&job);
         if queue.requests.is_empty() {
-            self.heads.insert((start_tag, request.team.clone()));
-            queue.weight = u64::from(request.weight.max(1));
+            self.heads.insert((start_tag, job.team.clone()));
+            queue.weight = u64::from(job.weight.max(1));
             self.waiting_weight += queue.weight;
             self.typical_weight = self.typical_weight.max(self.waiting_weight as f64);
         }
         queue.queued_cost += cost;
         self.queued_cost += cost;
-        queue.requests.push_back(Waiting { start_tag, request });
+        queue.requests.push_back(Waiting {
+            start_tag,
+            job,
+            item,
+        });
+    }
+
+    fn next(&self) -> Option<u64> {
+        let (_, team) = self.heads.first()?;
+        let first = self.teams.get(team)?.requests.front()?;
+        Some(first.job.id)
     }
 
-    fn pop(&mut self) -> Option<Request> {
+    fn pop(&mut self) -> Option<Waiting<T>> {
         let (start_tag, team) = self.heads.first()?.clone();
         self.virtual_time = self.virtual_time.max(start_tag);
         self.remove_at(&team, 0)
     }
 
     /// Removes the request at a position in a team's queue.
-    fn remove_at(&mut self, team: &Team, position: usize) -> Option<Request> {
+    fn remove_at(&mut self, team: &Team, position: usize) -> Option<Waiting<T>> {
         let queue = self.teams.get_mut(team)?;
         let head = queue.requests.front()?.start_tag;
-        let taken = queue.requests.remove(position)?.request;
-        let cost = u64::from(taken.cost.max(1));
+        let taken = queue.requests.remove(position)?;
+        let cost = u64::from(taken.job.cost.max(1));
         queue.queued_cost -= cost;
         self.queued_cost -= cost;
         self.heads.remove(&(head, team.clone()));
@@ -98,10 +143,10 @@
     }
 
     /// Removes a request that was not served, and refunds its charge to the team.
-    fn withdraw(&mut self, team: &Team, id: RequestId) -> Option<Request> {
+    fn withdraw(&mut self, team: &Team, id: u64) -> Option<Waiting<T>> {
         let position = self.find(team, id)?;
         let queue = self.teams.get_mut(team)?;
-        let refund = charge(&queue.requests[position].request);
+        let refund = charge(&queue.requests[position].job);
         queue.finish_tag -= refund;
         for later in queue.requests.iter_mut().skip(position + 1) {
             later.start_tag -= refund;
@@ -109,9 +154,9 @@
         self.remove_at(team, position)
     }
 
-    fn find(&self, team: &Team, id: RequestId) -> Option<usize> {
+    fn find(&self, team: &Team, id: u64) -> Option<usize> {
         let queue = self.teams.get(team)?;
-        queue.requests.iter().position(|one| one.request.id == id)
+        queue.requests.iter().position(|one| one.job.id == id)
     }
 
     /// Returns the expected work ahead of a new request of a team: the team's queued work, and the
@@ -140,23 +185,35 @@
     }
 }
 
-/// The queued requests of one service, by priority class and team.
-#[derive(Clone, Debug, Default)]
-pub struct FairQueue {
-    classes: [Class; CLASS_COUNT],
-    index: BTreeMap<RequestId, (Priority, Team)>,
+/// The queued requests of one service, by priority class and team, each with an item of the queue's
+/// owner.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    classes: Vec<Class<T>>,
+    index: BTreeMap<u64, (usize, Team)>,
 }
 
-impl FairQueue {
-    /// Adds a request behind the others of its team and class.
-    pub fn push(&mut self, request: Request) {
-        self.index
-            .insert(request.id, (request.priority, request.team.clone()));
-        self.classes[class_index(request.priority)].push(request);
+impl<T> FairQueue<T> {
+    /// Creates an empty queue with a class for each of `max_skips`, most urgent first: how often
+    /// the class may be skipped in a row while it waits. This keeps the lower classes from starving.
+    #[must_use]
+    pub fn new(max_skips: &[u32]) -> Self {
+        Self {
+            classes: max_skips.iter().copied().map(Class::new).collect(),
+            index: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a request behind the others of its team and class; a class that the queue doesn't have
+    /// counts as the least urgent.
+    pub fn push(&mut self, job: Job, item: T) {
+        let class = self.class_of(&job);
+        self.index.insert(job.id, (class, job.team.clone()));
+        self.classes[class].push(job, item);
     }
 
     /// Removes and returns the request that is next in order.
-    pub fn pop(&mut self) -> Option<Request> {
+    pub fn pop(&mut self) -> Option<T> {
         let chosen = self.next_class()?;
         for (at, class) in self.classes.iter_mut().enumerate() {
             let waits = class.queued_cost > 0;
@@ -166,34 +223,43 @@
                 0
             };
         }
-        let request = self.classes[chosen].pop()?;
-        self.index.remove(&request.id);
-        Some(request)
+        let taken = self.classes[chosen].pop()?;
+        self.index.remove(&taken.job.id);
+        Some(taken.item)
+    }
+
+    /// Returns the id of the request that is next in order.
+    #[must_use]
+    pub fn next(&self) -> Option<u64> {
+        self.classes[self.next_class()?].next()
     }
 
     /// Returns the class to serve next: one that was skipped too often, else the most urgent.
     fn next_class(&self) -> Option<usize> {
         let waits = |&at: &usize| self.classes[at].queued_cost > 0;
-        let starved = |&at: &usize| waits(&at) && self.classes[at].skips >= MAX_SKIPS[at];
-        let overdue = (0..CLASS_COUNT).rev().find(starved);
-        overdue.or_else(|| (0..CLASS_COUNT).find(waits))
+        let starved =
+            |&at: &usize| waits(&at) && self.classes[at].skips >= self.classes[at].max_skips;
+        let count = self.classes.len();
+        let overdue = (0..count).rev().find(starved);
+        overdue.or_else(|| (0..count).find(waits))
     }
 
     /// Removes a request from any position in the queue, and refunds its charge to its team.
-    pub fn remove(&mut self, id: RequestId) -> Option<Request> {
-        let (priority, team) = self.index.remove(&id)?;
-        self.classes[class_index(priority)].withdraw(&team, id)
+    pub fn remove(&mut self, id: u64) -> Option<T> {
+        let (class, team) = self.index.remove(&id)?;
+        let taken = self.classes[class].withdraw(&team, id)?;
+        Some(taken.item)
     }
 
-    /// Returns the expected work ahead of a new request, in token steps.
+    /// Returns the expected work ahead of a new request, in the unit of [`Job::cost`].
     #[must_use]
-    pub fn work_ahead(&self, request: &Request) -> f64 {
-        let class = class_index(request.priority);
+    pub fn work_ahead(&self, job: &Job) -> f64 {
+        let class = self.class_of(job);
         let more_urgent: u64 = self.classes[..class]
             .iter()
             .map(|class| class.queued_cost)
             .sum();
-        more_urgent as f64 + self.classes[class].work_ahead(&request.team, request.weight)
+        more_urgent as f64 + self.classes[class].work_ahead(&job.team, job.weight)
     }
 
     /// Returns how many requests are queued.
@@ -218,17 +284,13 @@
     pub fn sweep(&mut self) {
         self.classes.iter_mut().for_each(Class::sweep);
     }
-}
 
-/// Returns how far a request advances its team's finish tag.
-fn charge(request: &Request) -> u64 {
-    u64::from(request.cost.max(1)) * TAG_UNIT / u64::from(request.weight.max(1))
+    fn class_of(&self, job: &Job) -> usize {
+        job.class.min(self.classes.len().saturating_sub(1))
+    }
 }
 
-fn class_index(priority: Priority) -> usize {
-    match priority {
-        Priority::Urgent => 0,
-        Priority::Normal => 1,
-        Priority::Batch => 2,
-    }
+/// Returns how far a request advances its team's finish tag.
+fn charge(job: &Job) -> u64 {
+    u64::from(job.cost.max(1)) * TAG_UNIT / u64::from(job.weight.max(1))
 }
--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -6,7 +6,6 @@
 //! run, and the refusal is sent without delay. docs/operators/limits.md describes the limits for
 //! operators.
 
-pub mod fair;
 pub mod quota;
 pub mod service;
 pub mod share;
@@ -17,6 +16,7 @@
 use self::service::ServiceLimiter;
 use crate::clock::Millis;
 use crate::core::config::object::Priority;
+use crate::core::fair::Job;
 use crate::error::Code;
 use crate::error::Failure;
 use crate::names::ServiceName;
@@ -47,6 +47,23 @@
     pub service: ServiceName,
 }
 
+impl Request {
+    /// Returns what the request's place in the queue depends on.
+    fn job(&self) -> Job {
+        Job {
+            id: self.id,
+            class: match self.priority {
+                Priority::Urgent => 0,
+                Priority::Normal => 1,
+                Priority::Batch => 2,
+            },
+            team: self.team.clone(),
+            weight: self.weight,
+            cost: self.cost,
+        }
+    }
+}
+
 /// The immediate result of [`Limiter::offer`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/src/core/limit/service.rs
+++ b/src/core/limit/service.rs
@@ -10,9 +10,9 @@
 use super::Request;
 use super::RequestId;
 use super::deadline_passed;
-use super::fair::FairQueue;
 use super::share::SlotShare;
 use crate::clock::Millis;
+use crate::core::fair::FairQueue;
 use crate::error::Code;
 use crate::error::Failure;
 
@@ -36,12 +36,15 @@
     start: Millis,
 }
 
+/// How often a waiting class may be skipped before it is served: urgent, normal, batch.
+const MAX_SKIPS: [u32; 3] = [u32::MAX, 8, 16];
+
 /// Admits, queues or refuses the requests for one service on one VM.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ServiceLimiter {
     /// Determines how many requests may be in progress.
     pub share: SlotShare,
-    queue: FairQueue,
+    queue: FairQueue<Request>,
     running: BTreeMap<RequestId, Running>,
     /// The deadlines of the queued requests, earliest first.
     deadlines: BTreeSet<(Millis, RequestId)>,
@@ -51,6 +54,19 @@
     mean_cost: f64,
 }
 
+impl Default for ServiceLimiter {
+    fn default() -> Self {
+        Self {
+            share: SlotShare::default(),
+            queue: FairQueue::new(&MAX_SKIPS),
+            running: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            service_time: 0.0,
+            mean_cost: 0.0,
+        }
+    }
+}
+
 impl ServiceLimiter {
     /// Admits the request if there is capacity and no queue. Otherwise queues it, or refuses it if
     /// the queue is full or its deadline would pass first.
@@ -66,7 +82,7 @@
             return Decision::Refuse(overloaded(wait));
         }
         self.deadlines.insert((request.deadline, request.id));
-        self.queue.push(request);
+        self.queue.push(request.job(), request);
         Decision::Queue
     }
 
@@ -181,7 +197,7 @@
     /// Returns the estimated wait of a new request, or zero before a service time is known. The
     /// estimate assumes that as many requests as the limit end in each average service time.
     fn estimated_wait(&self, request: &Request) -> Millis {
-        let ahead = self.queue.work_ahead(request) / self.mean_cost.max(1.0);
+        let ahead = self.queue.work_ahead(&request.job()) / self.mean_cost.max(1.0);
         let turns = ahead / f64::from(self.share.limit());
         Millis((turns * self.service_time * WAIT_MARGIN) as u64)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod config;
 pub mod daemon;
+pub mod fair;
 pub mod fleet;
 pub mod limit;
 pub mod load;
