Streams of several priorities: order under load, a short wait, promised returns

Cause: admission had one limit for all callers on a fleet total, answered yes or no, and named a return time without knowing who else was told the same. Change: where the configuration gives a service's callers several priorities, room that is short is divided by class with floors and max-min by customer; a request waits at most half of its target for room on its engines; refused callers are told times that are summed over the fleet. The load of other VMs is not exchanged yet: until it is, only the room on engines and the wait apply.

--- a/src/core/admit/mod.rs
+++ b/src/core/admit/mod.rs
@@ -5,6 +5,13 @@
 //! that requests run longer and hold more memory. A request that does not fit is therefore refused
 //! before it is sent, with the time after which there should be capacity (docs/PLATFORM.md).
 
+pub mod arrivals;
+pub mod duration;
+pub mod order;
+pub mod queue;
+pub mod returns;
+pub mod streams;
+
 use std::collections::BTreeMap;
 
 use crate::clock::Millis;
--- a/src/core/fair.rs
+++ b/src/core/fair.rs
@@ -262,6 +262,15 @@
         more_urgent as f64 + self.classes[class].work_ahead(&job.team, job.weight)
     }
 
+    /// Returns whether requests of this class or a more urgent one are queued.
+    #[must_use]
+    pub fn has_ahead(&self, job: &Job) -> bool {
+        let class = self.class_of(job);
+        self.classes[..=class]
+            .iter()
+            .any(|class| class.queued_cost > 0)
+    }
+
     /// Returns how many requests are queued.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::UpDownCounter;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -28,6 +29,10 @@
     detours: Counter<u64>,
     notices: Counter<u64>,
     store_calls: Counter<u64>,
+    refusals: Counter<u64>,
+    promised: Counter<u64>,
+    queued: UpDownCounter<i64>,
+    wait_time: Histogram<f64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
 }
@@ -54,6 +59,19 @@
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
             ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
+            refusals: counter(
+                "edge_refusals",
+                "Streams refused for lack of room, by priority and whether refused before.",
+            ),
+            promised: counter(
+                "edge_promised",
+                "Tokens of refused streams whose callers were told when to come back.",
+            ),
+            queued: meter
+                .i64_up_down_counter("edge_queued")
+                .with_description("Streams that wait for room now.")
+                .build(),
+            wait_time: histogram("edge_wait", "Time that streams waited for room."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
             registry,
@@ -73,6 +91,24 @@
         self.first_event.record(span.0 as f64, &[]);
     }
 
+    /// Counts a stream that was refused for lack of room, with its tokens.
+    pub fn count_refusal(&self, priority: u8, is_return: bool, tokens: u32) {
+        let class = KeyValue::new("priority", i64::from(priority));
+        self.refusals
+            .add(1, &[class, KeyValue::new("refused_before", is_return)]);
+        self.promised.add(u64::from(tokens), &[]);
+    }
+
+    /// Adds to the number of streams that wait for room.
+    pub fn add_queued(&self, change: i64) {
+        self.queued.add(change, &[]);
+    }
+
+    /// Records how long a stream waited for room.
+    pub fn record_wait(&self, span: Millis) {
+        self.wait_time.record(span.0 as f64, &[]);
+    }
+
     /// Counts an attempt at an endpoint, by outcome.
     pub fn count_attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod detour;
 pub mod dialect;
 mod engine;
+mod entry;
 mod feed;
 mod forward;
 mod front;
@@ -114,6 +115,7 @@
     monoio::spawn(probe::run(edge.clone()));
     monoio::spawn(reach::run(edge.clone()));
     monoio::spawn(suspect::expire(edge.clone()));
+    monoio::spawn(entry::run(edge.clone()));
     monoio::spawn(notice::watch_limits(edge.clone()));
     monoio::spawn(bars::read(edge.clone()));
     monoio::spawn(bars::restore(edge.clone()));
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -58,6 +58,8 @@
     is_retry_taken: bool,
     /// The engines to which no connection could be opened.
     unreached: usize,
+    /// The path that admission found room on.
+    first: Option<Vec<Part>>,
     run: Run,
 }
 
@@ -81,10 +83,21 @@
             may_retry: false,
             is_retry_taken: false,
             unreached: 0,
+            first: None,
             run: Run::default(),
         }
     }
 
+    /// Sets the path on which room was found for the request.
+    pub fn set_first(&mut self, path: Option<Vec<Part>>) {
+        self.first = path;
+    }
+
+    /// Returns the path on which room was found, once.
+    pub fn take_first(&mut self) -> Option<Vec<Part>> {
+        self.first.take()
+    }
+
     /// Records that no connection to an engine could be opened.
     pub fn record_unreached(&mut self) {
         self.unreached += 1;
@@ -220,6 +233,11 @@
         wait.filter(|_| self.pick_path().is_none())
     }
 
+    /// Returns the tokens that fit on the engines that may run the request.
+    pub fn capacity(&self) -> f64 {
+        token_capacity(&self.stages(), self.model)
+    }
+
     /// Decides whether the engines have room for the request, and logs a refusal.
     pub fn admit(&self) -> Decision {
         let now = self.edge.now();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -23,6 +23,8 @@
 use super::engine;
 use super::engine::ConnectError;
 use super::engine::Link;
+use super::entry;
+use super::entry::Entry;
 use super::forward;
 use super::forward::ForwardInfo;
 use super::forward::forward_request;
@@ -34,7 +36,6 @@
 use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
-use crate::core::admit::Decision;
 use crate::core::attempt::Ending;
 use crate::core::attempt::EventBuffer;
 use crate::core::attempt::MAX_EVENT_BYTES;
@@ -116,12 +117,6 @@
         return respond(edge, conn, forward::refusal(RETRY_AFTER), false, ctx.start).await;
     };
     let mut selector = PathSelector::new(edge, ctx, model);
-    // The VM that serves it decides whether the engines have room.
-    if !ctx.needs_detour(edge, 0)
-        && let Decision::Refuse(wait) = selector.admit()
-    {
-        return respond(edge, conn, forward::refusal(wait), false, ctx.start).await;
-    }
     let mut progress = Progress {
         paths: ctx.detour.map_or(0, |info| info.attempts),
         ..Progress::default()
@@ -129,12 +124,16 @@
     let Conn { reader, writer } = conn;
     let ended = {
         let mut gone = pin!(reader.closed());
-        let mut work = pin!(try_paths(&mut selector, writer, &mut progress));
+        let mut work = pin!(run(&mut selector, writer, &mut progress));
         monoio::select! {
             ended = &mut work => ended,
-            () = &mut gone => StreamEnd::Left,
+            () = &mut gone => Ok(StreamEnd::Left),
         }
     };
+    let ended = match ended {
+        Ok(ended) => ended,
+        Err(wait) => return respond(edge, conn, forward::refusal(wait), false, ctx.start).await,
+    };
     log_end(edge, ctx, &progress, ended);
     edge.admission(|controller| controller.record_duration(edge.now().since(ctx.start)));
     match ended {
@@ -175,6 +174,27 @@
     );
 }
 
+/// Runs the request once there is room for it; fails with the time after which its caller may come
+/// back if it is refused.
+async fn run(
+    selector: &mut PathSelector<'_>,
+    writer: &mut Writer,
+    progress: &mut Progress,
+) -> Result<StreamEnd, Millis> {
+    let held = match entry::admit(selector).await {
+        Entry::Begin { path, held } => {
+            selector.set_first(path);
+            held
+        }
+        Entry::Refuse(wait) => return Err(wait),
+    };
+    let ended = try_paths(selector, writer, progress).await;
+    if let Some(held) = held {
+        held.end(!matches!(ended, StreamEnd::NotRun | StreamEnd::NotSent));
+    }
+    Ok(ended)
+}
+
 async fn try_paths(
     selector: &mut PathSelector<'_>,
     writer: &mut Writer,
@@ -232,7 +252,7 @@
             return ended;
         }
     }
-    let path = selector.pick_path()?;
+    let path = selector.take_first().or_else(|| selector.pick_path())?;
     if let Some(first) = path.first() {
         edge.roster(|roster| roster.take_limited(edge.now(), &first.endpoint));
     }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::dialect::Dialect;
+use super::entry::Exchange;
 use super::metrics::Metrics;
 use super::news::PackedNews;
 use super::settings::Settings;
@@ -17,6 +18,7 @@
 use crate::clock::Millis;
 use crate::core::admit::AdmissionController;
 use crate::core::admit::Policy;
+use crate::core::admit::streams::StreamAdmission;
 use crate::core::attempt::RetryBudget;
 use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
@@ -52,6 +54,8 @@
     reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
+    streams: RefCell<StreamAdmission>,
+    load: RefCell<Exchange>,
     suspects: RefCell<SuspectTable>,
     parts: RefCell<PartTable>,
     packed_news: RefCell<Option<PackedNews>>,
@@ -103,6 +107,8 @@
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             parts: RefCell::default(),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
+            streams: RefCell::default(),
+            load: RefCell::default(),
             packed_news: RefCell::default(),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
@@ -204,6 +210,22 @@
         work(self.inner.budgets.borrow_mut().service(service))
     }
 
+    /// Runs `work` on the admission of streams to services with several priorities.
+    pub fn streams<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut StreamAdmission) -> T,
+    {
+        work(&mut self.inner.streams.borrow_mut())
+    }
+
+    /// Runs `work` on the load of this VM and of the fleet.
+    pub fn load<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Exchange) -> T,
+    {
+        work(&mut self.inner.load.borrow_mut())
+    }
+
     /// Runs `work` on the admission controller of streams.
     pub fn admission<T, F>(&self, work: F) -> T
     where
