Reserve for urgent arrivals by the engines' own use, returns behind the next class

The fleet's demand is known a second late; the use of engines is newer. Classes leave room free by both. Callers who come back count in the ledger only, not in the offered load.

--- a/src/core/admit/arrivals.rs
+++ b/src/core/admit/arrivals.rs
@@ -1,4 +1,4 @@
-//! What this VM's callers ask for, by class: its own part of the fleet's load.
+//! What this VM's callers ask for, and what it refuses, by class.
 
 use std::collections::BTreeMap;
 
@@ -8,7 +8,7 @@
 
 /// The time over which arrivals are averaged, in milliseconds: a burst is seen within a second, and
 /// single requests of a class with few callers don't make its rate jump.
-const AVERAGE_MS: f64 = 1500.0;
+const AVERAGE_MS: f64 = 1000.0;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
@@ -39,6 +39,14 @@
         };
     }
 
+    /// Returns the tokens per second of a class, over its customers.
+    #[must_use]
+    pub fn class_rate(&self, now: Millis, class: &ClassKey) -> f64 {
+        let same = |key: &ClassKey| key.service == class.service && key.priority == class.priority;
+        let all = self.rates.iter().filter(|(key, _)| same(key));
+        all.map(|(_, rate)| rate.at(now)).sum()
+    }
+
     /// Writes the present rates to this VM's load, and drops classes without any.
     pub fn refresh(&mut self, now: Millis, own: &mut Load) {
         self.rates.retain(|key, rate| {
--- a/src/core/admit/order.rs
+++ b/src/core/admit/order.rs
@@ -24,12 +24,14 @@
 pub const NEW_LIMIT: f64 = 0.95;
 /// The same for callers who were refused before, who should not be refused twice.
 pub const RETURN_LIMIT: f64 = 1.05;
-/// What each class leaves free for every more urgent one while room is short, as a share of an
-/// engine's memory: what more urgent callers may take before other VMs hear of it.
-const RESERVE: f64 = 0.05;
-/// How much further than new requests of their class those may fill an engine who come back while
-/// room is short; less than [`RESERVE`], so that the class goes first.
-const RETURN_BONUS: f64 = 0.04;
+/// For how many seconds of the arrivals of more urgent callers a class leaves room free while room
+/// is tight: until the use of engines shows them.
+const RESERVE_S: f64 = 0.3;
+/// The most that a class leaves free, as a share of an engine's memory.
+const MAX_RESERVE: f64 = 0.2;
+/// How much further than new requests of their class those may fill an engine who come back, as a part
+/// of what the next more urgent class may fill beyond that.
+const RETURN_BONUS: f64 = 0.5;
 /// The share of the room that each class keeps while room is short: its callers see a slow service
 /// and not one that is down, whatever the more urgent ones ask for.
 pub const FLOOR: f64 = 0.05;
@@ -37,18 +39,21 @@
 const SHORT_RATIO: (f64, f64) = (1.0, 0.9);
 /// How long demand must stay below the second ratio: longer than views differ in age.
 const CALM_TIME: Millis = Millis::seconds(2);
-/// Nobody is shed while less than the first share of the room is in use; from the second one on as
-/// many as the demand says. So a wrong estimate of the demand leaves no room idle.
-const USE_RANGE: (f64, f64) = (0.8, 0.95);
+/// Nobody is shed while less than the first share of the memory is in use; from the second one on as
+/// many as the demand says. So a wrong estimate of the demand leaves little room idle.
+const USE_RANGE: (f64, f64) = (0.6, 0.85);
+/// From this fill on, a class leaves room free for more urgent ones even if the demand is not known
+/// to be too high: that is known some seconds later.
+const TIGHT_FILL: f64 = 0.8;
 /// Room is short when the requests that wait are more than arrive in this many seconds.
 const WAIT_SIGNAL_S: f64 = 0.05;
 /// The oldest view that shares are decided on; with an older one, only the room on engines counts.
 pub const MAX_AGE: Millis = Millis::seconds(3);
 /// How long a plan is used before it is made again.
 const PLAN_TIME: Millis = Millis(100);
-/// The largest part of a class's rate that is kept for callers who come back: new ones can still be
-/// served in time, those who come back no longer.
-pub const RETURN_PART: f64 = 0.5;
+/// The part of a class's rate that is kept for callers who come back, beside what new ones leave: new
+/// ones can still be served in time, those who come back no longer.
+pub const RETURN_PART: f64 = 0.25;
 
 /// What a VM knows of a service's load.
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +64,8 @@
     pub age: Option<Millis>,
     /// The tokens that fit on the engines.
     pub capacity: f64,
+    /// The share of them in use, as the engines' own reports and claims say, which are newer.
+    pub fill: f64,
 }
 
 /// A request of a caller, as far as the order depends on it.
@@ -82,18 +89,24 @@
     pub is_shed: bool,
 }
 
-/// What a class gets while room is short.
+/// What a class gets.
 #[derive(Clone, Debug, Default)]
 struct ClassPlan {
-    /// The number of more urgent classes with demand.
-    rank: u32,
+    /// Whether a more urgent class has callers.
+    has_urgent: bool,
+    /// What it leaves free for more urgent ones, as a share of an engine's memory.
+    reserve: f64,
+    /// What the next more urgent class leaves free.
+    next_reserve: f64,
+    /// Whether it holds less than its floor.
+    is_low: bool,
     /// Tokens per second that the class may begin, those who come back included.
     rate: f64,
     /// Tokens per second that it keeps whatever others ask for.
     floor: f64,
-    /// Tokens per second that its callers ask for.
-    offered: f64,
-    /// The share of its new requests that is not shed, by customer.
+    /// Tokens per second that those who come back may take.
+    back: f64,
+    /// The share of its new requests that is not shed while all room is in use, by customer.
     shares: BTreeMap<NameHash, f64>,
     /// The share over all customers.
     share: f64,
@@ -121,6 +134,8 @@
     pub demand: f64,
     /// The tokens that may be in use.
     pub room: f64,
+    /// The share of the engines' memory in use.
+    pub fill: f64,
     /// The age of the other VMs' part of the load.
     pub age: Option<Millis>,
 }
@@ -149,32 +164,28 @@
         self.classes.clear();
         let service = self.service;
         let loads = class_loads(service, view.load);
-        let demand = |(priority, customers): (&u8, &Customers)| {
-            offered_by(customers) * durations.seconds(service, *priority)
-        };
         let room = view.capacity * NEW_LIMIT;
         self.inputs = Inputs {
             used: sum(&loads, |load| load.held),
-            demand: loads.iter().map(demand).sum(),
+            demand: 0.0,
             room,
+            fill: view.fill,
             age: view.age,
         };
         if view.age.is_none_or(|age| age > MAX_AGE) || room <= 0.0 {
             self.is_short = false;
             return;
         }
+        self.plan(now, room, &loads, view.load, durations);
         let waiting = sum(&loads, |load| load.waiting);
         let is_waiting = waiting > sum(&loads, |load| load.offered) * WAIT_SIGNAL_S;
         self.judge(now, room, is_waiting);
-        if self.is_short {
-            self.plan(now, room, &loads, view.load, durations);
-        }
     }
 
     /// Decides with hysteresis whether room is short.
     fn judge(&mut self, now: Millis, room: f64, is_waiting: bool) {
         let (begin, end) = SHORT_RATIO;
-        let need = self.inputs.demand.max(self.inputs.used);
+        let need = self.inputs.demand;
         if need > room * begin || is_waiting {
             self.is_short = true;
         }
@@ -193,79 +204,95 @@
         load: &Load,
         durations: &Durations,
     ) {
-        let mut needs = Vec::new();
-        for (priority, customers) in loads {
-            let offered = offered_by(customers);
+        let need = |(priority, customers): (&u8, &Customers)| {
             let span = durations.seconds(self.service, *priority);
-            let floor = (offered * span).min(room * FLOOR);
-            needs.push((*priority, offered, span, floor));
-        }
-        let mut left = room - needs.iter().map(|need| need.3).sum::<f64>();
-        let (idle, full) = USE_RANGE;
-        let ease = ((full - self.inputs.used / room) / (full - idle)).clamp(0.0, 1.0);
-        let mut rank = 0;
-        for (priority, offered, span, floor) in needs {
-            let extra = (offered * span - floor).clamp(0.0, left.max(0.0));
-            left -= extra;
-            let rate = (floor + extra) / span;
-            let key = returns::class_hash(&self.name, priority);
-            let promised = returns::rate_at(load, key, now).min(rate * RETURN_PART);
-            let mut plan = ClassPlan {
-                rank,
+            let class = returns::class_hash(&self.name, *priority);
+            Need {
+                priority: *priority,
+                span,
+                offered: offered_by(customers),
+                promised: returns::rate_at(load, class, now),
+                floor: (offered_by(customers) * span).min(room * FLOOR),
+            }
+        };
+        let needs: Vec<Need> = loads.iter().map(need).collect();
+        let mut left = room - needs.iter().map(|need| need.floor).sum::<f64>();
+        let mut urgent = 0.0;
+        let mut next_reserve = 0.0;
+        for need in needs {
+            let most = (need.floor + left.max(0.0)) / need.span;
+            let wanted = need.offered + need.promised;
+            let rate = wanted.min(most);
+            left -= rate * need.span - need.floor;
+            let back = (most * RETURN_PART).max(most - need.offered);
+            let fresh = rate - need.promised.min(most * RETURN_PART);
+            let customers = &loads[&need.priority];
+            let level = fair_level(customers, fresh);
+            let share = |load: &ClassLoad| (level / f64::from(load.offered.max(1))).min(1.0);
+            let shares = customers.iter().map(|(name, load)| (*name, share(load)));
+            let reserve = (urgent * RESERVE_S / room).min(MAX_RESERVE);
+            let held: f64 = customers.values().map(|load| f64::from(load.held)).sum();
+            let plan = ClassPlan {
+                has_urgent: urgent > 0.0,
+                reserve,
+                next_reserve,
+                is_low: held < need.floor,
                 rate,
-                floor: floor / span,
-                offered,
-                ..ClassPlan::default()
+                floor: need.floor / need.span,
+                back,
+                shares: shares.collect(),
+                share: (fresh / need.offered.max(1.0)).min(1.0),
             };
-            let customers = &loads[&priority];
-            let level = fair_level(customers, rate - promised);
-            for (customer, load) in customers {
-                let share = (level / f64::from(load.offered.max(1))).min(1.0);
-                plan.shares.insert(*customer, share + (1.0 - share) * ease);
-            }
-            let share = ((rate - promised) / (offered - promised).max(1.0)).clamp(0.0, 1.0);
-            plan.share = share + (1.0 - share) * ease;
-            rank += u32::from(offered > 0.0);
-            self.classes.insert(priority, plan);
+            urgent += wanted;
+            next_reserve = reserve;
+            self.inputs.demand += wanted * need.span;
+            self.classes.insert(need.priority, plan);
         }
     }
 
-    /// Returns what a request may take; `draw` is a random number between 0 and 1.
+    /// Returns what a request may take, with the engines filled to `fill`; `draw` is a random number
+    /// between 0 and 1.
     #[must_use]
-    pub fn grant(&self, claim: &Claim, draw: f64) -> Grant {
-        let Some(plan) = self.classes.get(&claim.key.priority) else {
+    pub fn grant(&self, claim: &Claim, fill: f64, draw: f64) -> Grant {
+        let is_tight = self.is_short || fill >= TIGHT_FILL;
+        let plan = self.classes.get(&claim.key.priority);
+        let Some(plan) = plan.filter(|_| is_tight) else {
+            let limit = if claim.is_return {
+                RETURN_LIMIT
+            } else {
+                NEW_LIMIT
+            };
             return Grant {
-                limit: if claim.is_return {
-                    RETURN_LIMIT
-                } else {
-                    NEW_LIMIT
-                },
+                limit,
                 is_shed: false,
             };
         };
-        let reserve = RESERVE * f64::from(plan.rank);
         let share = plan.shares.get(&claim.key.customer);
         let share = share.copied().unwrap_or(plan.share);
-        let is_floor = draw < share * plan.floor / plan.rate.max(1.0);
-        let limit = match (claim.is_return, plan.rank) {
-            (true, 0) => RETURN_LIMIT,
-            (true, _) => NEW_LIMIT - reserve + RETURN_BONUS,
+        let (idle, full) = USE_RANGE;
+        let ease = ((full - fill) / (full - idle)).clamp(0.0, 1.0);
+        let share = share + (1.0 - share) * ease;
+        let is_floor = plan.is_low && draw < share * plan.floor / plan.rate.max(1.0);
+        // Those who come back to a customer's own burst don't go before other customers.
+        let may_pass = claim.is_return && share >= 1.0;
+        let bonus = RETURN_BONUS * (plan.reserve - plan.next_reserve);
+        let limit = match (may_pass, plan.has_urgent) {
+            (true, false) => RETURN_LIMIT,
             (false, _) if is_floor => NEW_LIMIT,
-            (false, _) => NEW_LIMIT - reserve,
+            (true, true) => NEW_LIMIT - plan.reserve + bonus,
+            (false, _) => NEW_LIMIT - plan.reserve,
         };
         Grant {
             limit,
-            is_shed: !claim.is_return && draw >= share,
+            is_shed: self.is_short && !claim.is_return && draw >= share,
         }
     }
 
-    /// Returns the tokens per second that callers of a class who come back may take, and the tokens
-    /// per second that the fleet refuses of it.
+    /// Returns the tokens per second that callers of a class who come back may take, if its load is
+    /// known.
     #[must_use]
-    pub fn return_rate(&self, priority: u8) -> Option<(f64, f64)> {
-        let plan = self.classes.get(&priority)?;
-        let refused = plan.offered * (1.0 - plan.share);
-        Some((plan.rate * RETURN_PART, refused))
+    pub fn return_rate(&self, priority: u8) -> Option<f64> {
+        Some(self.classes.get(&priority)?.back)
     }
 
     /// Returns whether room is short.
@@ -281,6 +308,20 @@
     }
 }
 
+/// What a class asks for.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    priority: u8,
+    /// The mean duration of its requests, in seconds.
+    span: f64,
+    /// Tokens per second of new requests.
+    offered: f64,
+    /// Tokens per second of those who come back.
+    promised: f64,
+    /// The tokens that it keeps.
+    floor: f64,
+}
+
 type Customers = BTreeMap<NameHash, ClassLoad>;
 
 /// Returns the load of a service by priority and customer.
--- a/src/core/admit/streams.rs
+++ b/src/core/admit/streams.rs
@@ -67,6 +67,7 @@
     queues: BTreeMap<ServiceName, WaitQueue>,
     durations: Durations,
     arrivals: Arrivals,
+    refusals: Arrivals,
     refused: Refused,
     /// Whether callers of a service have several priorities, and by which configuration.
     ordered: BTreeMap<ServiceName, (u64, bool)>,
@@ -96,12 +97,16 @@
         own: &mut Load,
     ) -> Claim {
         let key = arrival.key();
-        self.arrivals.record(now, key, arrival.size);
+        let is_return = self.refused.take(&arrival.content, now) || is_late;
+        // The ledger of returns counts those who come back.
+        if !is_return {
+            self.arrivals.record(now, key, arrival.size);
+        }
         self.refresh(now, own);
         Claim {
             key,
             size: arrival.size,
-            is_return: self.refused.take(&arrival.content, now) || is_late,
+            is_return,
         }
     }
 
@@ -124,7 +129,7 @@
         let durations = &self.durations;
         let order = order_of(&mut self.orders, &arrival.service);
         order.update(now, view, durations);
-        order.grant(claim, draw)
+        order.grant(claim, view.fill, draw)
     }
 
     /// Returns the order of a service, for logs.
@@ -189,14 +194,18 @@
         let duration = self.durations.mean(service, arrival.priority);
         let order = order_of(&mut self.orders, &arrival.service);
         let seconds = duration.0.max(1) as f64 / 1000.0;
-        let usual = (order.inputs().room / seconds * RETURN_PART, 0.0);
-        let (rate, refused) = order.return_rate(arrival.priority).unwrap_or(usual);
-        let age = age.unwrap_or_default().0.min(MAX_AGE.0) as f64;
+        let usual = order.inputs().room / seconds * RETURN_PART;
+        let rate = order.return_rate(arrival.priority).unwrap_or(usual);
+        let key = arrival.key();
+        self.refusals.record(now, key, arrival.size);
+        let others = class_offered(fleet, &key) / class_offered(own, &key).max(1.0) - 1.0;
+        let age = age.unwrap_or_default().min(MAX_AGE);
+        let recent = self.refusals.class_rate(now, &key) * age.0 as f64 / 1000.0;
         let promise = Promise {
             class: returns::class_hash(&arrival.service, arrival.priority),
             size: arrival.size,
             rate,
-            unseen: refused * age / 1000.0,
+            unseen: recent * others.max(0.0),
             left: arrival.left,
             duration,
         };
@@ -222,6 +231,13 @@
     }
 }
 
+/// Returns the tokens per second that callers of a class ask for, over its customers.
+fn class_offered(load: &Load, class: &ClassKey) -> f64 {
+    let same = |key: &ClassKey| key.service == class.service && key.priority == class.priority;
+    let all = load.classes.iter().filter(|(key, _)| same(key));
+    all.map(|(_, load)| f64::from(load.offered)).sum()
+}
+
 fn order_of<'a>(
     orders: &'a mut BTreeMap<ServiceName, Order>,
     service: &ServiceName,
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -176,6 +176,7 @@
         used = inputs.used as u64,
         demand = inputs.demand as u64,
         room = inputs.room as u64,
+        fill = inputs.fill,
         age_ms:? = inputs.age.map(|age| age.0),
         short = is_short,
         tokens = claim.size,
@@ -194,15 +195,18 @@
     load: Load,
     age: Option<Millis>,
     capacity: f64,
+    fill: f64,
 }
 
 impl Look {
     fn new(selector: &PathSelector<'_>, now: Millis) -> Self {
         let (load, age) = selector.edge.load(|load| load.fleet(now));
+        let (capacity, fill) = selector.capacity();
         Self {
             load,
             age,
-            capacity: selector.capacity(),
+            capacity,
+            fill,
         }
     }
 
@@ -211,6 +215,7 @@
             load: &self.load,
             age: self.age,
             capacity: self.capacity,
+            fill: self.fill,
         }
     }
 }
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -233,9 +233,23 @@
         wait.filter(|_| self.pick_path().is_none())
     }
 
-    /// Returns the tokens that fit on the engines that may run the request.
-    pub fn capacity(&self) -> f64 {
-        token_capacity(&self.stages(), self.model)
+    /// Returns the tokens that fit on the engines that may run the request, and the share of their
+    /// memory in use.
+    pub fn capacity(&self) -> (f64, f64) {
+        let stages = self.stages();
+        let (mut cells, mut used) = (0.0, 0.0);
+        for stage in &stages {
+            let size = self
+                .model
+                .kv_capacity(stage.card, stage.span.len())
+                .max(0.0);
+            cells += size;
+            used += size * stage.memory_use;
+        }
+        (
+            token_capacity(&stages, self.model),
+            used / f64::max(cells, 1.0),
+        )
     }
 
     /// Decides whether the engines have room for the request, and logs a refusal.
