--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -60,6 +60,8 @@
     is_retry_taken: bool,
     /// The engines to which no connection could be opened.
     unreached: usize,
+    /// The path that admission found room on.
+    first: Option<Vec<Part>>,
     run: Run,
 }
 
@@ -83,10 +85,21 @@
             may_retry: false,
             is_retry_taken: false,
             unreached: 0,
+            first: None,
             run: Run::default(),
         }
     }
 
+    /// Sets the path on which room was found for the request.
+    pub fn set_first(&mut self, path: Option<Vec<Part>>) {
+        self.first = path;
+    }
+
+    /// Returns the path on which room was found, once.
+    pub fn take_first(&mut self) -> Option<Vec<Part>> {
+        self.first.take()
+    }
+
     /// Records that no connection to an engine could be opened.
     pub fn record_unreached(&mut self) {
         self.unreached += 1;
@@ -222,12 +235,31 @@
         wait.filter(|_| self.pick_path().is_none())
     }
 
+    /// Returns the tokens that fit on the engines that may run the request, and the share of their
+    /// memory in use.
+    pub fn capacity(&self) -> (f64, f64) {
+        let stages = self.reported_stages();
+        let (mut cells, mut used) = (0.0, 0.0);
+        for stage in &stages {
+            let size = self
+                .model
+                .kv_capacity(stage.card, stage.span.len())
+                .max(0.0);
+            cells += size;
+            used += size * stage.memory_use;
+        }
+        (
+            token_capacity(&stages, self.model),
+            used / f64::max(cells, 1.0),
+        )
+    }
+
     /// Decides whether the engines have room for the request, and logs a refusal.
     pub fn admit(&self) -> Decision {
         let now = self.edge.now();
         let occupancy = Occupancy {
             used: self.edge.fleet(|fleet| fleet.total_load(now)),
-            capacity: token_capacity(&self.stages(), self.model),
+            capacity: token_capacity(&self.reported_stages(), self.model),
         };
         let demand = self.demand();
         let tokens = demand.prompt + demand.answer;
@@ -255,14 +287,21 @@
         })
     }
 
-    fn stages(&self) -> Vec<Stage> {
+    /// Returns the engines with their load as last reported.
+    fn reported_stages(&self) -> Vec<Stage> {
         let now = self.edge.now();
         let service = &self.ctx.service;
-        let mut stages = self.edge.load(|exchange| {
+        self.edge.load(|exchange| {
             let load = |endpoint: &EndpointName| exchange.engine(now, NameHash::of(endpoint)).0;
             self.edge
                 .roster(|roster| roster.stages(service, self.model, now, load))
-        });
+        })
+    }
+
+    /// Returns the engines that may run the request, with the load that they probably have now.
+    fn stages(&self) -> Vec<Stage> {
+        let now = self.edge.now();
+        let mut stages = self.reported_stages();
         if let Some(age) = self.edge.load(|exchange| exchange.age(now)) {
             let mean = self.edge.admission(|controller| controller.mean_duration());
             let arrivals = age.0 as f64 / mean.max(1.0);
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -19,6 +19,7 @@
 use crate::clock::Millis;
 use crate::core::admit::AdmissionController;
 use crate::core::admit::Policy;
+use crate::core::admit::streams::StreamAdmission;
 use crate::core::attempt::RetryBudget;
 use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
@@ -61,6 +62,7 @@
     reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
+    streams: RefCell<StreamAdmission>,
     suspects: RefCell<SuspectTable>,
     parts: RefCell<PartTable>,
     packed_news: RefCell<Option<PackedNews>>,
@@ -116,6 +118,7 @@
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             parts: RefCell::default(),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
+            streams: RefCell::default(),
             packed_news: RefCell::default(),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
@@ -242,6 +245,14 @@
         work(self.inner.budgets.borrow_mut().service(service))
     }
 
+    /// Runs `work` on the admission of streams to services with several priorities.
+    pub fn streams<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut StreamAdmission) -> T,
+    {
+        work(&mut self.inner.streams.borrow_mut())
+    }
+
     /// Runs `work` on the admission controller of streams.
     pub fn admission<T, F>(&self, work: F) -> T
     where
