--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -2,8 +2,24 @@
 
 #[path = "edge/cut.rs"]
 mod cut;
+#[path = "edge/fake.rs"]
+mod fake;
+#[path = "edge/fleet.rs"]
+mod fleet;
+#[path = "edge/lost.rs"]
+mod lost;
 #[path = "edge/pause.rs"]
 mod pause;
+#[path = "edge/restart.rs"]
+mod restart;
+#[path = "edge/second.rs"]
+mod second;
+#[path = "edge/silent.rs"]
+mod silent;
+#[path = "edge/stop.rs"]
+mod stop;
+#[path = "edge/trickle.rs"]
+mod trickle;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -345,9 +361,17 @@
 }
 
 fn daemon(index: usize, vm: &[SocketAddr], store: SocketAddr) -> Edge {
-    let text = format!(
+    let text = settings(index, vm, store, "");
+    let settings = Settings::parse(&text).expect("settings");
+    let edge = Edge::new(settings, dialect(), Clock::start(), 7 + index as u64);
+    edge::start(&edge).expect("a daemon");
+    edge
+}
+
+fn settings(index: usize, vm: &[SocketAddr], store: SocketAddr, contacts: &str) -> String {
+    format!(
         "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
-         contacts: []\nstore: {store}\nbounds:\n  grace: 8\n  ratio: 0.2\n  \
+         contacts: [{contacts}]\nstore: {store}\nbounds:\n  grace: 8\n  ratio: 0.2\n  \
          extra: 100\n  apply: 2000\n  window: 10\n  keep: 5\n",
         if index.is_multiple_of(2) {
             "north"
@@ -359,11 +383,7 @@
         vm[2],
         vm[3],
         vm[4],
-    );
-    let settings = Settings::parse(&text).expect("settings");
-    let edge = Edge::new(settings, dialect(), Clock::start(), 7 + index as u64);
-    edge::start(&edge).expect("a daemon");
-    edge
+    )
 }
 
 fn site(version: u64, teams: &[&str], post: &str) -> SiteConfig {
@@ -430,6 +450,11 @@
                 attempts: 8,
                 ..route("long", "/long/", RouteKind::Stream, "pool")
             },
+            Route {
+                resume: false,
+                ..route("fixed", "/fixed/", RouteKind::Stream, "pool")
+            },
+            route("read", "/read/", RouteKind::Idempotent, "ledger"),
             route("post", post, RouteKind::Once, "ledger"),
         ],
         services: BTreeMap::from([
