--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -2,12 +2,18 @@
 //! engines, and the path of a request through them (docs/PLATFORM.md).
 
 mod detour;
+mod even;
+mod moves;
 mod path;
 mod place;
+mod room;
 mod spread;
 mod watch;
 
 pub use self::detour::reroute;
+pub use self::moves::Move;
+pub use self::moves::Mover;
+pub use self::moves::plan_moves;
 pub use self::path::Demand;
 pub use self::path::Part;
 pub use self::path::Stage;
--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -1,12 +1,16 @@
 //! Placement: which layers each engine should hold.
 //!
 //! Transfers between domains are slow, so each domain that can hold a whole model gets its own
-//! copy. The remaining memory of a domain holds second copies of some layers, different ones in
-//! each domain. The rest of an engine's memory holds the KV cache of requests (docs/PLATFORM.md).
+//! copy. The remaining memory of a domain holds further whole copies ([`super::even`]), or second
+//! copies of some layers, different ones in each domain, where it is too small for that. The rest of
+//! an engine's memory holds the KV cache of requests (docs/design/placement.md).
 
 use std::collections::BTreeMap;
 
 use super::Span;
+use super::even::domains_with_copies;
+use super::even::plan_copies;
+use super::room::Rooms;
 use crate::core::site::Model;
 use crate::names::Domain;
 use crate::names::EndpointName;
@@ -38,19 +42,30 @@
         let max = (self.memory * share / model.weight).floor();
         (max as u32).min(model.layers)
     }
+
+    /// Returns how many layers the engine holds at most as long as no other was lost.
+    pub(super) fn planned_layers(&self, model: &Model) -> u32 {
+        self.max_layers(model, LAYER_MEMORY_SHARE)
+    }
 }
 
 /// Plans the layers of a fleet whose engines are all empty.
 ///
 /// Within a domain, layers are assigned in order to the fastest engines first, one copy of the
-/// model after the other. The last copy, which is incomplete, starts at a different layer in each
-/// domain.
+/// model after the other. A domain with memory for two copies gets only whole ones, with the same room
+/// for requests on each layer of a copy. In smaller ones the last copy, which is incomplete, starts at
+/// a different layer in each domain.
 pub fn plan_placement(engines: &[Engine], model: &Model) -> BTreeMap<EndpointName, Span> {
     let mut plan = BTreeMap::new();
+    let copied = domains_with_copies(engines, model);
     let groups = group_by_domain(engines, model);
     let count = groups.len().max(1) as u32;
     for (index, mut group) in groups.into_iter().enumerate() {
         group.sort_by(|a, b| a.pace.total_cmp(&b.pace).then(a.endpoint.cmp(&b.endpoint)));
+        if group.iter().all(|engine| copied.contains(&engine.domain)) {
+            plan_copies(&group, model, &mut plan);
+            continue;
+        }
         let offset = model.layers * index as u32 / count;
         assign(&group, model, offset, &mut plan);
     }
@@ -65,6 +80,9 @@
 /// of one domain only adds transfers between domains, and a missing engine is usually back within
 /// seconds. As each move takes an engine out of service while it loads, such gaps wait for
 /// `departures_settled`.
+///
+/// In a domain with memory for two copies, the layers of an empty engine are those with the least room
+/// for requests, else those with the fewest copies.
 pub fn repair_placement(
     engines: &[Engine],
     model: &Model,
@@ -79,11 +97,18 @@
     });
     let mut plan = Vec::new();
     let mut copies = Copies::count(engines, model.layers);
+    let mut rooms = Rooms::count(engines, model);
+    let copied = domains_with_copies(engines, model);
     for index in empty {
         let engine = &engines[index];
-        let (span, fills_gap) = copies.least_held(engine, model);
+        let (span, fills_gap) = if copied.contains(&engine.domain) {
+            rooms.scarcest(engine, engine.planned_layers(model), model)
+        } else {
+            copies.least_held(engine, model)
+        };
         if arrivals_settled || fills_gap {
             copies.add(&engine.domain, span);
+            rooms.add(engine, span, model);
             plan.push((engine.endpoint.clone(), span));
         }
     }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -27,6 +27,7 @@
     cut_offs: Counter<u64>,
     detours: Counter<u64>,
     notices: Counter<u64>,
+    layer_loads: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
@@ -53,6 +54,10 @@
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
             ),
+            layer_loads: counter(
+                "edge_layer_loads",
+                "Loads of layers that this VM planned as the leader, by reason.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -88,6 +93,12 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts loads of layers that this VM planned as the leader.
+    pub fn count_layer_loads(&self, loads: usize, reason: &'static str) {
+        self.layer_loads
+            .add(loads as u64, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a part of prompts that was barred.
     pub fn count_part_bar(&self) {
         self.part_bars.add(1, &[]);
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -3,9 +3,10 @@
 //! The leader follows from gossip and takes a fencing token from the store before its first order.
 //! Two VMs may both consider themselves the leader: engines refuse the lower token, and each order
 //! states how many orders the engine has accepted, so an order for an outdated state has no effect
-//! (docs/PLATFORM.md).
+//! (docs/design/placement.md).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use super::orders;
@@ -14,12 +15,14 @@
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::pipe::Engine;
+use crate::core::pipe::Mover;
 use crate::core::pipe::Span;
 use crate::core::pipe::plan_placement;
 use crate::core::pipe::repair_placement;
 use crate::core::roster::Entry;
 use crate::core::site::Model;
 use crate::core::site::SiteConfig;
+use crate::names::Domain;
 use crate::names::EndpointName;
 use crate::names::ServiceName;
 
@@ -45,6 +48,8 @@
     fence: Option<u64>,
     /// The layers last ordered for each engine, and until when the order counts as carried out.
     pending: BTreeMap<EndpointName, (Span, Millis)>,
+    /// When layers move to where room for requests is scarce.
+    mover: Mover,
 }
 
 /// Checks the placement periodically, and sends orders while this VM is the leader.
@@ -56,8 +61,10 @@
         let now = edge.now();
         if edge.stopping().is_some() || !edge.fleet(|fleet| fleet.is_leader(now)) {
             leader.fence = None;
+            leader.mover = Mover::default();
             continue;
         }
+        leader.mover.observe(now, &demand_by_domain(&edge, now));
         let Some(site) = edge.site() else {
             continue;
         };
@@ -88,23 +95,45 @@
         .values()
         .filter_map(|entry| to_engine(entry, model, leader))
         .collect();
-    let arrivals_settled = now.since(edge.roster(|roster| roster.last_added())) >= ARRIVAL_QUIET;
-    let plan: Vec<(EndpointName, Span)> = if engines.iter().any(|engine| engine.span.is_some()) {
-        let departures_settled =
-            now.since(edge.roster(|roster| roster.last_removed())) >= REMOVAL_QUIET;
-        repair_placement(&engines, model, arrivals_settled, departures_settled)
+    let (added, removed) = edge.roster(|roster| (roster.last_added(), roster.last_removed()));
+    let arrivals_settled = now.since(added) >= ARRIVAL_QUIET;
+    let is_placed = engines.iter().any(|engine| engine.span.is_some());
+    let (mut reason, mut plan): (_, Vec<(EndpointName, Span)>) = if is_placed {
+        let departures_settled = now.since(removed) >= REMOVAL_QUIET;
+        let plan = repair_placement(&engines, model, arrivals_settled, departures_settled);
+        ("changed", plan)
     } else if arrivals_settled {
-        plan_placement(&engines, model).into_iter().collect()
+        (
+            "empty",
+            plan_placement(&engines, model).into_iter().collect(),
+        )
     } else {
-        Vec::new()
+        ("empty", Vec::new())
     };
+    if plan.is_empty() && is_placed {
+        reason = "short";
+        plan = plan_moves(model, &engines, &entries, leader, now, added.max(removed));
+    }
     if plan.is_empty() {
         return;
     }
     let Some(fence) = acquire_fence(edge, leader).await else {
         return;
     };
-    log::info!(version = site.version, fence, orders = plan.len(); "placement");
+    let empty = engines
+        .iter()
+        .filter(|engine| engine.span.is_none())
+        .count();
+    log::info!(
+        version = site.version,
+        fence,
+        orders = plan.len(),
+        engines = engines.len(),
+        empty,
+        reason;
+        "placement"
+    );
+    edge.metrics().count_layer_loads(plan.len(), reason);
     let mut planned = Vec::new();
     for (endpoint, layers) in plan {
         let Some(entry) = entries.get(&endpoint).cloned() else {
@@ -129,6 +158,49 @@
     }
 }
 
+/// Plans the loads that restore room for requests, and logs the reason of each.
+fn plan_moves(
+    model: &Model,
+    engines: &[Engine],
+    entries: &BTreeMap<EndpointName, Entry>,
+    leader: &mut Leader,
+    now: Millis,
+    last_change: Millis,
+) -> Vec<(EndpointName, Span)> {
+    let is_moving = |name: &&EndpointName| {
+        let held = entries.get(*name).and_then(|entry| entry.span);
+        leader.pending.get(*name).map(|(span, _)| *span) != held
+    };
+    let moving: BTreeSet<EndpointName> = leader.pending.keys().filter(is_moving).cloned().collect();
+    let moves = leader.mover.plan(now, engines, model, &moving, last_change);
+    let orders = moves.into_iter().map(|load| {
+        log::info!(
+            endpoint:% = load.endpoint,
+            from = load.span.from,
+            to = load.span.to,
+            domain:% = load.domain,
+            need = load.need as u64,
+            room = load.room.0 as u64,
+            room_after = load.room.1 as u64;
+            "move_planned"
+        );
+        (load.endpoint, load.span)
+    });
+    orders.collect()
+}
+
+/// Returns the tokens of the streams that the VMs of each domain have in progress.
+fn demand_by_domain(edge: &Edge, now: Millis) -> BTreeMap<Domain, f64> {
+    edge.fleet(|fleet| {
+        let me = fleet.me();
+        let mut tokens = BTreeMap::from([(me.domain.clone(), f64::from(me.load))]);
+        for member in fleet.alive(now) {
+            *tokens.entry(member.domain.clone()).or_default() += f64::from(member.load);
+        }
+        tokens
+    })
+}
+
 fn to_engine(entry: &Entry, model: &Model, leader: &Leader) -> Option<Engine> {
     let card = model.cards.get(entry.kind.as_ref()?)?;
     let pending = leader.pending.get(&entry.endpoint).map(|(span, _)| *span);
