--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -32,6 +32,7 @@
     dropped_notices: Counter<u64>,
     rooms: Counter<u64>,
     room_wait: Histogram<f64>,
+    layer_loads: Counter<u64>,
     store_calls: Counter<u64>,
     load_messages: Counter<u64>,
     refusals: Counter<u64>,
@@ -80,6 +81,10 @@
                 "Calls that waited for room in a plain service or found none, by outcome.",
             ),
             room_wait: histogram("edge_room_wait", "Time that such calls waited."),
+            layer_loads: counter(
+                "edge_layer_loads",
+                "Loads of layers that this VM planned as the leader, by reason.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             refusals: counter(
                 "edge_refusals",
@@ -152,6 +157,12 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts loads of layers that this VM planned as the leader.
+    pub fn count_layer_loads(&self, loads: usize, reason: &'static str) {
+        self.layer_loads
+            .add(loads as u64, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a part of prompts that was barred.
     pub fn count_part_bar(&self) {
         self.part_bars.add(1, &[]);
