Expect a path's first event by its prompt, and its gaps by other streams

A path was checked 0.4 of the route's pause after the request was sent, and after the same time between the first events, whatever its engines need. Where the first event takes 100 to 300 ms, nearly every stream asked all engines of its path for a report.

The timer now takes the time that the path needs to read the prompt, by the cards and by what streams through its engines showed, and checks at the last moment from which another path can still meet the target. Gaps of other streams are the first guess for those of a new one.

--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -17,6 +17,7 @@
 pub use self::place::plan_placement;
 pub use self::place::repair_placement;
 pub use self::spread::spread_load;
+pub use self::watch::Expected;
 pub use self::watch::StallTimer;
 
 use serde::Deserialize;
--- a/src/core/pipe/watch.rs
+++ b/src/core/pipe/watch.rs
@@ -21,6 +21,27 @@
 /// The interval between checks after the first [`MAX_FAST_CHECKS`].
 const SLOW_RECHECK_INTERVAL: Millis = Millis(800);
 
+/// The time, beside the reading of the prompt, that a change of path takes before its first event:
+/// the probes of the engines, and as much again for the order and the way back.
+const REPAIR_TIME: Millis = Millis(150);
+/// A path that has sent nothing yet counts as quiet after this multiple of the expected time at the
+/// earliest. An earlier check would ask engines that are only reading prompts.
+const FIRST_FACTOR: f64 = 1.5;
+/// The number of events as which the gap counts that other streams showed.
+const SEED_EVENTS: f64 = 3.0;
+
+/// What is expected of a path before it has sent an event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// The time to the first event.
+    pub first: Millis,
+    /// The mean gap between later events, as other streams through these engines showed lately.
+    pub gap: Option<Millis>,
+    /// The longest time to the first event that the caller should see, counted from the start of the
+    /// timer.
+    pub target: Millis,
+}
+
 /// Decides when to check a path for silent engines, from the gaps between its events.
 ///
 /// Checking too late delays every stream through a silent engine; checking paths that are only
@@ -28,7 +49,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StallTimer {
     quiet_limit: Millis,
+    first_limit: Millis,
     mean_gap: Option<f64>,
+    events: u32,
     checks: u32,
     last_event: Millis,
 }
@@ -40,21 +63,49 @@
         let quiet_limit = pause.map_or(MAX_QUIET, |pause| {
             Millis((pause.0 as f64 * QUIET_SHARE) as u64)
         });
+        let quiet_limit = quiet_limit.min(MAX_QUIET);
         Self {
-            quiet_limit: quiet_limit.min(MAX_QUIET),
+            quiet_limit,
+            first_limit: quiet_limit,
             mean_gap: None,
+            events: 0,
             checks: 0,
             last_event: now,
         }
     }
 
+    /// Takes into account what is expected of the path.
+    ///
+    /// The first event may take longer than a pause: it follows the reading of the prompt. A path is
+    /// checked for it at the last moment from which another one can still meet the target, which is
+    /// [`REPAIR_TIME`] and another reading of the prompt before that.
+    #[must_use]
+    pub fn expecting(mut self, expected: Expected) -> Self {
+        let Expected { first, gap, target } = expected;
+        let latest = target - REPAIR_TIME - first;
+        let reading = Millis((first.0 as f64 * FIRST_FACTOR) as u64);
+        self.first_limit = self.quiet_limit.max(latest).max(reading).min(MAX_QUIET);
+        self.mean_gap = gap.map(|gap| gap.0 as f64);
+        self
+    }
+
+    /// Returns the time since the last event, which is the next gap if an event comes now; `None`
+    /// before the first event.
+    #[must_use]
+    pub fn gap(&self, now: Millis) -> Option<Millis> {
+        (self.events > 0).then(|| now.since(self.last_event))
+    }
+
     /// Records an event of the path and resets the count of checks.
     pub fn record_event(&mut self, now: Millis) {
-        let gap = now.since(self.last_event).0 as f64;
-        self.mean_gap = Some(match self.mean_gap {
-            Some(mean) => mean + (gap - mean) * GAP_WEIGHT,
-            None => self.quiet_limit.0 as f64 / GAP_FACTOR,
-        });
+        if self.events > 0 {
+            let gap = now.since(self.last_event).0 as f64;
+            let weight = GAP_WEIGHT.max(1.0 / (f64::from(self.events) + SEED_EVENTS));
+            let usual = self.quiet_limit.0 as f64 / GAP_FACTOR;
+            let mean = self.mean_gap.unwrap_or(usual);
+            self.mean_gap = Some(mean + (gap - mean) * weight);
+        }
+        self.events += 1;
         self.last_event = now;
         self.checks = 0;
     }
@@ -70,17 +121,20 @@
         self.last_event
     }
 
-    /// Returns whether the path is slower than its route allows, or several checks found no silent
-    /// engine. All its engines should be probed then, including those that seem to work.
+    /// Returns whether the path is so slow that its usual gaps would look like a silent engine, or
+    /// several checks found none. All its engines should be probed then for their pace, including
+    /// those that seem to work.
     #[must_use]
     pub fn is_slow(&self) -> bool {
-        self.checks > 2 || self.expected_gap() > self.quiet_limit.0 as f64
+        let mean = self.mean_gap.unwrap_or_default();
+        self.checks > 2 || mean > self.quiet_limit.0 as f64
     }
 
     /// Returns how long to wait for an event before the next check.
     #[must_use]
     pub fn check_delay(&self) -> Millis {
         match self.checks {
+            0 if self.events == 0 => self.first_limit,
             0 => {
                 let expected_gap = Millis(self.expected_gap() as u64);
                 self.quiet_limit.max(expected_gap).min(MAX_QUIET)
@@ -90,8 +144,7 @@
         }
     }
 
-    /// Returns the gap up to which the path is not quiet, in milliseconds; 0 before the first
-    /// event.
+    /// Returns the gap up to which the path is not quiet, in milliseconds; 0 if nothing is known.
     fn expected_gap(&self) -> f64 {
         self.mean_gap.unwrap_or_default() * GAP_FACTOR
     }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -11,6 +11,7 @@
 mod marks;
 mod notice;
 mod pause;
+mod tempo;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,6 +35,7 @@
 pub use self::pause::MAX_PAUSE;
 pub use self::pause::PauseError;
 pub use self::pause::parse_pause;
+use self::tempo::Tempo;
 use crate::clock::Millis;
 use crate::core::pipe::Span;
 use crate::core::pipe::Stage;
@@ -77,6 +79,7 @@
     limit: RateLimit,
     /// The pace of the current mark and when the mark expires.
     pace: Option<(f64, Millis)>,
+    tempo: Tempo,
     last_heard: Millis,
     last_probed: Millis,
     /// Whether this VM itself marked the endpoint and probes it.
@@ -242,6 +245,7 @@
             load: kept.map(|old| old.load).unwrap_or_default(),
             limit: kept.map(|old| old.limit).unwrap_or_default(),
             pace: kept.and_then(|old| old.pace),
+            tempo: kept.map(|old| old.tempo).unwrap_or_default(),
             last_heard: kept.map(|old| old.last_heard).unwrap_or_default(),
             last_probed: kept.map(|old| old.last_probed).unwrap_or_default(),
             watched: kept.is_some_and(|old| old.watched),
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -16,6 +16,7 @@
 use crate::core::admit::Occupancy;
 use crate::core::admit::token_capacity;
 use crate::core::pipe::Demand;
+use crate::core::pipe::Expected;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::StallTimer;
@@ -68,6 +69,8 @@
     progress: RunProgress,
     /// Whether the path's engines were checked for a crash.
     is_checked: bool,
+    /// The estimated time to the first event without other requests, in milliseconds.
+    first_estimate: f64,
 }
 
 impl<'a> PathSelector<'a> {
@@ -108,8 +111,41 @@
         self.run.progress.has_begun = true;
     }
 
-    /// Records that the path produced an event.
-    pub fn record_event(&mut self) {
+    /// Starts the timer that decides when to check a path for silent engines. `target` is the longest
+    /// time to its first event that the caller should see.
+    pub fn watch(&mut self, path: &[Part], target: Millis) -> StallTimer {
+        let now = self.edge.now();
+        let (model, demand) = (self.model, self.demand());
+        let (estimate, lag, gap) = self.edge.roster(|roster| {
+            let estimate = roster.estimate_first(path, model, demand);
+            let lag = roster.usual_lag(now, path);
+            (estimate, lag, roster.usual_gap(now, path))
+        });
+        self.run.first_estimate = estimate;
+        StallTimer::new(now, self.ctx.route.gap).expecting(Expected {
+            first: Millis((estimate * lag) as u64),
+            gap,
+            target,
+        })
+    }
+
+    /// Records that the path produced an event, `gap` after the one before, and with it that all its
+    /// engines work.
+    pub fn record_event(&mut self, path: &[Part], gap: Option<Millis>) {
+        let now = self.edge.now();
+        let waited = now.since(self.run.start).0 as f64;
+        let estimate = self.run.first_estimate;
+        self.edge.roster(|roster| {
+            for part in path {
+                roster.record_liveness(now, &part.endpoint);
+                match gap {
+                    Some(gap) => roster.record_gap(now, &part.endpoint, gap),
+                    // After a change of path, the first event says nothing of the estimate.
+                    None if estimate <= 0.0 => {}
+                    None => roster.record_lag(now, &part.endpoint, waited / estimate),
+                }
+            }
+        });
         self.run.progress.events += 1;
         if self.run.progress.events == SURVIVED_EVENTS {
             parts::record_survival(self.edge, self.ctx);
@@ -403,16 +439,6 @@
     }
 }
 
-/// Records that the engines of a path produced an event.
-pub fn record_progress(edge: &Edge, path: &[Part]) {
-    let now = edge.now();
-    edge.roster(|roster| {
-        for part in path {
-            roster.record_liveness(now, &part.endpoint);
-        }
-    });
-}
-
 /// Records that the engines of a path completed a request.
 pub fn record_success(edge: &Edge, path: &[Part]) {
     edge.roster(|roster| {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -106,6 +106,16 @@
         }
         self.last_event = now;
     }
+
+    /// Returns how long the next event may take: until the target of the route, or for a stream that
+    /// has begun, until its pause is too long.
+    fn event_target(&self, edge: &Edge, ctx: &RequestContext) -> Millis {
+        let now = edge.now();
+        match ctx.route.gap {
+            Some(gap) if self.first_event.is_some() => gap - now.since(self.last_event),
+            _ => ctx.route.target - now.since(ctx.start),
+        }
+    }
 }
 
 /// Serves a streaming request until its stream ends or the caller disconnects.
@@ -261,7 +271,8 @@
         reader,
         writer: upstream,
     } = conn;
-    let mut watch = StallTimer::new(edge.now(), selector.ctx.route.gap);
+    let target = progress.event_target(edge, selector.ctx);
+    let mut watch = selector.watch(&path, target);
     let (reader, response) = match wait_for_head(selector, &mut path, reader, &mut watch).await {
         Ok(head) => head,
         Err(ended) => return ended,
@@ -445,9 +456,9 @@
                     continue;
                 }
                 progress.record_event(edge, ctx);
-                watch.record_event(edge.now());
-                paths::record_progress(edge, path);
-                selector.record_event();
+                let now = edge.now();
+                selector.record_event(path, watch.gap(now));
+                watch.record_event(now);
                 if writer.chunk(&whole).await.is_err() {
                     return Err(StreamEnd::Left);
                 }
