--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -29,8 +29,11 @@
 
 /// The timeout of a probe, which an engine answers even without a free slot.
 const PROBE_TIMEOUT: Millis = Millis(75);
-/// The time after which a probe's request is sent again; a response takes about 3 ms.
-const PROBE_RETRY_DELAY: Millis = Millis(15);
+/// The time after which a probe's request is sent again for the first time. A response takes about 3
+/// ms, but a VM with a small share of a processor may read it 20 ms later.
+const FIRST_RETRY_DELAY: Millis = Millis(25);
+/// The time until each further request of the probe.
+const PROBE_RETRY_DELAY: Millis = Millis(12);
 /// The most requests in one probe. With 5 % packet loss, a request on a new connection is lost with
 /// probability 0.2, and all of them are lost in about one of 1,000 probes.
 const PROBE_TRIES: u64 = 4;
@@ -83,6 +86,8 @@
     } else {
         None
     };
+    let kind = if idle.is_some() { "reused" } else { "opened" };
+    edge.metrics().count_connection(kind);
     if let Some(conn) = idle {
         return Ok(Link {
             conn,
@@ -152,10 +157,10 @@
     let start = edge.now();
     for attempt in 0..PROBE_TRIES {
         monoio::spawn(send_probe(edge.clone(), addr, attempt, Rc::clone(&answers)));
-        let wait = if attempt + 1 < PROBE_TRIES {
-            PROBE_RETRY_DELAY
-        } else {
-            PROBE_TIMEOUT - edge.now().since(start)
+        let wait = match attempt + 1 {
+            1 => FIRST_RETRY_DELAY,
+            PROBE_TRIES.. => PROBE_TIMEOUT - edge.now().since(start),
+            _ => PROBE_RETRY_DELAY,
         };
         match within(wait, answers.receive()).await {
             Ok(Ok(response)) => {
@@ -183,10 +188,20 @@
 ) {
     let request = (edge.dialect().report_request)();
     let call = async {
-        let conn = if attempt == 0 {
-            edge.pool().get(addr).await?
+        let kept = if attempt == 0 {
+            edge.pool().take_spare(addr)
         } else {
-            edge.pool().dial(addr).await?
+            None
+        };
+        let conn = match kept {
+            Some(conn) => {
+                edge.metrics().count_connection("reused");
+                conn
+            }
+            None => {
+                edge.metrics().count_connection("opened");
+                edge.pool().dial(addr).await?
+            }
         };
         edge.pool()
             .call_on(addr, conn, &request, PROBE_TIMEOUT)
