--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -398,6 +398,7 @@
                 penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
                 can_lead: running < f64::from(model.slots)
                     && self.limit_wait(now, &entry.endpoint) == Some(Millis(0)),
+                is_warm: false,
             });
         }
         stages
--- a/src/core/roster/tempo.rs
+++ b/src/core/roster/tempo.rs
@@ -12,9 +12,9 @@
 const WEIGHT: f64 = 0.1;
 /// How long after the last event the averages are used; the load changes within seconds.
 const TEMPO_TTL: Millis = Millis::seconds(10);
-/// The highest ratio of the time to a first event to its estimate. Beyond it the path is overloaded,
-/// and a check costs little in comparison.
-const MAX_LAG: f64 = 4.0;
+/// The highest ratio of the time to a first event to its estimate, which holds for an idle engine.
+/// Beyond it the path is overloaded.
+const MAX_LAG: f64 = 20.0;
 /// The longest gap that counts; a path is checked for failures at the latest after this time.
 const MAX_GAP: Millis = Millis(350);
 /// One megabit per second in bytes per millisecond.
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -299,6 +299,7 @@
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
+            stage.is_warm = self.edge.pool().has_idle(stage.addr);
         }
         if self.edge.uptime() < YOUNG_TIME {
             let known = self.edge.fleet(|fleet| fleet.total_load(now));
