--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -229,7 +229,10 @@
         };
         offer(false, cost);
         if stage.can_lead {
-            offer(true, cost + opening_time(stage, model, stage.span.len(), demand));
+            offer(
+                true,
+                cost + opening_time(stage, model, stage.span.len(), demand),
+            );
         }
     }
     let mut kept: Vec<usize> = cheapest.into_values().map(|(_, index)| index).collect();
--- a/src/core/roster/probes.rs
+++ b/src/core/roster/probes.rs
@@ -36,7 +36,11 @@
     /// An endpoint that is down may be so for this VM alone, so each VM asks it, at growing
     /// intervals. A slow one is slow for all: while its mark is valid beyond the next look, `draw`
     /// decides whether this VM is the one that renews it.
-    pub fn take_due_probes<F>(&mut self, now: Millis, mut draw: F) -> Vec<(EndpointName, SocketAddr)>
+    pub fn take_due_probes<F>(
+        &mut self,
+        now: Millis,
+        mut draw: F,
+    ) -> Vec<(EndpointName, SocketAddr)>
     where
         F: FnMut() -> bool,
     {
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -29,7 +29,8 @@
     let slow = watch.is_slow() && draws_pace(edge);
     let asked =
         edge.roster(|roster| roster.begin_probe(now, &part.endpoint, watch.last_event(), slow));
-    edge.metrics().count_probe(if asked { "sent" } else { "saved" });
+    edge.metrics()
+        .count_probe(if asked { "sent" } else { "saved" });
     if asked {
         spawn_probe(edge, part, first);
     }
