--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -24,6 +24,7 @@
 pub use self::place::repair_placement;
 pub use self::spread::expect_arrivals;
 pub use self::spread::spread_load;
+pub use self::watch::Expected;
 pub use self::watch::StallTimer;
 
 use serde::Deserialize;
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -33,6 +33,8 @@
     rooms: Counter<u64>,
     room_wait: Histogram<f64>,
     layer_loads: Counter<u64>,
+    probes: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     load_messages: Counter<u64>,
     refusals: Counter<u64>,
@@ -85,6 +87,15 @@
                 "edge_layer_loads",
                 "Loads of layers that this VM planned as the leader, by reason.",
             ),
+            probes: counter(
+                "edge_probes",
+                "Probes of engines: sent for a quiet path, saved as the engine was heard from or \
+                 asked just now, and again for one that is down or slow.",
+            ),
+            connections: counter(
+                "edge_endpoint_connections",
+                "Connections to endpoints for requests and reports, opened or reused.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             refusals: counter(
                 "edge_refusals",
@@ -200,6 +211,16 @@
         self.room_wait.record(wait.0 as f64, &[]);
     }
 
+    /// Counts a probe of an engine, by what became of it.
+    pub fn count_probe(&self, outcome: &'static str) {
+        self.probes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a connection to an endpoint that was opened or reused.
+    pub fn count_connection(&self, kind: &'static str) {
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
