--- a/tests/room.rs
+++ b/tests/room.rs
@@ -210,6 +210,7 @@
             memory_use: 0.0,
             penalty: 1.0,
             can_lead: true,
+            is_warm: false,
         })
         .collect()
 }
@@ -305,6 +306,7 @@
 
 #[test]
 fn engines_run_out_of_memory_though_the_fleet_has_room() {
+    let mut shares: Vec<(u64, f64)> = Vec::new();
     for age in [200, 500, 1000, 2000] {
         let outcome = play(Millis(age), age);
         let share = outcome.overflows as f64 / outcome.streams as f64;
