--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -57,12 +57,12 @@
 /// a different layer in each domain.
 pub fn plan_placement(engines: &[Engine], model: &Model) -> BTreeMap<EndpointName, Span> {
     let mut plan = BTreeMap::new();
-    let copied = domains_with_copies(engines, model);
+    let even = domains_with_copies(engines, model);
     let groups = group_by_domain(engines, model);
     let count = groups.len().max(1) as u32;
     for (index, mut group) in groups.into_iter().enumerate() {
         group.sort_by(|a, b| a.pace.total_cmp(&b.pace).then(a.endpoint.cmp(&b.endpoint)));
-        if group.iter().all(|engine| copied.contains(&engine.domain)) {
+        if group.iter().all(|engine| even.contains(&engine.domain)) {
             plan_copies(&group, model, &mut plan);
             continue;
         }
@@ -98,10 +98,10 @@
     let mut plan = Vec::new();
     let mut copies = Copies::count(engines, model.layers);
     let mut rooms = Rooms::count(engines, model);
-    let copied = domains_with_copies(engines, model);
+    let even = domains_with_copies(engines, model);
     for index in empty {
         let engine = &engines[index];
-        let (span, fills_gap) = if copied.contains(&engine.domain) {
+        let (span, fills_gap) = if even.contains(&engine.domain) {
             rooms.scarcest(engine, engine.planned_layers(model), model)
         } else {
             copies.least_held(engine, model)
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -313,7 +313,7 @@
         let end = self.now + time;
         while self.now < end {
             let before = DOMAINS.map(|domain| self.served(domain));
-            self.now = self.now + Millis(250);
+            self.now += Millis(250);
             let now = self.now;
             for engine in &mut self.engines {
                 let load = self.loading.get(&engine.endpoint);
