--- a/src/core/plain/errors.rs
+++ b/src/core/plain/errors.rs
@@ -33,20 +33,22 @@
 /// The failed calls at one endpoint within about a second from which on new ones are passed on at
 /// once instead of with the next message.
 const URGENT_FAILED: f64 = 1.5;
+/// How long a VM's word that an endpoint stands out lowers the bar for others.
+const CLAIM_TTL: Millis = Millis(1500);
 /// The fewest calls of the endpoints that another one is compared with.
 const MIN_BASE: f64 = 3.0;
 /// The fewest failed calls by which an endpoint stands out: two may be chance.
-const MIN_FAILED: f64 = 2.0;
+const MIN_FAILED: f64 = 2.4;
 /// The least difference to the share of failed calls of the others by which an endpoint stands out;
 /// below, avoiding it costs more than the calls that fail.
 const MIN_EXCESS: f64 = 0.08;
 /// The difference in standard deviations by which an endpoint stands out, by its newest calls.
-const FAST_SIGMAS: f64 = 2.2;
+const FAST_SIGMAS: f64 = 2.5;
 /// The same by the calls of some seconds, in which chance has more attempts.
 const SLOW_SIGMAS: f64 = 3.0;
 /// The difference in standard deviations below which it stands out no longer. This is lower, as an
 /// endpoint that is avoided has few calls.
-const STAY_SIGMAS: f64 = 1.0;
+const STAY_SIGMAS: f64 = 1.5;
 
 /// Calls and failed calls that decay over time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -110,6 +112,8 @@
     at: Millis,
     learned: Millis,
     pairs: BTreeMap<NameHash, Pair>,
+    /// The endpoints that stand out by this VM's counts.
+    failing: BTreeSet<NameHash>,
 }
 
 /// What a VM counted at one endpoint, in sixteenths of a call: the calls and the failed ones of about
@@ -139,6 +143,8 @@
     pub age: Millis,
     /// What it counted, by endpoint.
     pub counts: Vec<ErrorCount>,
+    /// The endpoints that stand out by its counts.
+    pub failing: Vec<NameHash>,
 }
 
 /// What came of the notices of another VM.
@@ -174,6 +180,9 @@
     own: Origin,
     others: BTreeMap<NameHash, Origin>,
     standing_out: BTreeSet<NameHash>,
+    /// When this VM's own counts last showed that an endpoint stands out, whatever others say: VMs
+    /// that follow each other's word would never stop.
+    sure: BTreeMap<NameHash, Millis>,
 }
 
 impl ErrorTable {
@@ -191,6 +200,9 @@
         let age = now.since(self.own.at);
         self.own.at = now;
         self.own.seq = self.own.seq.wrapping_add(1);
+        let is_sure = |at: &Millis| now.since(*at) < CLAIM_TTL;
+        let sure = self.sure.iter().filter(|(_, at)| is_sure(at));
+        self.own.failing = sure.map(|(endpoint, _)| *endpoint).collect();
         self.own.pairs.retain(|_, pair| {
             *pair = pair.after(age);
             pair.slow.calls >= MIN_COUNT
@@ -218,7 +230,8 @@
             let is_sound = |count: &ErrorCount| {
                 count.failed <= count.calls && count.fast_failed <= count.fast_calls
             };
-            if notice.counts.len() > MAX_ENDPOINTS || !notice.counts.iter().all(is_sound) {
+            let size = notice.counts.len().max(notice.failing.len());
+            if size > MAX_ENDPOINTS || !notice.counts.iter().all(is_sound) {
                 receipt.dropped += 1;
                 continue;
             }
@@ -232,7 +245,9 @@
                 at: now - notice.age,
                 learned: now,
                 pairs: notice.counts.iter().map(read_count).collect(),
+                failing: notice.failing.iter().copied().collect(),
             };
+            receipt.is_urgent |= !origin.failing.is_subset(&self.standing_out);
             self.others.insert(notice.origin, origin);
             receipt.is_urgent |= notice.counts.iter().any(|count| {
                 let is_fresh = f64::from(count.fast_failed) >= UNITS_PER_CALL / 2.0;
@@ -272,6 +287,7 @@
                 seq: origin.seq,
                 age: now.since(origin.at),
                 counts: write_counts(&origin.pairs),
+                failing: origin.failing.iter().copied().take(MAX_ENDPOINTS).collect(),
             })
             .collect()
     }
@@ -299,6 +315,14 @@
         (sum, vms)
     }
 
+    /// Returns whether another VM says that an endpoint stands out. VMs hear of the same calls at
+    /// different times, and the first that is sure is enough where the others' counts agree.
+    fn is_claimed(&self, now: Millis, endpoint: NameHash) -> bool {
+        self.others
+            .values()
+            .any(|origin| origin.failing.contains(&endpoint) && now.since(origin.at) < CLAIM_TTL)
+    }
+
     /// Compares the endpoints of a service by the calls of all VMs, in the order given.
     ///
     /// This answers the load of a few calls a second at each endpoint, made by hundreds of VMs. From
@@ -315,12 +339,19 @@
             let rate = |index: &usize| totals[*index].0.slow.rate();
             rate(a).total_cmp(&rate(b))
         });
+        self.sure.retain(|_, at| now.since(*at) < CLAIM_TTL);
         let mut base = Tally::default();
         let mut standings = vec![Standing::default(); endpoints.len()];
         for index in order {
             let (pair, vms) = totals[index];
             let was_out = self.standing_out.contains(&endpoints[index]);
-            let stands_out = base.calls >= MIN_BASE && is_outlier(pair, base, was_out);
+            let is_claimed = was_out || self.is_claimed(now, endpoints[index]);
+            let has_base = base.calls >= MIN_BASE;
+            let is_sure = has_base && is_outlier(pair, base, false);
+            let stands_out = is_sure || has_base && is_outlier(pair, base, is_claimed);
+            if is_sure {
+                self.sure.insert(endpoints[index], now);
+            }
             standings[index] = Standing {
                 stands_out,
                 is_changed: stands_out != was_out,
@@ -340,8 +371,8 @@
     }
 }
 
-fn is_outlier(pair: Pair, base: Tally, was_out: bool) -> bool {
-    if was_out {
+fn is_outlier(pair: Pair, base: Tally, is_claimed: bool) -> bool {
+    if is_claimed {
         return pair.slow.sigmas_over(base) >= STAY_SIGMAS;
     }
     let exceeds = |tally: Tally, sigmas: f64| {
