--- a/src/io/shell.rs
+++ b/src/io/shell.rs
@@ -197,7 +197,6 @@
                 id,
                 attempt,
                 addr,
-                fresh,
                 timeout,
             } => {
                 self.send_command(
@@ -205,7 +204,6 @@
                     Command::Send(SendAttempt {
                         number: attempt,
                         addr,
-                        fresh,
                         timeout,
                     }),
                 );
