--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -136,6 +136,7 @@
             memory_use: 0.0,
             penalty: 1.0,
             can_lead: true,
+            is_warm: false,
         });
     }
     stages
