--- a/src/core/attempt/events.rs
+++ b/src/core/attempt/events.rs
@@ -18,6 +18,8 @@
     /// The bytes of `buf` in which no event ends.
     scanned: usize,
     ready: BytesMut,
+    /// Whether `ready` has more than comments.
+    has_event: bool,
     last_id: Option<u64>,
     count: u64,
 }
@@ -40,6 +42,7 @@
                 self.last_id = Some(id);
                 self.count += 1;
             }
+            self.has_event |= !is_comment(&event);
             self.ready.extend_from_slice(&event);
         }
         self.scanned = self.buf.len().saturating_sub(MAX_END_BYTES - 1);
@@ -48,9 +51,16 @@
 
     /// Returns the complete events that were not taken yet; empty if there are none.
     pub fn take(&mut self) -> Bytes {
+        self.has_event = false;
         self.ready.split().freeze()
     }
 
+    /// Returns whether the events that were not taken yet are more than comments, which show no
+    /// progress of the stream.
+    pub const fn has_progress(&self) -> bool {
+        self.has_event
+    }
+
     /// Discards a partial event after the connection to the endpoint broke.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
@@ -99,6 +109,11 @@
     })
 }
 
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r' | b':', ..]))
+}
+
 /// Returns the value of the `id` field, or `None` if it is missing or not a number.
 fn parse_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/src/core/attempt/mod.rs
+++ b/src/core/attempt/mod.rs
@@ -2,12 +2,15 @@
 
 mod budget;
 mod events;
+mod owner;
 
 pub use self::budget::BudgetUsage;
 pub use self::budget::RetryBudget;
 pub use self::budget::RetryBudgets;
 pub use self::events::EventBuffer;
 pub use self::events::MAX_EVENT_BYTES;
+pub use self::owner::AnswerOwner;
+pub use self::owner::answer_owner;
 
 /// How an attempt at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -334,6 +334,19 @@
         fresh.map(|known| &known.member)
     }
 
+    /// Returns whether no other VM has a newer configuration, as far as this one can know after its
+    /// start: `false` if others may be reached and none was heard from.
+    ///
+    /// This answers requests at a VM that starts while the store has come back older: what was withdrawn
+    /// meanwhile is in force there, and the other VMs know better.
+    pub fn is_caught_up(&self, now: Millis) -> bool {
+        let mut others = self.alive(now).peekable();
+        if others.peek().is_none() {
+            return self.contacts.is_empty();
+        }
+        others.all(|other| other.version <= self.me.version)
+    }
+
     /// Returns the number of VMs that serve callers, always including this one.
     pub fn serving_count(&self, now: Millis) -> usize {
         1 + self.alive(now).filter(|member| member.ready).count()
--- a/src/core/pipe/watch.rs
+++ b/src/core/pipe/watch.rs
@@ -31,6 +31,9 @@
     mean_gap: Option<f64>,
     checks: u32,
     last_event: Millis,
+    last_check: Millis,
+    /// Whether bytes came since the last event or check that are no event.
+    has_bytes: bool,
 }
 
 impl StallTimer {
@@ -45,6 +48,8 @@
             mean_gap: None,
             checks: 0,
             last_event: now,
+            last_check: now,
+            has_bytes: false,
         }
     }
 
@@ -57,11 +62,37 @@
         });
         self.last_event = now;
         self.checks = 0;
+        self.has_bytes = false;
+    }
+
+    /// Records that bytes came that complete no event: a stalled path may send some now and then.
+    pub fn record_bytes(&mut self) {
+        self.has_bytes = true;
     }
 
     /// Records that the path was checked.
-    pub fn record_check(&mut self) {
+    pub fn record_check(&mut self, now: Millis) {
         self.checks += 1;
+        self.last_check = now;
+        self.has_bytes = false;
+    }
+
+    /// Returns how long to wait from `now` before the next check. Bytes that are no event do not defer
+    /// it.
+    #[must_use]
+    pub fn until_check(&self, now: Millis) -> Millis {
+        if self.has_bytes {
+            (self.last_event.max(self.last_check) + self.check_delay()).since(now)
+        } else {
+            self.check_delay()
+        }
+    }
+
+    /// Returns whether a check is due although bytes keep coming. Without bytes, those that wait to be
+    /// read come first: a VM that was paused must not blame the path.
+    #[must_use]
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        self.has_bytes && self.until_check(now) == Millis(0)
     }
 
     /// Returns the time of the last event, or of the start if there was none.
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -21,9 +21,11 @@
 use super::suspect;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
+use crate::core::attempt::AnswerOwner;
 use crate::core::attempt::Ending;
 use crate::core::attempt::NextStep;
 use crate::core::attempt::RetryState;
+use crate::core::attempt::answer_owner;
 use crate::core::attempt::next_step;
 use crate::core::roster::Entry;
 use crate::core::site::RouteKind;
@@ -41,7 +43,7 @@
 /// The most endpoints tried for one request, including those that did not run it.
 const MAX_TRIED: usize = 4;
 /// The most responses read from one connection to find the one with the request's id.
-const MAX_STRAY: usize = 4;
+pub const MAX_STRAY: usize = 4;
 
 /// The result of one attempt at an endpoint.
 #[derive(Debug)]
@@ -122,7 +124,7 @@
             );
         };
         tried.push(entry.endpoint.clone());
-        let may_reuse = ctx.route.kind != RouteKind::Once;
+        let may_reuse = ctx.route.kind != RouteKind::Once && ctx.has_id();
         edge.roster(|roster| {
             roster.take_limited(edge.now(), &entry.endpoint);
             roster.begin_request(&entry.endpoint, 0.0);
@@ -225,7 +227,11 @@
     let request = forward_request(edge, &ctx.request, &info);
     outcome.sent = true;
     outcome.ending = Ending::Unknown;
-    let answer = within(remaining, exchange(edge, &mut conn, &request, &ctx.id)).await;
+    let answer = within(
+        remaining,
+        exchange(edge, &mut conn, &request, &ctx.id, is_new),
+    )
+    .await;
     let response = match answer {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -287,16 +293,23 @@
     conn: &mut Conn,
     request: &Request,
     id: &str,
+    is_new: bool,
 ) -> Result<Response, HttpError> {
     conn.writer.request(request).await?;
     let bodiless = request.method == Method::HEAD;
     for _ in 0..MAX_STRAY {
         let response = conn.reader.response(bodiless).await?;
         let echo = response.header(&edge.dialect().headers.request_id);
-        if echo.is_none_or(|echo| echo == id) {
-            return Ok(response);
+        match answer_owner(echo, id, is_new) {
+            AnswerOwner::Own => return Ok(response),
+            AnswerOwner::Other => {
+                log::warn!(id, stray = echo.unwrap_or_default(); "stray_answer");
+            }
+            AnswerOwner::Unclear => {
+                log::warn!(id, status = response.status.as_u16(); "answer_without_id");
+                break;
+            }
         }
-        log::warn!(id, stray = echo.unwrap_or_default(); "stray_answer");
     }
     Err(HttpError::Malformed)
 }
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -19,6 +19,8 @@
 use crate::names::ServiceName;
 use crate::names::Team;
 
+/// The id of a request whose caller gave it none.
+pub const NO_ID: &str = "-";
 /// The endpoints that a request may fail to reach before another VM is asked to serve it.
 const MAX_UNREACHED: usize = 2;
 
@@ -36,7 +38,7 @@
 pub struct RequestContext {
     /// The request as the caller sent it.
     pub request: Request,
-    /// The id of the caller's attempt, or `-` if it sent none.
+    /// The id of the caller's attempt, or [`NO_ID`] if it sent none.
     pub id: String,
     /// Identifies the request's content, in whichever attempt and on whichever VM.
     pub content: RequestDigest,
@@ -67,6 +69,11 @@
         self.detour.is_none() && (edge.is_cut_off() || unreached >= MAX_UNREACHED)
     }
 
+    /// Returns whether the caller gave the request an id, by which its answer is told apart.
+    pub fn has_id(&self) -> bool {
+        self.id != NO_ID
+    }
+
     /// Returns the time left until the deadline, 0 once it has passed.
     pub fn remaining(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -234,7 +234,9 @@
     Ok(head)
 }
 
-/// Waits for another VM until the request's deadline, as long as that VM is alive.
+/// Waits for another VM until the request's deadline; if the request may be repeated, only as long as
+/// that VM is alive. A VM that is merely silent may still answer, and what must not be repeated has
+/// no better answer to wait for.
 ///
 /// # Errors
 ///
@@ -259,7 +261,7 @@
         }
         let now = edge.now();
         let is_alive = edge.fleet(|fleet| fleet.alive(now).any(|member| member.peer == peer));
-        if !is_alive {
+        if !is_alive && ctx.route.may_repeat() {
             log::info!(id = ctx.id, peer:% = peer, reason = "peer_gone"; "detour_broke");
             return Err(DetourFault::Unknown);
         }
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -112,7 +112,7 @@
         .pool()
         .call(addr, &(edge.dialect().report_request)(), CALL_TIMEOUT)
         .await?;
-    read_answer(edge, addr, &response);
+    read_answer(edge, addr, &response)?;
     Ok((edge.dialect().parse_report)(&response)?)
 }
 
@@ -129,15 +129,27 @@
         .pool()
         .call_on(addr, conn, &request, CALL_TIMEOUT)
         .await?;
-    read_answer(edge, addr, &response);
+    read_answer(edge, addr, &response)?;
     Ok(())
 }
 
 /// Reads what the engine at an address says of itself in an answer.
-fn read_answer(edge: &Edge, addr: SocketAddr, response: &Response) {
+///
+/// # Errors
+///
+/// Fails if the answer names a caller's request, whose second copy it is. The answer to this call then
+/// comes later on the same connection, so none to the engine is used again.
+fn read_answer(edge: &Edge, addr: SocketAddr, response: &Response) -> Result<(), HttpError> {
+    let echo = response.header(&edge.dialect().headers.request_id);
+    if let Some(stray) = echo.filter(|echo| !echo.is_empty()) {
+        log::warn!(addr:% = addr, stray; "stray_answer");
+        edge.pool().clear(addr);
+        return Err(HttpError::Malformed);
+    }
     if let Some(endpoint) = edge.roster(|roster| roster.name_at(addr)) {
         notice::read_report(edge, &endpoint, response);
     }
+    Ok(())
 }
 
 /// Fetches an engine's report with a short timeout, and retries on new connections: packets may be
@@ -159,7 +171,7 @@
         };
         match within(wait, answers.receive()).await {
             Ok(Ok(response)) => {
-                read_answer(edge, addr, &response);
+                read_answer(edge, addr, &response)?;
                 return Ok((edge.dialect().parse_report)(&response)?);
             }
             Ok(Err(error)) if is_refusal(&error) => return Err(error.into()),
@@ -208,6 +220,6 @@
     request: &Request,
 ) -> Result<OrderAnswer, EngineError> {
     let response = edge.pool().call(addr, request, CALL_TIMEOUT).await?;
-    read_answer(edge, addr, &response);
+    read_answer(edge, addr, &response)?;
     Ok((edge.dialect().parse_answer)(&response))
 }
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -10,8 +10,10 @@
 use http::uri::PathAndQuery;
 
 use super::ACCEPT_AFTER_STOP;
+use super::LISTEN_AFTER_STOP;
 use super::call;
 use super::context::ConnAction;
+use super::context::NO_ID;
 use super::context::RequestContext;
 use super::context::respond;
 use super::detour;
@@ -22,6 +24,7 @@
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
+use crate::consts::TICK_INTERVAL;
 use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
 use crate::core::site::RouteError;
@@ -38,10 +41,10 @@
 /// The `Retry-After` of a refusal for lack of a configuration or of a service on the route.
 const NOT_READY_RETRY_AFTER: Millis = Millis(500);
 
-/// How long after its start a VM holds requests until it has a configuration and endpoints. Reading
-/// both takes about 0.1 s, and a refused caller tries again only once.
+/// How long after its start a VM holds requests until it has a configuration and endpoints, and has
+/// heard from another VM. This takes a fraction of it, and a refused caller tries again only once.
 const STARTUP_WAIT: Millis = Millis(1000);
-/// How often a held request checks whether the VM has both.
+/// How often a held request checks whether that is so.
 const STARTUP_POLL: Millis = Millis(10);
 
 /// The `Retry-After` of a refusal by a VM that is about to exit; the caller tries another VM.
@@ -62,23 +65,31 @@
 pub fn start(edge: &Edge) -> io::Result<()> {
     let listener = listen::bind(edge.settings().front)?;
     let edge = edge.clone();
-    monoio::spawn(listen::accept(listener, move |conn, from| {
-        serve(edge.clone(), conn, from)
-    }));
+    let end = wait_for_stop(edge.clone());
+    let serve = move |conn, from| serve(edge.clone(), conn, from);
+    monoio::spawn(listen::accept_until(listener, serve, end));
     Ok(())
 }
 
-async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
-    if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
-        return;
+/// Waits until a stopping VM takes no more connections.
+async fn wait_for_stop(edge: Edge) {
+    while edge.stopping().is_none_or(|span| span <= LISTEN_AFTER_STOP) {
+        monoio::time::sleep(TICK_INTERVAL.duration()).await;
     }
+}
+
+async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
     loop {
+        if !matches!(conn.reader.request_begins(|| bounds(&edge)).await, Ok(true)) {
+            return;
+        }
+        // Counted from its first byte, so that the daemon does not exit while it is being read.
+        let guard = edge.begin_request();
         let request = match conn.reader.request_with_bounds(|| bounds(&edge)).await {
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(error) => return reject_malformed(&mut conn, from, &error).await,
         };
-        let guard = edge.begin_request();
         let action = handle(&edge, &mut conn, request, None).await;
         drop(guard);
         if action == ConnAction::Close {
@@ -155,7 +166,10 @@
     let start = edge.now();
     let bodiless = request.method == Method::HEAD;
     let names = &edge.dialect().headers;
-    let id = request.header(&names.request_id).unwrap_or("-").to_owned();
+    let id = request
+        .header(&names.request_id)
+        .unwrap_or(NO_ID)
+        .to_owned();
     if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
         log::info!(id, status = 503, reason = "stopping"; "refused");
         return respond(
@@ -167,7 +181,7 @@
         )
         .await;
     }
-    while !edge.is_synced() && edge.uptime() < STARTUP_WAIT {
+    while edge.uptime() < STARTUP_WAIT && !edge.is_caught_up() {
         monoio::time::sleep(STARTUP_POLL.duration()).await;
     }
     let Some(site) = edge.site() else {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -58,6 +58,12 @@
 /// what it accepts later than 3 s it must finish however long that takes (the users' rule for
 /// planned stops).
 pub const ACCEPT_AFTER_STOP: Millis = Millis(2800);
+/// How long a stopping daemon takes connections. The requests on those of the last part are refused with
+/// the time to come back, so that few callers still connect when the listener closes.
+const LISTEN_AFTER_STOP: Millis = Millis(3000);
+/// How long a stopping daemon has no request before it exits. Its listener is closed by then, and each
+/// answer ended its connection, so this covers what is on the way over those.
+const EXIT_QUIET: Millis = Millis(150);
 /// The part of the grace period that is reserved for the exit.
 const EXIT_MARGIN: Millis = Millis(700);
 
@@ -124,6 +130,7 @@
 /// Waits until the daemon may exit: `stop` starts its shutdown, and `reload` is only logged.
 pub async fn wait(edge: &Edge, stop: Arc<AtomicBool>, reload: Arc<AtomicBool>) {
     let grace = edge.settings().bounds.grace() - EXIT_MARGIN;
+    let mut last_open = edge.now();
     loop {
         monoio::time::sleep(TICK_INTERVAL.duration()).await;
         if reload.swap(false, Ordering::Relaxed) {
@@ -134,7 +141,10 @@
             edge.stop();
         }
         if let Some(span) = edge.stopping() {
-            let idle = edge.open_requests() == 0 && span >= ACCEPT_AFTER_STOP;
+            if edge.open_requests() > 0 || span <= LISTEN_AFTER_STOP {
+                last_open = edge.now();
+            }
+            let idle = edge.now().since(last_open) >= EXIT_QUIET;
             if idle || span >= grace {
                 log::info!(open = edge.open_requests(); "stopped");
                 return;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -11,10 +11,12 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
 use http::header;
 
+use super::call::MAX_STRAY;
 use super::call::classify;
 use super::call::closes_connection;
 use super::context::ConnAction;
@@ -35,9 +37,11 @@
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
+use crate::core::attempt::AnswerOwner;
 use crate::core::attempt::Ending;
 use crate::core::attempt::EventBuffer;
 use crate::core::attempt::MAX_EVENT_BYTES;
+use crate::core::attempt::answer_owner;
 use crate::core::pipe::Part;
 use crate::core::pipe::StallTimer;
 use crate::io::http::Conn;
@@ -79,6 +83,8 @@
 struct Progress {
     /// Whether the response head was sent to the caller.
     is_started: bool,
+    /// Whether that head states that the connection ends with the stream.
+    announces_close: bool,
     events: EventBuffer,
     /// The paths that the request was sent along and that did not refuse it.
     paths: u32,
@@ -95,6 +101,14 @@
 }
 
 impl Progress {
+    /// States in the head of the response that the connection ends with it, if the VM is stopping.
+    fn announce_close(&mut self, edge: &Edge, headers: &mut HeaderMap) {
+        if edge.stopping().is_some() {
+            self.announces_close = true;
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
     /// Records the time of an event that is about to be relayed.
     fn record_event(&mut self, edge: &Edge, ctx: &RequestContext) {
         let now = edge.now();
@@ -138,7 +152,9 @@
     log_end(edge, ctx, &progress, ended);
     edge.admission(|controller| controller.record_duration(edge.now().since(ctx.start)));
     match ended {
-        StreamEnd::Done | StreamEnd::Failed(_) if edge.stopping().is_none() => ConnAction::Keep,
+        // A caller that was not told so may use the connection again, and is told then.
+        StreamEnd::Done if !progress.announces_close => ConnAction::Keep,
+        StreamEnd::Failed(_) if edge.stopping().is_none() => ConnAction::Keep,
         StreamEnd::Done | StreamEnd::Failed(_) | StreamEnd::Left => ConnAction::Close,
         _ if progress.is_started => ConnAction::Close,
         StreamEnd::NotRun | StreamEnd::NotSent if !progress.ran => {
@@ -262,7 +278,8 @@
         writer: upstream,
     } = conn;
     let mut watch = StallTimer::new(edge.now(), selector.ctx.route.gap);
-    let (reader, response) = match wait_for_head(selector, &mut path, reader, &mut watch).await {
+    let head = read_head(edge, selector.ctx, reader, is_new);
+    let (reader, response) = match wait_for_head(selector, &mut path, head, &mut watch).await {
         Ok(head) => head,
         Err(ended) => return ended,
     };
@@ -290,6 +307,7 @@
     if !progress.is_started {
         let mut headers = response.headers.clone();
         forward::strip_hop_headers(&mut headers);
+        progress.announce_close(edge, &mut headers);
         if writer.start(response.status, &headers).await.is_err() {
             return StreamEnd::Left;
         }
@@ -321,7 +339,7 @@
 ) -> Result<Link, StreamEnd> {
     let edge = selector.edge;
     let ctx = selector.ctx;
-    let mut link = match engine::connect(edge, &first.endpoint, first.addr, true).await {
+    let mut link = match engine::connect(edge, &first.endpoint, first.addr, ctx.has_id()).await {
         Ok(link) => link,
         Err(error @ ConnectError::Withdrawn) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
@@ -364,10 +382,10 @@
 async fn wait_for_head(
     selector: &mut PathSelector<'_>,
     path: &mut Vec<Part>,
-    reader: Reader,
+    head: impl Future<Output = (Reader, Result<Response, HttpError>)>,
     watch: &mut StallTimer,
 ) -> Result<(Reader, Response), StreamEnd> {
-    let next = pin!(read_head(reader));
+    let next = pin!(head);
     match wait_or_repair(selector, path, next, watch).await? {
         (reader, Ok(response)) => Ok((reader, response)),
         (_, Err(error)) => {
@@ -382,7 +400,7 @@
     }
 }
 
-/// Returns how the path ended if the response head is not a signed answer to this request.
+/// Returns how the path ended if the response head is not a signed answer.
 fn check_head(
     selector: &mut PathSelector<'_>,
     progress: &mut Progress,
@@ -392,11 +410,6 @@
     let edge = selector.edge;
     let ctx = selector.ctx;
     let names = &edge.dialect().headers;
-    let echo = response.header(&names.request_id);
-    if echo.is_some_and(|echo| echo != ctx.id) {
-        log::warn!(id = ctx.id, stray = echo.unwrap_or_default(); "stray_answer");
-        return Some(StreamEnd::Broke);
-    }
     let status = response.status.as_u16();
     match classify(edge, response) {
         Ending::NotRun => {
@@ -440,15 +453,15 @@
                     selector.record_failure(path[0].addr);
                     return Err(StreamEnd::Broke);
                 }
-                let whole = progress.events.take();
-                if whole.is_empty() {
-                    continue;
+                if progress.events.has_progress() {
+                    progress.record_event(edge, ctx);
+                    watch.record_event(edge.now());
+                    paths::record_progress(edge, path);
+                    selector.record_event();
+                } else {
+                    watch.record_bytes();
                 }
-                progress.record_event(edge, ctx);
-                watch.record_event(edge.now());
-                paths::record_progress(edge, path);
-                selector.record_event();
-                if writer.chunk(&whole).await.is_err() {
+                if writer.chunk(&progress.events.take()).await.is_err() {
                     return Err(StreamEnd::Left);
                 }
             }
@@ -498,11 +511,41 @@
     progress.events.count() > 0 && !selector.check_first(path).await && !selector.edge.is_cut_off()
 }
 
-async fn read_head(mut reader: Reader) -> (Reader, Result<Response, HttpError>) {
-    let response = reader.response_head(false).await;
+/// Reads the head of the response to this request, after second copies of earlier ones.
+async fn read_head(
+    edge: &Edge,
+    ctx: &RequestContext,
+    mut reader: Reader,
+    is_new: bool,
+) -> (Reader, Result<Response, HttpError>) {
+    let response = find_head(edge, ctx, &mut reader, is_new).await;
     (reader, response)
 }
 
+async fn find_head(
+    edge: &Edge,
+    ctx: &RequestContext,
+    reader: &mut Reader,
+    is_new: bool,
+) -> Result<Response, HttpError> {
+    for _ in 0..MAX_STRAY {
+        let head = reader.response_head(false).await?;
+        let echo = head.header(&edge.dialect().headers.request_id);
+        match answer_owner(echo, &ctx.id, is_new) {
+            AnswerOwner::Own => return Ok(head),
+            AnswerOwner::Other => {
+                log::warn!(id = ctx.id, stray = echo.unwrap_or_default(); "stray_answer");
+                while reader.chunk().await?.is_some() {}
+            }
+            AnswerOwner::Unclear => {
+                log::warn!(id = ctx.id, status = head.status.as_u16(); "answer_without_id");
+                break;
+            }
+        }
+    }
+    Err(HttpError::Malformed)
+}
+
 async fn read_chunk(mut reader: Reader) -> (Reader, Result<Option<Bytes>, HttpError>) {
     let chunk = reader.chunk().await;
     (reader, chunk)
@@ -523,13 +566,16 @@
         if remaining == Millis(0) {
             return Err(StreamEnd::Late);
         }
-        if let Ok(got) = within(remaining.min(watch.check_delay()), next.as_mut()).await {
+        let now = selector.edge.now();
+        if !watch.is_overdue(now)
+            && let Ok(got) = within(remaining.min(watch.until_check(now)), next.as_mut()).await
+        {
             return Ok(got);
         }
         if selector.ctx.remaining(selector.edge.now()) == Millis(0) {
             return Err(StreamEnd::Late);
         }
-        watch.record_check();
+        watch.record_check(selector.edge.now());
         let is_repaired = selector.repair(path, watch).await;
         if !is_repaired && (selector.is_barred() || selector.try_leave()) {
             return Err(StreamEnd::Broke);
--- a/src/edge/relay/peer.rs
+++ b/src/edge/relay/peer.rs
@@ -49,6 +49,7 @@
     if !progress.is_started {
         let mut headers = taken.head.headers.clone();
         forward::strip_hop_headers(&mut headers);
+        progress.announce_close(edge, &mut headers);
         if writer.start(status, &headers).await.is_err() {
             return Some(StreamEnd::Left);
         }
@@ -73,12 +74,10 @@
                 if !progress.events.push(&part) {
                     return StreamEnd::Broke;
                 }
-                let whole = progress.events.take();
-                if whole.is_empty() {
-                    continue;
+                if progress.events.has_progress() {
+                    progress.record_event(edge, ctx);
                 }
-                progress.record_event(edge, ctx);
-                if writer.chunk(&whole).await.is_err() {
+                if writer.chunk(&progress.events.take()).await.is_err() {
                     return StreamEnd::Left;
                 }
             }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -306,6 +306,11 @@
         self.site().is_some() && self.roster(|roster| roster.end()) > Position::default()
     }
 
+    /// Returns whether the VM is synced, and no other VM has a newer configuration.
+    pub fn is_caught_up(&self) -> bool {
+        self.is_synced() && self.fleet(|fleet| fleet.is_caught_up(self.now()))
+    }
+
     /// Returns whether the VM serves callers: it has a configuration, the store has answered, and
     /// it is not stopping.
     pub fn is_ready(&self) -> bool {
--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -105,14 +105,8 @@
     where
         F: Fn() -> Bounds,
     {
-        let mut idle = Millis(0);
-        while self.buf.is_empty() {
-            // If the idle timeout was raised during the wait, wait for the rest of it.
-            let left = bounds().idle_timeout.since(idle);
-            if left == Millis(0) || self.wait_for_byte(left).await? == Some(false) {
-                return Ok(None);
-            }
-            idle += left;
+        if !self.request_begins(&bounds).await? {
+            return Ok(None);
         }
         let bounds = bounds();
         self.max_body = bounds.max_body;
@@ -131,6 +125,28 @@
         }))
     }
 
+    /// Waits for the first byte of a request. Returns `false` if the other side closed the connection
+    /// instead, or left it idle for too long by `bounds`, which may change meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn request_begins<F>(&mut self, bounds: F) -> Result<bool, HttpError>
+    where
+        F: Fn() -> Bounds,
+    {
+        let mut idle = Millis(0);
+        while self.buf.is_empty() {
+            // If the idle timeout was raised during the wait, wait for the rest of it.
+            let left = bounds().idle_timeout.since(idle);
+            if left == Millis(0) || self.wait_for_byte(left).await? == Some(false) {
+                return Ok(false);
+            }
+            idle += left;
+        }
+        Ok(true)
+    }
+
     /// Reads a complete response, without a timeout. `bodiless` means that the response has no body
     /// whatever its headers are, as after `HEAD`.
     ///
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -1,5 +1,7 @@
 //! A daemon in a process of its own, which can be paused and stopped.
 
+#![expect(clippy::disallowed_types, reason = "a pause and a stop need a process")]
+
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
--- a/tests/edge/stop.rs
+++ b/tests/edge/stop.rs
@@ -21,6 +21,9 @@
 /// The pause of a caller between two requests.
 const CALL_PAUSE: Millis = Millis(2);
 
+/// How long a refused caller waits, as it is told.
+const RETRY_AFTER: Millis = Millis(250);
+
 #[derive(Debug, Default)]
 struct Counts {
     served: Cell<u32>,
@@ -41,7 +44,8 @@
                 Err(_) => &counts.cut,
             };
             count.set(count.get() + 1);
-            sleep(CALL_PAUSE).await;
+            let is_refused = matches!(answer, Ok((status, _)) if status != StatusCode::OK);
+            sleep(if is_refused { RETRY_AFTER } else { CALL_PAUSE }).await;
             if !matches!(answer, Ok((_, true))) {
                 break;
             }
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -545,11 +545,11 @@
     for gap in [10, 20, 33] {
         let (mut timer, last) = timer_after_events(Millis(gap));
         let asked = last + timer.check_delay();
-        timer.record_check();
+        timer.record_check(asked);
         let mut now = asked;
         while now < asked + PROBE_TIME {
             now += timer.check_delay();
-            timer.record_check();
+            timer.record_check(now);
         }
         assert!(now.since(last) < MAX_PAUSE, "{gap}: {now:?}");
     }
@@ -569,12 +569,12 @@
 
 #[test]
 fn a_path_that_stays_quiet_is_checked_less_often() {
-    let (mut timer, _) = timer_after_events(Millis(20));
+    let (mut timer, last) = timer_after_events(Millis(20));
     let mut checks = 0;
     let mut span = Millis(0);
     while span < Millis::seconds(8) {
         span += timer.check_delay();
-        timer.record_check();
+        timer.record_check(last + span);
         checks += 1;
     }
     assert!(checks < 20, "{checks}");
