Plain calls of cornelwharfd use new connections, and its stop ends connections by announcement

Answers of plain endpoints name no call, so no connection is safe to use again. A stopping daemon kept its connections open and cut them at its exit.

--- a/src/core/daemon/action.rs
+++ b/src/core/daemon/action.rs
@@ -38,9 +38,6 @@
         attempt: u32,
         /// The endpoint's address.
         addr: SocketAddr,
-        /// Whether to use a new connection instead of a pooled one, because the call must not be
-        /// sent twice.
-        fresh: bool,
         /// How long to wait for the answer.
         timeout: Millis,
     },
--- a/src/core/daemon/plain.rs
+++ b/src/core/daemon/plain.rs
@@ -168,7 +168,6 @@
         };
         plain.attempt += 1;
         let attempt = plain.attempt;
-        let fresh = !plain.idempotent;
         let keyed = plain.key.is_some();
         let timeout = match suspicion {
             Some(suspicion) if plain.idempotent => suspicion.min(left),
@@ -187,7 +186,6 @@
             id,
             attempt,
             addr,
-            fresh,
             timeout,
         });
     }
--- a/src/io/command.rs
+++ b/src/io/command.rs
@@ -45,9 +45,6 @@
     pub number: u32,
     /// The address of the endpoint.
     pub addr: SocketAddr,
-    /// Whether to use a new connection instead of a pooled one, because the call must not be sent
-    /// twice.
-    pub fresh: bool,
     /// How long to wait for the answer; also sent to the endpoint.
     pub timeout: Millis,
 }
--- a/src/io/daemon.rs
+++ b/src/io/daemon.rs
@@ -36,6 +36,10 @@
 /// How long to wait after a failed read of the list of VMs.
 const LIST_RETRY_DELAY: Millis = Millis::seconds(1);
 
+/// How long a daemon has no request before it exits. Its listener is closed by then, and each answer
+/// ended its connection, so this covers what is on the way over those.
+const EXIT_QUIET: Millis = Millis(150);
+
 /// Why a daemon cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -74,14 +78,17 @@
     Ok(shell)
 }
 
-/// Waits until the daemon may exit. Once `stop` is set, the core starts to shut down.
+/// Waits until the daemon may exit: `stop` starts its shutdown, the core then asks for the exit, and
+/// the last requests are answered.
 pub async fn wait(shell: &Shell, stop: Arc<AtomicBool>) {
-    let mut stop_sent = false;
-    while !shell.should_exit() {
+    let mut last_open = shell.now();
+    while shell.now().since(last_open) < EXIT_QUIET {
         monoio::time::sleep(TICK_INTERVAL.duration()).await;
-        if stop.load(Ordering::Relaxed) && !stop_sent {
-            stop_sent = true;
-            shell.feed(Event::Stop);
+        if stop.load(Ordering::Relaxed) {
+            shell.stop();
+        }
+        if !shell.should_exit() || shell.open_requests() > 0 {
+            last_open = shell.now();
         }
     }
 }
--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -2,7 +2,8 @@
 //!
 //! Reuse saves the round trip of opening a connection. The longer a connection is idle, the more
 //! likely a middlebox has dropped its state, so connections are pooled for a short time only, and
-//! requests that must not be repeated always use a new connection (docs/DESIGN.md).
+//! requests that must not be repeated, and those whose answers name no request, always use a new
+//! connection (docs/DESIGN.md).
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/src/io/serve/answer.rs
+++ b/src/io/serve/answer.rs
@@ -12,6 +12,9 @@
 use crate::io::http::Request;
 use crate::io::http::Response;
 
+/// The `connection` header of the last answer on a connection.
+pub(super) const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// Builds the error answer for a failure, with a `retry-after` header if the failure sets a delay.
 pub(super) fn from_failure(failure: Failure) -> Response {
     let status = StatusCode::from_u16(failure.code.status());
@@ -37,9 +40,7 @@
         HttpError::Closed | HttpError::Io(_) => return None,
     };
     let mut response = from_failure(Failure::not_run(code, message));
-    response
-        .headers
-        .insert(CONNECTION, HeaderValue::from_static("close"));
+    response.headers.insert(CONNECTION, CLOSE);
     Some(response)
 }
 
--- a/src/io/serve/mod.rs
+++ b/src/io/serve/mod.rs
@@ -9,6 +9,10 @@
 
 use std::net::SocketAddr;
 
+use http::header::CONNECTION;
+
+use crate::consts::TICK_INTERVAL;
+use crate::io::http::Bounds;
 use crate::io::http::Conn;
 use crate::io::http::HttpError;
 use crate::io::http::Response;
@@ -22,18 +26,29 @@
 /// Fails if the address cannot be bound.
 pub fn listen(addr: SocketAddr, shell: Shell) -> std::io::Result<()> {
     let listener = listen::bind(addr)?;
-    monoio::spawn(listen::accept(listener, move |conn, _| {
-        serve(conn, shell.clone())
-    }));
+    let end = wait_for_exit(shell.clone());
+    let serve = move |conn, _| serve(conn, shell.clone());
+    monoio::spawn(listen::accept_until(listener, serve, end));
     Ok(())
 }
 
+/// Waits until a stopping daemon takes no more connections.
+async fn wait_for_exit(shell: Shell) {
+    while !shell.should_exit() {
+        monoio::time::sleep(TICK_INTERVAL.duration()).await;
+    }
+}
+
 /// Serves the requests on one connection, one after the other, until either side closes it.
 async fn serve(mut conn: Conn, shell: Shell) {
     loop {
+        if !matches!(conn.reader.request_begins(Bounds::default).await, Ok(true)) {
+            break;
+        }
+        let _open = shell.begin_request();
         match conn.reader.request().await {
             Ok(Some(request)) => {
-                let last = answer::wants_close(&request);
+                let last = answer::wants_close(&request) || shell.is_stopping();
                 let served = route::serve(&mut conn, &shell, request).await;
                 if served.is_err() || last {
                     break;
@@ -65,5 +80,10 @@
     bodiless: bool,
 ) -> Result<(), HttpError> {
     shell.metrics().answer(response.status.as_u16());
-    conn.writer.response(response, bodiless).await
+    if !shell.is_stopping() {
+        return conn.writer.response(response, bodiless).await;
+    }
+    let mut response = response.clone();
+    response.headers.insert(CONNECTION, answer::CLOSE);
+    conn.writer.response(&response, bodiless).await
 }
--- a/src/io/serve/model.rs
+++ b/src/io/serve/model.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use http::StatusCode;
 use http::header::CACHE_CONTROL;
+use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 
 use super::answer;
@@ -183,7 +184,10 @@
                 let interval = shell.now().since(writer.last_token);
                 shell.metrics().token(writer.token_count == 0, interval);
                 writer.last_token = shell.now();
-                writer.write_token(conn, value, event).await.map(|()| false)
+                writer
+                    .write_token(conn, shell, value, event)
+                    .await
+                    .map(|()| false)
             }
             Command::Finish(reason) => writer.finish(conn, shell, reason).await.map(|()| true),
             Command::Fail(failure) => writer.fail(conn, shell, failure).await.map(|()| true),
@@ -204,6 +208,7 @@
     async fn write_token(
         &mut self,
         conn: &mut Conn,
+        shell: &Shell,
         value: u32,
         event: EventId,
     ) -> Result<(), HttpError> {
@@ -214,7 +219,7 @@
             self.full_text.push_str(&text);
             return Ok(());
         }
-        self.start_stream(conn).await?;
+        self.start_stream(conn, shell).await?;
         let part = self
             .answer
             .chunk_json(&text, first, None)
@@ -258,7 +263,7 @@
         shell: &Shell,
         reason: &str,
     ) -> Result<(), HttpError> {
-        self.start_stream(conn).await?;
+        self.start_stream(conn, shell).await?;
         let first = self.token_count == 0;
         let part = self
             .answer
@@ -293,13 +298,16 @@
         conn.writer.finish().await
     }
 
-    async fn start_stream(&mut self, conn: &mut Conn) -> Result<(), HttpError> {
+    async fn start_stream(&mut self, conn: &mut Conn, shell: &Shell) -> Result<(), HttpError> {
         if std::mem::replace(&mut self.is_started, true) {
             return Ok(());
         }
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
         headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        if shell.is_stopping() {
+            headers.insert(CONNECTION, answer::CLOSE);
+        }
         conn.writer.start(StatusCode::OK, &headers).await
     }
 }
--- a/src/io/serve/plain.rs
+++ b/src/io/serve/plain.rs
@@ -200,7 +200,7 @@
         match command {
             Command::Send(attempt) => {
                 set_endpoint(&mut forwarded, attempt);
-                let exchange = send_attempt(shell, &forwarded, attempt);
+                let exchange = send_attempt(&forwarded, attempt);
                 let outcome = watch_caller(conn, shell, caller, &mut gone, exchange).await;
                 response = report_outcome(shell, caller, &forwarded, attempt, outcome);
             }
@@ -237,38 +237,16 @@
     work.await
 }
 
-/// Sends the call to an endpoint and waits for the answer.
+/// Sends the call to an endpoint over a new connection and waits for the answer.
 ///
-/// If a pooled connection turns out to be closed, the endpoint is not at fault, so the call, which
-/// is idempotent, is sent again over a new connection. A call that must not be sent twice uses a
-/// new connection from the start ([`SendAttempt::fresh`]).
-async fn send_attempt(
-    shell: &Shell,
-    request: &Request,
-    attempt: SendAttempt,
-) -> Result<Response, PlainFault> {
-    let addr = attempt.addr;
-    if !attempt.fresh
-        && let Some(mut conn) = shell.pool().take_idle(addr)
-    {
-        match conn.call(request, attempt.timeout).await {
-            Ok(response) => {
-                shell.pool().put(addr, conn);
-                return Ok(response);
-            }
-            Err(HttpError::TimedOut) => {
-                shell.pool().clear(addr);
-                return Err(PlainFault::Silent);
-            }
-            Err(_) => shell.pool().clear(addr),
-        }
-    }
-    let mut conn = Conn::dial(addr).await.map_err(|_| PlainFault::Unsent)?;
+/// Answers of plain endpoints name no call. An endpoint may send a second copy of one late, and on a
+/// connection that is in use again it would pass for the answer to the next call.
+async fn send_attempt(request: &Request, attempt: SendAttempt) -> Result<Response, PlainFault> {
+    let mut conn = Conn::dial(attempt.addr)
+        .await
+        .map_err(|_| PlainFault::Unsent)?;
     match conn.call(request, attempt.timeout).await {
-        Ok(response) => {
-            shell.pool().put(addr, conn);
-            Ok(response)
-        }
+        Ok(response) => Ok(response),
         Err(HttpError::TimedOut) => Err(PlainFault::Silent),
         Err(_) => Err(PlainFault::Broken),
     }
--- a/src/io/shell.rs
+++ b/src/io/shell.rs
@@ -50,7 +50,9 @@
     callers: RefCell<BTreeMap<RequestId, Mailbox<Command>>>,
     next_id: Cell<u64>,
     last_loads: RefCell<BTreeMap<SocketAddr, Millis>>,
+    is_stopping: Cell<bool>,
     should_exit: Cell<bool>,
+    open_requests: Cell<u64>,
     pool: Pool,
     platform: Platform,
     links: Links,
@@ -68,7 +70,9 @@
             callers: RefCell::default(),
             next_id: Cell::new(0),
             last_loads: RefCell::default(),
+            is_stopping: Cell::new(false),
             should_exit: Cell::new(false),
+            open_requests: Cell::new(0),
             pool,
             platform,
             links,
@@ -104,6 +108,31 @@
         self.inner.should_exit.get()
     }
 
+    /// Starts the shutdown; each answer ends its connection from now on.
+    pub fn stop(&self) {
+        if !self.inner.is_stopping.replace(true) {
+            self.feed(Event::Stop);
+        }
+    }
+
+    /// Returns whether the shutdown has started.
+    pub fn is_stopping(&self) -> bool {
+        self.inner.is_stopping.get()
+    }
+
+    /// Returns the number of requests whose first byte was read and whose answer is not yet written.
+    pub fn open_requests(&self) -> u64 {
+        self.inner.open_requests.get()
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn begin_request(&self) -> OpenRequest {
+        self.inner.open_requests.set(self.open_requests() + 1);
+        OpenRequest {
+            shell: self.clone(),
+        }
+    }
+
     /// Runs a query against the core, outside of any event, and returns its result.
     pub fn query<T, F>(&self, query: F) -> T
     where
@@ -168,7 +197,6 @@
                 id,
                 attempt,
                 addr,
-                fresh,
                 timeout,
             } => {
                 self.send_command(
@@ -176,7 +204,6 @@
                     Command::Send(SendAttempt {
                         number: attempt,
                         addr,
-                        fresh,
                         timeout,
                     }),
                 );
@@ -239,6 +266,19 @@
     }
 }
 
+/// Counts a request as open until dropped.
+#[derive(Debug)]
+pub struct OpenRequest {
+    shell: Shell,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let open = &self.shell.inner.open_requests;
+        open.set(open.get().saturating_sub(1));
+    }
+}
+
 /// A registered request of a caller; dropping it removes the registration.
 #[derive(Debug)]
 pub struct Caller {
