--- a/src/core/admit/order.rs
+++ b/src/core/admit/order.rs
@@ -24,8 +24,8 @@
 pub const NEW_LIMIT: f64 = 0.95;
 /// The same for callers who were refused before, who should not be refused twice.
 pub const RETURN_LIMIT: f64 = 1.05;
-/// For how many seconds of the arrivals of more urgent callers a class leaves room free while room
-/// is tight: until the use of engines shows them.
+/// For how many seconds of arrivals, its own and those of more urgent callers, a class leaves room
+/// free while room is tight: until the use of engines shows them.
 const RESERVE_S: f64 = 0.3;
 /// The most that a class leaves free, as a share of an engine's memory.
 const MAX_RESERVE: f64 = 0.2;
@@ -54,6 +54,9 @@
 /// The part of a class's rate that is kept for callers who come back, beside what new ones leave: new
 /// ones can still be served in time, those who come back no longer.
 pub const RETURN_PART: f64 = 0.25;
+/// The part of what new ones leave that is promised to those who come back: they would otherwise
+/// displace new ones at every small peak, who then come back in turn.
+const SPARE_PART: f64 = 0.7;
 
 /// What a VM knows of a service's load.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +90,8 @@
     pub limit: f64,
     /// Whether it is refused at once, whatever room there is.
     pub is_shed: bool,
+    /// Whether its customer asks for more than its share of a class that is short of room.
+    pub is_over: bool,
 }
 
 /// What a class gets.
@@ -98,6 +103,8 @@
     reserve: f64,
     /// What the next more urgent class leaves free.
     next_reserve: f64,
+    /// What its customers over their share leave free, for more urgent ones and for the others.
+    over_reserve: f64,
     /// Whether it holds less than its floor.
     is_low: bool,
     /// Tokens per second that the class may begin, those who come back included.
@@ -220,22 +227,26 @@
         let mut urgent = 0.0;
         let mut next_reserve = 0.0;
         for need in needs {
-            let most = (need.floor + left.max(0.0)) / need.span;
             let wanted = need.offered + need.promised;
+            let full = (need.floor + left.max(0.0)) / need.span;
+            let reserve = |rate: f64| (rate * RESERVE_S / room).min(MAX_RESERVE);
+            let over_reserve = reserve(urgent + wanted.min(full));
+            let reserve = reserve(urgent);
+            let most = (need.floor + (left - over_reserve * room).max(0.0)) / need.span;
             let rate = wanted.min(most);
             left -= rate * need.span - need.floor;
-            let back = (most * RETURN_PART).max(most - need.offered);
+            let back = (most * RETURN_PART).max((most - need.offered) * SPARE_PART);
             let fresh = rate - need.promised.min(most * RETURN_PART);
             let customers = &loads[&need.priority];
             let level = fair_level(customers, fresh);
             let share = |load: &ClassLoad| (level / f64::from(load.offered.max(1))).min(1.0);
             let shares = customers.iter().map(|(name, load)| (*name, share(load)));
-            let reserve = (urgent * RESERVE_S / room).min(MAX_RESERVE);
             let held: f64 = customers.values().map(|load| f64::from(load.held)).sum();
             let plan = ClassPlan {
                 has_urgent: urgent > 0.0,
                 reserve,
                 next_reserve,
+                over_reserve,
                 is_low: held < need.floor,
                 rate,
                 floor: need.floor / need.span,
@@ -265,26 +276,31 @@
             return Grant {
                 limit,
                 is_shed: false,
+                is_over: false,
             };
         };
         let share = plan.shares.get(&claim.key.customer);
         let share = share.copied().unwrap_or(plan.share);
-        let (idle, full) = USE_RANGE;
-        let ease = ((full - fill) / (full - idle)).clamp(0.0, 1.0);
+        let is_over = self.is_short && share < 1.0;
+        let (idle, busy) = USE_RANGE;
+        let ease = ((busy - fill) / (busy - idle)).clamp(0.0, 1.0);
         let share = share + (1.0 - share) * ease;
         let is_floor = plan.is_low && draw < share * plan.floor / plan.rate.max(1.0);
-        // Those who come back to a customer's own burst don't go before other customers.
-        let may_pass = claim.is_return && share >= 1.0;
-        let bonus = RETURN_BONUS * (plan.reserve - plan.next_reserve);
-        let limit = match (may_pass, plan.has_urgent) {
-            (true, false) => RETURN_LIMIT,
-            (false, _) if is_floor => NEW_LIMIT,
-            (true, true) => NEW_LIMIT - plan.reserve + bonus,
-            (false, _) => NEW_LIMIT - plan.reserve,
+        let (free, next_free) = if is_over {
+            (plan.over_reserve, plan.reserve)
+        } else {
+            (plan.reserve, plan.next_reserve)
+        };
+        let limit = match claim.is_return {
+            true if !plan.has_urgent && !is_over => RETURN_LIMIT,
+            true => NEW_LIMIT - free + RETURN_BONUS * (free - next_free),
+            false if is_floor => NEW_LIMIT,
+            false => NEW_LIMIT - free,
         };
         Grant {
             limit,
             is_shed: self.is_short && !claim.is_return && draw >= share,
+            is_over,
         }
     }
 
--- a/src/core/admit/queue.rs
+++ b/src/core/admit/queue.rs
@@ -3,7 +3,8 @@
 //! Load: short peaks, and requests that end a moment later. A request that is refused is late in any
 //! case; one that waits a part of its target is not. So a request waits, for at most
 //! [`WAIT_PART`] of the target, if its turn should come in that time, and is refused at once
-//! otherwise.
+//! otherwise. A caller who comes back is late already, and a second refusal would be its last: it
+//! may wait for longer.
 
 use crate::clock::Millis;
 use crate::core::fair::FairQueue;
@@ -11,11 +12,18 @@
 
 /// The part of a route's target for which a request may wait; the rest is for reading its prompt.
 const WAIT_PART: f64 = 0.5;
+/// The part of a route's target, and of the time left, for which a request may wait whose caller was
+/// refused before.
+const RETURN_WAIT: (f64, f64) = (4.0, 0.25);
 /// The most requests that wait on a VM: each keeps a connection and its body in memory.
 const MAX_WAITING: usize = 256;
 /// How often a class that waits may be skipped, so that a VM with steady urgent requests serves the
 /// others of its queue too; the most urgent class is never skipped.
-const MAX_SKIPS: [u32; 10] = [u32::MAX, 16, 16, 16, 16, 16, 16, 16, 16, 16];
+const MAX_SKIPS: [u32; 20] = {
+    let mut skips = [16; 20];
+    skips[0] = u32::MAX;
+    skips
+};
 
 /// What the estimate of a wait is made of.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,10 +45,21 @@
     }
 }
 
-/// Returns how long a request may wait for room.
+/// Returns how long a request may wait for room, with this time left until its deadline.
 #[must_use]
-pub fn longest_wait(target: Millis) -> Millis {
-    Millis((target.0 as f64 * WAIT_PART) as u64)
+pub fn longest_wait(target: Millis, left: Millis, is_return: bool) -> Millis {
+    let target = target.0 as f64;
+    if !is_return {
+        return Millis((target * WAIT_PART) as u64);
+    }
+    let (of_target, of_left) = RETURN_WAIT;
+    Millis((target * of_target).min(left.0 as f64 * of_left) as u64)
+}
+
+/// Returns the class of the queue: within a priority, customers over their share go last.
+#[must_use]
+pub fn class_of(priority: u8, is_over: bool) -> usize {
+    usize::from(priority) * 2 + usize::from(is_over)
 }
 
 /// The requests that wait for the room of one service.
--- a/src/core/admit/returns.rs
+++ b/src/core/admit/returns.rs
@@ -82,12 +82,22 @@
         }
         let inside = (RETURN_SLOT_MS as f64 * ahead / free.max(1.0)) as u64;
         let at = Millis(slot * RETURN_SLOT_MS + inside).max(first);
-        let known = own.returns.entry(key).or_default();
-        *known = known.saturating_add(wanted.size);
+        record(own, key, wanted.size);
         return at.since(now).min(latest);
     }
     // All is promised until the deadline: any time is as good, so the callers are spread.
-    MIN_DELAY + Millis((latest.since(MIN_DELAY).0 as f64 * draw) as u64)
+    let wait = MIN_DELAY + Millis((latest.since(MIN_DELAY).0 as f64 * draw) as u64);
+    let key = ReturnKey {
+        service: wanted.class,
+        slot: slot_at(now + wait),
+    };
+    record(own, key, wanted.size);
+    wait
+}
+
+fn record(own: &mut Load, key: ReturnKey, size: u32) {
+    let known = own.returns.entry(key).or_default();
+    *known = known.saturating_add(size);
 }
 
 /// Returns the tokens per second of a class that are promised for the present.
--- a/src/core/admit/streams.rs
+++ b/src/core/admit/streams.rs
@@ -14,6 +14,7 @@
 use super::order::priorities;
 use super::queue::Outlook;
 use super::queue::WaitQueue;
+use super::queue::class_of;
 use super::queue::longest_wait;
 use super::returns;
 use super::returns::Promise;
@@ -88,16 +89,19 @@
     }
 
     /// Records a request that arrived, and returns what the order depends on; `is_late` says that its
-    /// time left is that of a return.
+    /// time left is that of a return, which counts if the fleet promised any for now.
     pub fn arrive(
         &mut self,
         now: Millis,
         arrival: &Arrival,
         is_late: bool,
+        view: &View<'_>,
         own: &mut Load,
     ) -> Claim {
         let key = arrival.key();
-        let is_return = self.refused.take(&arrival.content, now) || is_late;
+        let class = returns::class_hash(&arrival.service, arrival.priority);
+        let is_promised = view.age.is_none() || returns::rate_at(view.load, class, now) > 0.0;
+        let is_return = self.refused.take(&arrival.content, now) || (is_late && is_promised);
         // The ledger of returns counts those who come back.
         if !is_return {
             self.arrivals.record(now, key, arrival.size);
@@ -138,14 +142,20 @@
     }
 
     /// Returns whether a request must wait behind others of this VM.
-    pub fn must_follow(&mut self, arrival: &Arrival) -> bool {
+    pub fn must_follow(&mut self, arrival: &Arrival, grant: &Grant) -> bool {
         let queue = self.queues.get(&arrival.service);
-        queue.is_some_and(|queue| queue.must_follow(&job(arrival, 0)))
+        queue.is_some_and(|queue| queue.must_follow(&job(arrival, grant, 0)))
     }
 
     /// Queues a request that found no room; returns its id and how long it may wait, or `None` if
     /// room should come too late for it.
-    pub fn wait(&mut self, arrival: &Arrival, view: &View<'_>) -> Option<(u64, Millis)> {
+    pub fn wait(
+        &mut self,
+        arrival: &Arrival,
+        claim: &Claim,
+        grant: &Grant,
+        view: &View<'_>,
+    ) -> Option<(u64, Millis)> {
         let service = NameHash::of(arrival.service.as_str());
         let is_known = view.age.is_some_and(|age| age <= MAX_AGE);
         let mut ahead = f64::from(arrival.size);
@@ -168,9 +178,9 @@
             duration: self.durations.mean(service, arrival.priority),
         };
         self.last_id += 1;
-        let longest = longest_wait(arrival.target);
+        let longest = longest_wait(arrival.target, arrival.left, claim.is_return);
         let queue = self.queues.entry(arrival.service.clone()).or_default();
-        let waits = queue.push(job(arrival, self.last_id), &outlook, longest);
+        let waits = queue.push(job(arrival, grant, self.last_id), &outlook, longest);
         waits.then_some((self.last_id, longest))
     }
 
@@ -247,10 +257,10 @@
         .or_insert_with(|| Order::new(service))
 }
 
-fn job(arrival: &Arrival, id: u64) -> Job {
+fn job(arrival: &Arrival, grant: &Grant, id: u64) -> Job {
     Job {
         id,
-        class: usize::from(arrival.priority),
+        class: class_of(arrival.priority, grant.is_over),
         team: arrival.team.clone().unwrap_or_else(|| "".into()),
         weight: 1,
         cost: arrival.size,
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -8,6 +8,7 @@
 use crate::core::admit::Decision;
 use crate::core::admit::order::Claim;
 use crate::core::admit::order::View;
+use crate::core::admit::queue::longest_wait;
 use crate::core::admit::streams::Arrival;
 use crate::core::load::ClassKey;
 use crate::core::load::ClassLoad;
@@ -76,16 +77,17 @@
     let arrival = arrival(selector, now);
     let left = ctx.deadline.since(ctx.start);
     let is_late = edge.admission(|control| control.detect_retry(&ctx.route.name, left));
-    let claim = edge
-        .load(|load| edge.streams(|streams| streams.arrive(now, &arrival, is_late, load.own())));
     let look = Look::new(selector, now);
     let draw = edge.random();
     let view = look.view();
+    let claim = edge.load(|load| {
+        edge.streams(|streams| streams.arrive(now, &arrival, is_late, &view, load.own()))
+    });
     let grant = edge.streams(|streams| streams.grant(now, &arrival, &claim, &view, draw));
     if grant.is_shed {
         return refuse(edge, ctx, &arrival, &claim, "shed");
     }
-    let must_follow = edge.streams(|streams| streams.must_follow(&arrival));
+    let must_follow = edge.streams(|streams| streams.must_follow(&arrival, &grant));
     if !must_follow && let Some(path) = selector.pick_path_within(grant.limit) {
         return begin_on(edge, &claim, Some(path));
     }
@@ -93,11 +95,19 @@
         // No path exists, which may be over in a moment and is handled when a path is chosen.
         return begin_on(edge, &claim, None);
     }
-    let Some((id, longest)) = edge.streams(|streams| streams.wait(&arrival, &view)) else {
+    let Some((id, longest)) = edge.streams(|streams| streams.wait(&arrival, &claim, &grant, &view))
+    else {
         return refuse(edge, ctx, &arrival, &claim, "no_room");
     };
     let ticket = Ticket::begin(edge, &claim, &ctx.service, id);
-    while edge.now().since(now) < longest {
+    let shortest = longest_wait(arrival.target, arrival.left, false);
+    loop {
+        // What a stopping VM accepted must end within its grace period.
+        let may_stay = edge.stopping().is_none();
+        let waited = edge.now().since(now);
+        if waited >= if may_stay { longest } else { shortest } {
+            break;
+        }
         monoio::time::sleep(POLL.duration()).await;
         if ctx.needs_detour(edge, 0) {
             return begin;
