--- a/tests/load/mod.rs
+++ b/tests/load/mod.rs
@@ -390,9 +390,11 @@
             let took = now.since(one.begun);
             vm.admission.record_duration(&one.key, took);
             let is_smooth = took.0 as f64 <= RUN.0 as f64 * 1.5;
-            let fate = match one.begun.since(one.caller.first) <= TARGET && is_smooth {
-                true if !one.caller.refused => Fate::OnTime,
-                _ => Fate::Late,
+            let is_early = one.begun.since(one.caller.first) <= TARGET;
+            let fate = if is_early && is_smooth && !one.caller.refused {
+                Fate::OnTime
+            } else {
+                Fate::Late
             };
             self.finish(&one.caller, fate);
         }
