Ask few VMs for the pace of an engine, and prefer first engines with a connection

Each VM asked each engine of a slow path for its pace once a second, and each VM that found an engine slow or silent asked it each 600 ms: at 132 VMs, 220 reports a second for one engine. A probe's second request went out after 15 ms on a new connection, also where the VM only was slow to read the answer.

VMs now renew a mark that lasts with probability 4 / VMs; an engine that does not answer is asked at intervals that grow to 2.4 s; a probe repeats its request after 25 ms, and not at all once an answer came. First engines without a kept connection count a tenth more.

On a simulated VM with 2.2 requests a second and five engines a path, half of the paths slow (tests/links.rs): 0.24 reports a request, 3.88 with the timer and the pace probes as before. Twenty seconds of a slow engine at 132 VMs: 474 reports. tests admit, edge, hostile, links, pipe, roster, spread pass.

Ruled out: gossip of engines heard lately (slower than the check that it would save), calls that may run once on kept connections (docs/design/connections.md).

--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -22,6 +22,10 @@
 /// The factor on the cost of an engine above [`HIGH_MEMORY_USE`].
 const HIGH_MEMORY_FACTOR: f64 = 8.0;
 
+/// What opening a connection to the first engine adds, as a share of that engine's time. It decides
+/// between first engines of nearly the same time only.
+const COLD_SHARE: f64 = 0.1;
+
 /// An engine that a path may use, with its present load.
 #[derive(Clone, Debug)]
 pub struct Stage {
@@ -44,6 +48,8 @@
     /// Whether it has a free slot to be the first engine of a path, which accepts the request and
     /// streams the answer, and this VM's share of its limit allows a request.
     pub can_lead: bool,
+    /// Whether this VM has an idle connection to it.
+    pub is_warm: bool,
 }
 
 impl Stage {
@@ -147,6 +153,12 @@
             } else {
                 model.delay * demand.answer
             };
+            let cost = if range.from > 0 {
+                cost
+            } else {
+                let layers = stage.span.to.min(range.to);
+                cost + opening_time(stage, model, layers, demand)
+            };
             best.insert((range.from, index), cost);
             queue.push(QueueEntry {
                 cost,
@@ -208,16 +220,19 @@
         let Card { memory, pace, read } = stage.card;
         let card = [memory.to_bits(), pace.to_bits(), read.to_bits()];
         let cost = stage_time(stage, model, stage.span.len(), demand);
-        let mut offer = |may_lead: bool| {
+        let mut offer = |may_lead: bool, cost: f64| {
             let key = (&stage.domain, stage.span, card, may_lead);
             let best = cheapest.entry(key).or_insert((cost, index));
             if cost < best.0 {
                 *best = (cost, index);
             }
         };
-        offer(false);
+        offer(false, cost);
         if stage.can_lead {
-            offer(true);
+            offer(
+                true,
+                cost + opening_time(stage, model, stage.span.len(), demand),
+            );
         }
     }
     let mut kept: Vec<usize> = cheapest.into_values().map(|(_, index)| index).collect();
@@ -242,6 +257,18 @@
     (token * demand.answer + prompt) * stage.penalty * memory_factor
 }
 
+/// Returns what a new connection adds to the time of a first engine that runs `layers` layers.
+///
+/// Without it, the requests of a VM that has few would each open a connection to another of the engines
+/// that are alike. The share is less than the random part of the costs, so that a VM's requests still
+/// go to several engines, and a full engine costs eight times as much.
+fn opening_time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
+    if stage.is_warm {
+        return 0.0;
+    }
+    COLD_SHARE * stage_time(stage, model, layers, demand)
+}
+
 /// Returns the transfer time between two engines, in milliseconds; 0 within a domain.
 fn crossing_time(from: &Stage, to: &Stage, model: &Model, demand: Demand) -> f64 {
     if from.domain == to.domain {
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -11,6 +11,7 @@
 mod marks;
 mod notice;
 mod pause;
+mod probes;
 mod tempo;
 
 use std::collections::BTreeMap;
@@ -35,6 +36,8 @@
 pub use self::pause::MAX_PAUSE;
 pub use self::pause::PauseError;
 pub use self::pause::parse_pause;
+pub use self::probes::WATCH_INTERVAL;
+pub use self::probes::pace_share;
 use self::tempo::Tempo;
 use crate::clock::Millis;
 use crate::core::pipe::Span;
@@ -47,10 +50,6 @@
 /// How long an endpoint is still used after its entry lapsed because of a store outage. Live
 /// endpoints write their entries again within two seconds of the store's return.
 pub const LAPSE_GRACE: Millis = Millis(2000);
-/// The shortest interval between two probes of an endpoint, since a probe has a cost.
-const PROBE_INTERVAL: Millis = Millis(300);
-/// The shortest interval between two probes that only measure the pace of a working endpoint.
-const PACE_PROBE_INTERVAL: Millis = Millis(1000);
 /// How long the removal of an entry is kept for VMs that have not learned of it yet.
 const TOMBSTONE_TTL: Millis = Millis::seconds(60);
 
@@ -82,6 +81,10 @@
     tempo: Tempo,
     last_heard: Millis,
     last_probed: Millis,
+    /// When a probe of the endpoint as one that is down or slow was last sent, and how many were
+    /// since it last answered.
+    last_asked: Millis,
+    unanswered: u32,
     /// Whether this VM itself marked the endpoint and probes it.
     watched: bool,
     /// When this VM learned that the endpoint is leaving: from its entry, from one of its answers, or
@@ -149,21 +152,6 @@
         self.last_removed
     }
 
-    /// Returns the endpoints to probe: those that get no work until they answer, and those that
-    /// this VM found slow, but none that asked for a pause.
-    pub fn probe_targets(&self, now: Millis) -> Vec<(EndpointName, SocketAddr)> {
-        let targets = self
-            .endpoints
-            .values()
-            .filter(|state| state.health.is_down() || state.watched);
-        targets
-            .filter(|state| state.health.paused_for(now).is_none())
-            .filter_map(|state| state.change.entry.as_ref())
-            .filter(|entry| !entry.leaving)
-            .map(|entry| (entry.endpoint.clone(), entry.addr))
-            .collect()
-    }
-
     /// Returns the addresses of the endpoints that may get requests, which a check of this VM's links
     /// may ask: neither leaving nor in a pause.
     pub fn reachable(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
@@ -248,6 +236,8 @@
             tempo: kept.map(|old| old.tempo).unwrap_or_default(),
             last_heard: kept.map(|old| old.last_heard).unwrap_or_default(),
             last_probed: kept.map(|old| old.last_probed).unwrap_or_default(),
+            last_asked: kept.map(|old| old.last_asked).unwrap_or_default(),
+            unanswered: kept.map(|old| old.unanswered).unwrap_or_default(),
             watched: kept.is_some_and(|old| old.watched),
             left,
             is_revived,
@@ -408,6 +398,7 @@
                 penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
                 can_lead: running < f64::from(model.slots)
                     && self.limit_wait(now, &entry.endpoint) == Some(Millis(0)),
+                is_warm: false,
             });
         }
         stages
@@ -439,47 +430,6 @@
             .any(|state| state.last_heard > since)
     }
 
-    /// Records that some endpoint answered a probe that was sent at `start`.
-    pub fn record_probe_answer(&mut self, start: Millis) {
-        self.last_answered_probe = self.last_answered_probe.max(start);
-    }
-
-    /// Returns when the latest answered probe was sent. If an endpoint does not answer a probe sent
-    /// no later, the fault lies with the endpoint and not with this VM or its link.
-    pub fn last_answered_probe(&self) -> Millis {
-        self.last_answered_probe
-    }
-
-    /// Returns whether to probe an endpoint on a path that makes no progress. If so, records the
-    /// probe as sent.
-    ///
-    /// An endpoint that showed a sign of life after `since` works; it is probed only for its pace,
-    /// if the path is `slow`. One that asked for a pause is not probed.
-    pub fn begin_probe(
-        &mut self,
-        now: Millis,
-        endpoint: &EndpointName,
-        since: Millis,
-        slow: bool,
-    ) -> bool {
-        let Some(state) = self.endpoints.get_mut(endpoint) else {
-            return false;
-        };
-        if state.health.paused_for(now).is_some() {
-            return false;
-        }
-        let since_probe = now.since(state.last_probed);
-        let is_due = if state.last_heard > since {
-            slow && since_probe >= PACE_PROBE_INTERVAL
-        } else {
-            since_probe >= PROBE_INTERVAL
-        };
-        if is_due {
-            state.last_probed = now;
-        }
-        is_due
-    }
-
     /// Returns whether an endpoint is stalled, as seen by this VM alone.
     ///
     /// Marks of other VMs affect only new requests. Leaving a path means that another one has to
--- a/src/core/roster/tempo.rs
+++ b/src/core/roster/tempo.rs
@@ -12,9 +12,9 @@
 const WEIGHT: f64 = 0.1;
 /// How long after the last event the averages are used; the load changes within seconds.
 const TEMPO_TTL: Millis = Millis::seconds(10);
-/// The highest ratio of the time to a first event to its estimate. Beyond it the path is overloaded,
-/// and a check costs little in comparison.
-const MAX_LAG: f64 = 4.0;
+/// The highest ratio of the time to a first event to its estimate, which holds for an idle engine.
+/// Beyond it the path is overloaded.
+const MAX_LAG: f64 = 20.0;
 /// The longest gap that counts; a path is checked for failures at the latest after this time.
 const MAX_GAP: Millis = Millis(350);
 /// One megabit per second in bytes per millisecond.
@@ -30,8 +30,9 @@
     last_event: Millis,
 }
 
-fn average(old: Option<f64>, new: f64) -> Option<f64> {
-    Some(old.map_or(new, |old| old + (new - old) * WEIGHT))
+fn add_to(average: &mut Option<f64>, value: f64) {
+    let old = average.unwrap_or(value);
+    *average = Some(old + (value - old) * WEIGHT);
 }
 
 impl Roster {
@@ -42,15 +43,25 @@
             return;
         }
         if let Some(tempo) = self.tempo_at(now, endpoint) {
-            tempo.gap = average(tempo.gap, gap.0 as f64);
+            add_to(&mut tempo.gap, gap.0 as f64);
         }
     }
 
-    /// Records after how long a stream through an endpoint sent its first event, as a ratio to
-    /// [`Self::estimate_first`].
-    pub fn record_lag(&mut self, now: Millis, endpoint: &EndpointName, ratio: f64) {
+    /// Records how long a stream through an endpoint took to its first event, and the
+    /// [`Self::estimate_first`] of its path; 0 if there is none.
+    pub fn record_lag(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        waited: Millis,
+        estimate: f64,
+    ) {
+        if estimate <= 0.0 {
+            return;
+        }
+        let ratio = waited.0 as f64 / estimate;
         if let Some(tempo) = self.tempo_at(now, endpoint) {
-            tempo.lag = average(tempo.lag, ratio.clamp(0.0, MAX_LAG));
+            add_to(&mut tempo.lag, ratio.clamp(0.0, MAX_LAG));
         }
     }
 
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -1,5 +1,6 @@
 //! Control calls to engines: reports and orders.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,8 +30,11 @@
 
 /// The timeout of a probe, which an engine answers even without a free slot.
 const PROBE_TIMEOUT: Millis = Millis(75);
-/// The time after which a probe's request is sent again; a response takes about 3 ms.
-const PROBE_RETRY_DELAY: Millis = Millis(15);
+/// The time after which a probe's request is sent again for the first time. A response takes about 3
+/// ms, but a VM with a small share of a processor may read it 20 ms later.
+const FIRST_RETRY_DELAY: Millis = Millis(25);
+/// The time until each further request of the probe.
+const PROBE_RETRY_DELAY: Millis = Millis(12);
 /// The most requests in one probe. With 5 % packet loss, a request on a new connection is lost with
 /// probability 0.2, and all of them are lost in about one of 1,000 probes.
 const PROBE_TRIES: u64 = 4;
@@ -83,6 +87,8 @@
     } else {
         None
     };
+    let kind = if idle.is_some() { "reused" } else { "opened" };
+    edge.metrics().count_connection(kind);
     if let Some(conn) = idle {
         return Ok(Link {
             conn,
@@ -148,17 +154,21 @@
 /// Fails if the engine answers none of the requests in time, refuses the connection, or its
 /// response cannot be parsed.
 pub async fn probe(edge: &Edge, addr: SocketAddr) -> Result<Report, EngineError> {
-    let answers = Rc::new(Mailbox::new(PROBE_TRIES as usize));
+    let run = Rc::new(ProbeRun {
+        answers: Mailbox::new(PROBE_TRIES as usize),
+        is_over: Cell::new(false),
+    });
     let start = edge.now();
     for attempt in 0..PROBE_TRIES {
-        monoio::spawn(send_probe(edge.clone(), addr, attempt, Rc::clone(&answers)));
-        let wait = if attempt + 1 < PROBE_TRIES {
-            PROBE_RETRY_DELAY
-        } else {
-            PROBE_TIMEOUT - edge.now().since(start)
+        monoio::spawn(send_probe(edge.clone(), addr, attempt, Rc::clone(&run)));
+        let wait = match attempt + 1 {
+            1 => FIRST_RETRY_DELAY,
+            PROBE_TRIES.. => PROBE_TIMEOUT - edge.now().since(start),
+            _ => PROBE_RETRY_DELAY,
         };
-        match within(wait, answers.receive()).await {
+        match within(wait, run.answers.receive()).await {
             Ok(Ok(response)) => {
+                run.is_over.set(true);
                 read_answer(edge, addr, &response);
                 return Ok((edge.dialect().parse_report)(&response)?);
             }
@@ -175,26 +185,41 @@
     matches!(error, HttpError::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-async fn send_probe(
-    edge: Edge,
-    addr: SocketAddr,
-    attempt: u64,
-    answers: Rc<Mailbox<Result<Response, HttpError>>>,
-) {
+/// What the requests of one probe share.
+#[derive(Debug)]
+struct ProbeRun {
+    answers: Mailbox<Result<Response, HttpError>>,
+    /// Whether an answer arrived, so that no further request is needed.
+    is_over: Cell<bool>,
+}
+
+async fn send_probe(edge: Edge, addr: SocketAddr, attempt: u64, run: Rc<ProbeRun>) {
     let request = (edge.dialect().report_request)();
     let call = async {
-        let conn = if attempt == 0 {
-            edge.pool().get(addr).await?
+        let kept = if attempt == 0 {
+            edge.pool().take_spare(addr)
+        } else {
+            None
+        };
+        let kind = if kept.is_some() { "reused" } else { "opened" };
+        edge.metrics().count_connection(kind);
+        let conn = if let Some(conn) = kept {
+            conn
         } else {
             edge.pool().dial(addr).await?
         };
-        edge.pool()
-            .call_on(addr, conn, &request, PROBE_TIMEOUT)
-            .await
+        if run.is_over.get() {
+            edge.pool().put(addr, conn);
+            return Ok(None);
+        }
+        let answer = edge.pool().call_on(addr, conn, &request, PROBE_TIMEOUT);
+        answer.await.map(Some)
     };
     let answer = within(PROBE_TIMEOUT, call).await;
-    // A full mailbox means that the probe has ended.
-    let _ = answers.send(answer.unwrap_or(Err(HttpError::TimedOut)));
+    if let Some(answer) = answer.unwrap_or(Err(HttpError::TimedOut)).transpose() {
+        // A full mailbox means that the probe has ended.
+        let _ = run.answers.send(answer);
+    }
 }
 
 /// Sends an order to an engine.
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -27,6 +27,8 @@
     cut_offs: Counter<u64>,
     detours: Counter<u64>,
     notices: Counter<u64>,
+    probes: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
@@ -53,6 +55,15 @@
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
             ),
+            probes: counter(
+                "edge_probes",
+                "Probes of engines: sent for a quiet path, saved as the engine was heard from or \
+                 asked just now, and again for one that is down or slow.",
+            ),
+            connections: counter(
+                "edge_endpoint_connections",
+                "Connections to endpoints for requests and reports, opened or reused.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
@@ -108,6 +119,16 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a probe of an engine, by what became of it.
+    pub fn count_probe(&self, outcome: &'static str) {
+        self.probes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a connection to an endpoint that was opened or reused.
+    pub fn count_connection(&self, kind: &'static str) {
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -133,16 +133,14 @@
     /// engines work.
     pub fn record_event(&mut self, path: &[Part], gap: Option<Millis>) {
         let now = self.edge.now();
-        let waited = now.since(self.run.start).0 as f64;
-        let estimate = self.run.first_estimate;
+        // After a change of path, there is no estimate.
+        let (waited, estimate) = (now.since(self.run.start), self.run.first_estimate);
         self.edge.roster(|roster| {
             for part in path {
                 roster.record_liveness(now, &part.endpoint);
                 match gap {
                     Some(gap) => roster.record_gap(now, &part.endpoint, gap),
-                    // After a change of path, the first event says nothing of the estimate.
-                    None if estimate <= 0.0 => {}
-                    None => roster.record_lag(now, &part.endpoint, waited / estimate),
+                    None => roster.record_lag(now, &part.endpoint, waited, estimate),
                 }
             }
         });
@@ -299,6 +297,7 @@
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
+            stage.is_warm = self.edge.pool().has_idle(stage.addr);
         }
         if self.edge.uptime() < YOUNG_TIME {
             let known = self.edge.fleet(|fleet| fleet.total_load(now));
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -6,25 +6,33 @@
 use super::engine;
 use super::reach;
 use super::state::Edge;
-use crate::clock::Millis;
 use crate::core::pipe::Part;
 use crate::core::pipe::StallTimer;
+use crate::core::roster::WATCH_INTERVAL;
+use crate::core::roster::pace_share;
 use crate::names::EndpointName;
 
 /// The pace, a multiple of the usual time, from which an engine counts as slow.
 const SLOW_PACE: f64 = 2.0;
-/// The interval between two probes of an engine that is down or slow.
-const PROBE_INTERVAL: Millis = Millis(600);
+
+/// Returns whether this VM is among the few that ask engines for their pace now.
+fn draws_pace(edge: &Edge) -> bool {
+    let now = edge.now();
+    let vms = edge.fleet(|fleet| fleet.serving_count(now));
+    edge.random() < pace_share(vms)
+}
 
 /// Probes an engine of a quiet path, unless it was heard from since or probed recently. Returns
 /// whether it was probed.
 pub fn probe_if_quiet(edge: &Edge, part: &Part, first: bool, watch: &StallTimer) -> bool {
     let now = edge.now();
-    let slow = watch.is_slow();
+    let slow = watch.is_slow() && draws_pace(edge);
     let asked =
         edge.roster(|roster| roster.begin_probe(now, &part.endpoint, watch.last_event(), slow));
     if asked {
         spawn_probe(edge, part, first);
+    } else {
+        edge.metrics().count_probe("saved");
     }
     asked
 }
@@ -39,6 +47,7 @@
     {
         return;
     }
+    edge.metrics().count_probe("sent");
     monoio::spawn(probe_engine(edge.clone(), part.clone(), first));
 }
 
@@ -110,15 +119,18 @@
     }
 }
 
-/// Probes the engines that are down or that this VM found slow, at a fixed interval, so that they
-/// get work again once they answer.
+/// Probes the engines that are down or that this VM found slow, so that they get work again once they
+/// answer.
 pub async fn run(edge: Edge) {
     loop {
-        monoio::time::sleep(PROBE_INTERVAL.duration()).await;
+        monoio::time::sleep(WATCH_INTERVAL.duration()).await;
         if edge.is_cut_off() {
             continue;
         }
-        for (endpoint, addr) in edge.roster(|roster| roster.probe_targets(edge.now())) {
+        let now = edge.now();
+        let due = edge.roster(|roster| roster.take_due_probes(now, || draws_pace(&edge)));
+        for (endpoint, addr) in due {
+            edge.metrics().count_probe("again");
             monoio::spawn(probe_again(edge.clone(), endpoint, addr));
         }
     }
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -282,6 +282,7 @@
         memory_use: 0.0,
         penalty: 1.0,
         can_lead: true,
+        is_warm: false,
     };
     let one = token_capacity(&[stage(0, 2), stage(2, 4)], &model);
     assert!((one - 2000.0).abs() < 1.0, "{one}");
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -106,6 +106,7 @@
         memory_use: 0.0,
         penalty: 1.0,
         can_lead: true,
+        is_warm: false,
     })
 }
 
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -105,6 +105,7 @@
             memory_use: 0.0,
             penalty: 1.0,
             can_lead: true,
+            is_warm: false,
         })
         .collect()
 }
