--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -33,6 +33,8 @@
         .count_probe(if asked { "sent" } else { "saved" });
     if asked {
         spawn_probe(edge, part, first);
+    } else {
+        edge.metrics().count_probe("saved");
     }
     asked
 }
@@ -47,6 +49,7 @@
     {
         return;
     }
+    edge.metrics().count_probe("sent");
     monoio::spawn(probe_engine(edge.clone(), part.clone(), first));
 }
 
