--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -113,12 +113,8 @@
                 return finish(edge, ctx, &tried, step, None);
             }
         }
-        if sent == 0
-            && tried.is_empty()
-            && let Err(wait) = plain::wait_for_room(edge, ctx).await
-        {
-            let response = forward::refusal(wait);
-            log_request(edge, ctx, &tried, NextStep::Refuse, &response);
+        let is_first = sent == 0 && tried.is_empty();
+        if is_first && let Some(response) = refuse_if_full(edge, ctx).await {
             return response;
         }
         let Some(entry) = pick_endpoint(edge, ctx, &tried, sent) else {
@@ -175,6 +171,14 @@
     }
 }
 
+/// Waits for room in the service; returns the refusal if there is none in time.
+async fn refuse_if_full(edge: &Edge, ctx: &RequestContext) -> Option<Response> {
+    let wait = plain::wait_for_room(edge, ctx).await.err()?;
+    let response = forward::refusal(wait);
+    log_request(edge, ctx, &[], NextStep::Refuse, &response);
+    Some(response)
+}
+
 async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, may_reuse: bool) -> Outcome {
     let mut outcome = Outcome {
         ending: Ending::NotRun,
