--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -80,6 +80,7 @@
 
 /// The progress of a stream over all its paths.
 #[derive(Debug, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 struct Progress {
     /// Whether the response head was sent to the caller.
     is_started: bool,
