--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -28,10 +28,6 @@
 /// between first engines of nearly the same time only.
 const COLD_SHARE: f64 = 0.1;
 
-/// What opening a connection to the first engine adds, as a share of that engine's time. It decides
-/// between first engines of nearly the same time only.
-const COLD_SHARE: f64 = 0.1;
-
 /// An engine that a path may use, with its present load.
 #[derive(Clone, Debug)]
 pub struct Stage {
