--- a/src/edge/plain.rs
+++ b/src/edge/plain.rs
@@ -248,9 +248,14 @@
     });
 }
 
-/// Records that an endpoint rejected a call because it is full.
+/// Records that an endpoint rejected a call because it is full. One that asked for a pause with it gets
+/// nothing until its end, which says nothing of the room on the others.
 pub fn record_rejection(edge: &Edge, ctx: &RequestContext, entry: &Entry) {
     let now = edge.now();
+    let pause = edge.roster(|roster| roster.paused_for(now, &entry.endpoint));
+    if pause.is_some() {
+        return;
+    }
     let interval = edge.room(&ctx.service, |room| {
         room.record_rejection(now);
         room.interval(now)
