--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 
 mod bars;
 mod call;
+mod context;
 mod detour;
 pub mod dialect;
 mod engine;
@@ -14,6 +15,7 @@
 mod forward;
 mod front;
 mod gossip;
+mod load;
 mod metrics;
 mod news;
 mod notice;
