--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -2,12 +2,18 @@
 //! engines, and the path of a request through them (docs/PLATFORM.md).
 
 mod detour;
+mod even;
+mod moves;
 mod path;
 mod place;
+mod room;
 mod spread;
 mod watch;
 
 pub use self::detour::reroute;
+pub use self::moves::Move;
+pub use self::moves::Mover;
+pub use self::moves::plan_moves;
 pub use self::path::Demand;
 pub use self::path::Part;
 pub use self::path::Stage;
@@ -18,6 +24,7 @@
 pub use self::place::repair_placement;
 pub use self::spread::expect_arrivals;
 pub use self::spread::spread_load;
+pub use self::watch::Expected;
 pub use self::watch::StallTimer;
 
 use serde::Deserialize;
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -15,15 +15,20 @@
 use super::forward::forward_request;
 use super::notice;
 use super::parts;
+use super::plain;
+use super::plain::CallGuard;
+use super::plain::pick_endpoint;
 use super::reach;
 use super::retry;
 use super::state::Edge;
 use super::suspect;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
+use crate::core::attempt::AnswerOwner;
 use crate::core::attempt::Ending;
 use crate::core::attempt::NextStep;
 use crate::core::attempt::RetryState;
+use crate::core::attempt::answer_owner;
 use crate::core::attempt::next_step;
 use crate::core::roster::Entry;
 use crate::core::site::RouteKind;
@@ -41,7 +46,7 @@
 /// The most endpoints tried for one request, including those that did not run it.
 const MAX_TRIED: usize = 4;
 /// The most responses read from one connection to find the one with the request's id.
-const MAX_STRAY: usize = 4;
+pub const MAX_STRAY: usize = 4;
 
 /// The result of one attempt at an endpoint.
 #[derive(Debug)]
@@ -50,6 +55,8 @@
     sent: bool,
     /// Whether no connection could be opened.
     is_unreached: bool,
+    /// Whether the endpoint rejected the request because it is full.
+    is_full: bool,
     response: Option<Response>,
 }
 
@@ -108,7 +115,15 @@
                 return finish(edge, ctx, &tried, step, None);
             }
         }
-        let Some(entry) = pick_endpoint(edge, ctx, &tried) else {
+        if sent == 0
+            && tried.is_empty()
+            && let Err(wait) = plain::wait_for_room(edge, ctx).await
+        {
+            let response = forward::refusal(wait);
+            log_request(edge, ctx, &tried, NextStep::Refuse, &response);
+            return response;
+        }
+        let Some(entry) = pick_endpoint(edge, ctx, &tried, sent) else {
             return finish(
                 edge,
                 ctx,
@@ -122,16 +137,15 @@
             );
         };
         tried.push(entry.endpoint.clone());
-        let may_reuse = ctx.route.kind != RouteKind::Once;
-        edge.roster(|roster| {
-            roster.take_limited(edge.now(), &entry.endpoint);
-            roster.begin_request(&entry.endpoint, 0.0);
-        });
+        let may_reuse = ctx.route.kind != RouteKind::Once && ctx.has_id();
+        edge.roster(|roster| roster.take_limited(edge.now(), &entry.endpoint));
+        let guard = CallGuard::new(edge, &entry.endpoint);
         let run_start = edge.now();
         let outcome = attempt(edge, ctx, &entry, may_reuse).await;
-        edge.roster(|roster| roster.end_request(&entry.endpoint, 0.0));
-        record_outcome(edge, &entry, &outcome);
+        drop(guard);
+        record_outcome(edge, ctx, &entry, &outcome);
         if matches!(outcome.ending, Ending::Answered(_)) {
+            plain::record_duration(edge, ctx, edge.now().since(run_start));
             suspect::record_completion(edge, ctx, run_start);
             parts::record_survival(edge, ctx);
         }
@@ -143,7 +157,7 @@
         let allowed =
             sent < ctx.route.attempts && tried.len() < MAX_TRIED && has_time && !is_barred;
         let may_detour = !has_detoured && ctx.needs_detour(edge, unreached);
-        let has_other = allowed && (may_detour || pick_endpoint(edge, ctx, &tried).is_some());
+        let has_other = allowed && (may_detour || pick_endpoint(edge, ctx, &tried, sent).is_some());
         let state = RetryState {
             can_repeat: ctx.route.may_repeat(),
             can_retry: has_other,
@@ -163,39 +177,12 @@
     }
 }
 
-/// Chooses the endpoint with the lowest cost, without those in `tried` and those that asked for a
-/// pause.
-///
-/// The cost grows with this VM's requests in progress at the endpoint and with its failures; an
-/// endpoint in another domain costs slightly more, and a random part spreads equal ones. This
-/// assumes that the endpoints of a service are alike.
-fn pick_endpoint(edge: &Edge, ctx: &RequestContext, tried: &[EndpointName]) -> Option<Entry> {
-    let now = edge.now();
-    let home = &edge.settings().domain;
-    edge.roster(|roster| {
-        roster
-            .serving(&ctx.service, now)
-            .filter(|(entry, health, _)| {
-                !tried.contains(&entry.endpoint)
-                    && health.paused_for(now).is_none()
-                    && roster.limit_wait(now, &entry.endpoint) == Some(Millis(0))
-            })
-            .map(|(entry, health, work)| {
-                let distance = if entry.domain == *home { 0.0 } else { 0.3 };
-                let load = (1.0 + f64::from(work.running)) * health.penalty() + distance;
-                let avoidance = if health.is_avoided(now) { 1000.0 } else { 0.0 };
-                (avoidance + load + edge.random() * 0.6, entry)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, entry)| entry.clone())
-    })
-}
-
 async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, may_reuse: bool) -> Outcome {
     let mut outcome = Outcome {
         ending: Ending::NotRun,
         sent: false,
         is_unreached: false,
+        is_full: false,
         response: None,
     };
     let Link { mut conn, is_new } = match engine::connect(
@@ -225,7 +212,11 @@
     let request = forward_request(edge, &ctx.request, &info);
     outcome.sent = true;
     outcome.ending = Ending::Unknown;
-    let answer = within(remaining, exchange(edge, &mut conn, &request, &ctx.id)).await;
+    let answer = within(
+        remaining,
+        exchange(edge, &mut conn, &request, &ctx.id, is_new),
+    )
+    .await;
     let response = match answer {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -250,6 +241,7 @@
     }
     notice::read_answer(edge, &entry.endpoint, &response);
     outcome.ending = classify(edge, &response);
+    outcome.is_full = response.status == StatusCode::SERVICE_UNAVAILABLE;
     if !closes_connection(&response) {
         edge.pool().put(entry.addr, conn);
     }
@@ -287,21 +279,28 @@
     conn: &mut Conn,
     request: &Request,
     id: &str,
+    is_new: bool,
 ) -> Result<Response, HttpError> {
     conn.writer.request(request).await?;
     let bodiless = request.method == Method::HEAD;
     for _ in 0..MAX_STRAY {
         let response = conn.reader.response(bodiless).await?;
         let echo = response.header(&edge.dialect().headers.request_id);
-        if echo.is_none_or(|echo| echo == id) {
-            return Ok(response);
+        match answer_owner(echo, id, is_new) {
+            AnswerOwner::Own => return Ok(response),
+            AnswerOwner::Other => {
+                log::warn!(id, stray = echo.unwrap_or_default(); "stray_answer");
+            }
+            AnswerOwner::Unclear => {
+                log::warn!(id, status = response.status.as_u16(); "answer_without_id");
+                break;
+            }
         }
-        log::warn!(id, stray = echo.unwrap_or_default(); "stray_answer");
     }
     Err(HttpError::Malformed)
 }
 
-fn record_outcome(edge: &Edge, entry: &Entry, outcome: &Outcome) {
+fn record_outcome(edge: &Edge, ctx: &RequestContext, entry: &Entry, outcome: &Outcome) {
     let now = edge.now();
     let label = match outcome.ending {
         Ending::Answered(_) => "answered",
@@ -313,6 +312,14 @@
     if !outcome.sent && !outcome.is_unreached {
         return;
     }
+    match outcome.ending {
+        Ending::Answered(status) => plain::record_call(edge, ctx, entry, status >= 500),
+        Ending::Unknown => plain::record_call(edge, ctx, entry, true),
+        // An endpoint that is full or leaving says so. It fails only if it can't be reached.
+        Ending::NotRun if outcome.is_unreached => plain::record_call(edge, ctx, entry, true),
+        Ending::NotRun if outcome.is_full => plain::record_rejection(edge, ctx, entry),
+        Ending::NotRun => {}
+    }
     edge.roster(|roster| {
         if let Some(health) = roster.health(&entry.endpoint) {
             match outcome.ending {
@@ -324,12 +331,13 @@
 }
 
 /// Returns when the caller of a refused request may come back: as soon as an endpoint that asked for
-/// a pause or named a limit takes requests again, if all did.
+/// a pause or named a limit takes requests again, if all did, or at the pace of this VM's calls.
 fn retry_after(edge: &Edge, ctx: &RequestContext) -> Millis {
     let now = edge.now();
     let wait = edge.roster(|roster| roster.shortest_wait(now, &ctx.service));
-    wait.filter(|_| pick_endpoint(edge, ctx, &[]).is_none())
-        .unwrap_or(RETRY_AFTER)
+    wait.filter(|_| pick_endpoint(edge, ctx, &[], 0).is_none())
+        .or_else(|| plain::book_return(edge, ctx))
+        .unwrap_or_else(|| RETRY_AFTER.min(ctx.remaining(now) - MIN_RETRY_TIME))
 }
 
 fn finish(
@@ -348,6 +356,17 @@
         _ if ctx.remaining(edge.now()) == Millis(0) => Response::new(StatusCode::GATEWAY_TIMEOUT),
         _ => Response::new(StatusCode::BAD_GATEWAY),
     };
+    log_request(edge, ctx, tried, step, &response);
+    response
+}
+
+fn log_request(
+    edge: &Edge,
+    ctx: &RequestContext,
+    tried: &[EndpointName],
+    step: NextStep,
+    response: &Response,
+) {
     log::info!(
         id = ctx.id,
         content = ctx.content.short(),
@@ -361,5 +380,4 @@
         ms = edge.now().since(ctx.start).0;
         "request"
     );
-    response
 }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -4,6 +4,7 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::UpDownCounter;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -27,8 +28,19 @@
     cut_offs: Counter<u64>,
     detours: Counter<u64>,
     notices: Counter<u64>,
+    standings: Counter<u64>,
+    dropped_notices: Counter<u64>,
+    rooms: Counter<u64>,
+    room_wait: Histogram<f64>,
+    layer_loads: Counter<u64>,
+    probes: Counter<u64>,
+    connections: Counter<u64>,
     store_calls: Counter<u64>,
     load_messages: Counter<u64>,
+    refusals: Counter<u64>,
+    promised: Counter<u64>,
+    queued: UpDownCounter<i64>,
+    wait_time: Histogram<f64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
 }
@@ -58,7 +70,46 @@
                 "edge_load_messages",
                 "Messages on the load of VMs, by outcome.",
             ),
+            standings: counter(
+                "edge_failing_endpoints",
+                "Plain endpoints found to fail more calls than the others, or no longer to, by outcome.",
+            ),
+            dropped_notices: counter(
+                "edge_dropped_error_notices",
+                "Notices of failed calls that could not be read or made no sense.",
+            ),
+            rooms: counter(
+                "edge_room_waits",
+                "Calls that waited for room in a plain service or found none, by outcome.",
+            ),
+            room_wait: histogram("edge_room_wait", "Time that such calls waited."),
+            layer_loads: counter(
+                "edge_layer_loads",
+                "Loads of layers that this VM planned as the leader, by reason.",
+            ),
+            probes: counter(
+                "edge_probes",
+                "Probes of engines: sent for a quiet path, saved as the engine was heard from or \
+                 asked just now, and again for one that is down or slow.",
+            ),
+            connections: counter(
+                "edge_endpoint_connections",
+                "Connections to endpoints for requests and reports, opened or reused.",
+            ),
             store_calls: counter("edge_store_calls", "Calls to the store, by outcome."),
+            refusals: counter(
+                "edge_refusals",
+                "Streams refused for lack of room, by priority and whether refused before.",
+            ),
+            promised: counter(
+                "edge_promised",
+                "Tokens of refused streams whose callers were told when to come back.",
+            ),
+            queued: meter
+                .i64_up_down_counter("edge_queued")
+                .with_description("Streams that wait for room now.")
+                .build(),
+            wait_time: histogram("edge_wait", "Time that streams waited for room."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
             registry,
@@ -78,6 +129,24 @@
         self.first_event.record(span.0 as f64, &[]);
     }
 
+    /// Counts a stream that was refused for lack of room, with its tokens.
+    pub fn count_refusal(&self, priority: u8, is_return: bool, tokens: u32) {
+        let class = KeyValue::new("priority", i64::from(priority));
+        self.refusals
+            .add(1, &[class, KeyValue::new("refused_before", is_return)]);
+        self.promised.add(u64::from(tokens), &[]);
+    }
+
+    /// Adds to the number of streams that wait for room.
+    pub fn add_queued(&self, change: i64) {
+        self.queued.add(change, &[]);
+    }
+
+    /// Records how long a stream waited for room.
+    pub fn record_wait(&self, span: Millis) {
+        self.wait_time.record(span.0 as f64, &[]);
+    }
+
     /// Counts an attempt at an endpoint, by outcome.
     pub fn count_attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
@@ -99,6 +168,12 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts loads of layers that this VM planned as the leader.
+    pub fn count_layer_loads(&self, loads: usize, reason: &'static str) {
+        self.layer_loads
+            .add(loads as u64, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a part of prompts that was barred.
     pub fn count_part_bar(&self) {
         self.part_bars.add(1, &[]);
@@ -119,6 +194,33 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a plain endpoint that was found to fail more calls than the others, or no longer to.
+    pub fn count_standing(&self, stands_out: bool) {
+        let outcome = if stands_out { "failing" } else { "recovered" };
+        self.standings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts notices of failed calls that could not be read or made no sense.
+    pub fn count_dropped_notices(&self, count: u64) {
+        self.dropped_notices.add(count, &[]);
+    }
+
+    /// Counts a call that waited for room or found none, by outcome, and records how long it waited.
+    pub fn record_room(&self, outcome: &'static str, wait: Millis) {
+        self.rooms.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.room_wait.record(wait.0 as f64, &[]);
+    }
+
+    /// Counts a probe of an engine, by what became of it.
+    pub fn count_probe(&self, outcome: &'static str) {
+        self.probes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a connection to an endpoint that was opened or reused.
+    pub fn count_connection(&self, kind: &'static str) {
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -17,6 +17,7 @@
 use crate::core::admit::token_capacity;
 use crate::core::load::NameHash;
 use crate::core::pipe::Demand;
+use crate::core::pipe::Expected;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::StallTimer;
@@ -60,6 +61,8 @@
     is_retry_taken: bool,
     /// The engines to which no connection could be opened.
     unreached: usize,
+    /// The path that admission found room on.
+    first: Option<Vec<Part>>,
     run: Run,
 }
 
@@ -70,6 +73,8 @@
     progress: RunProgress,
     /// Whether the path's engines were checked for a crash.
     is_checked: bool,
+    /// The estimated time to the first event without other requests, in milliseconds.
+    first_estimate: f64,
 }
 
 impl<'a> PathSelector<'a> {
@@ -83,10 +88,21 @@
             may_retry: false,
             is_retry_taken: false,
             unreached: 0,
+            first: None,
             run: Run::default(),
         }
     }
 
+    /// Sets the path on which room was found for the request.
+    pub fn set_first(&mut self, path: Option<Vec<Part>>) {
+        self.first = path;
+    }
+
+    /// Returns the path on which room was found, once.
+    pub fn take_first(&mut self) -> Option<Vec<Part>> {
+        self.first.take()
+    }
+
     /// Records that no connection to an engine could be opened.
     pub fn record_unreached(&mut self) {
         self.unreached += 1;
@@ -110,8 +126,41 @@
         self.run.progress.has_begun = true;
     }
 
-    /// Records that the path produced an event.
-    pub fn record_event(&mut self) {
+    /// Starts the timer that decides when to check a path for silent engines. `target` is the longest
+    /// time to its first event that the caller should see.
+    pub fn watch(&mut self, path: &[Part], target: Millis) -> StallTimer {
+        let now = self.edge.now();
+        let (model, demand) = (self.model, self.demand());
+        let (estimate, lag, gap) = self.edge.roster(|roster| {
+            let estimate = roster.estimate_first(path, model, demand);
+            let lag = roster.usual_lag(now, path);
+            (estimate, lag, roster.usual_gap(now, path))
+        });
+        self.run.first_estimate = estimate;
+        StallTimer::new(now, self.ctx.route.gap).expecting(Expected {
+            first: Millis((estimate * lag) as u64),
+            gap,
+            target,
+        })
+    }
+
+    /// Records that the path produced an event, `gap` after the one before, and with it that all its
+    /// engines work.
+    pub fn record_event(&mut self, path: &[Part], gap: Option<Millis>) {
+        let now = self.edge.now();
+        let waited = now.since(self.run.start).0 as f64;
+        let estimate = self.run.first_estimate;
+        self.edge.roster(|roster| {
+            for part in path {
+                roster.record_liveness(now, &part.endpoint);
+                match gap {
+                    Some(gap) => roster.record_gap(now, &part.endpoint, gap),
+                    // After a change of path, the first event says nothing of the estimate.
+                    None if estimate <= 0.0 => {}
+                    None => roster.record_lag(now, &part.endpoint, waited / estimate),
+                }
+            }
+        });
         self.run.progress.events += 1;
         if self.run.progress.events == SURVIVED_EVENTS {
             parts::record_survival(self.edge, self.ctx);
@@ -222,12 +271,31 @@
         wait.filter(|_| self.pick_path().is_none())
     }
 
+    /// Returns the tokens that fit on the engines that may run the request, and the share of their
+    /// memory in use.
+    pub fn capacity(&self) -> (f64, f64) {
+        let stages = self.reported_stages();
+        let (mut cells, mut used) = (0.0, 0.0);
+        for stage in &stages {
+            let size = self
+                .model
+                .kv_capacity(stage.card, stage.span.len())
+                .max(0.0);
+            cells += size;
+            used += size * stage.memory_use;
+        }
+        (
+            token_capacity(&stages, self.model),
+            used / f64::max(cells, 1.0),
+        )
+    }
+
     /// Decides whether the engines have room for the request, and logs a refusal.
     pub fn admit(&self) -> Decision {
         let now = self.edge.now();
         let occupancy = Occupancy {
             used: self.edge.fleet(|fleet| fleet.total_load(now)),
-            capacity: token_capacity(&self.stages(), self.model),
+            capacity: token_capacity(&self.reported_stages(), self.model),
         };
         let demand = self.demand();
         let tokens = demand.prompt + demand.answer;
@@ -255,14 +323,21 @@
         })
     }
 
-    fn stages(&self) -> Vec<Stage> {
+    /// Returns the engines with their load as last reported.
+    fn reported_stages(&self) -> Vec<Stage> {
         let now = self.edge.now();
         let service = &self.ctx.service;
-        let mut stages = self.edge.load(|exchange| {
+        self.edge.load(|exchange| {
             let load = |endpoint: &EndpointName| exchange.engine(now, NameHash::of(endpoint)).0;
             self.edge
                 .roster(|roster| roster.stages(service, self.model, now, load))
-        });
+        })
+    }
+
+    /// Returns the engines that may run the request, with the load that they probably have now.
+    fn stages(&self) -> Vec<Stage> {
+        let now = self.edge.now();
+        let mut stages = self.reported_stages();
         if let Some(age) = self.edge.load(|exchange| exchange.age(now)) {
             let mean = self.edge.admission(|controller| controller.mean_duration());
             let arrivals = age.0 as f64 / mean.max(1.0);
@@ -271,6 +346,7 @@
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
+            stage.is_warm = self.edge.pool().has_idle(stage.addr);
         }
         if self.edge.uptime() < YOUNG_TIME {
             let known = self.edge.fleet(|fleet| fleet.total_load(now));
@@ -411,16 +487,6 @@
     }
 }
 
-/// Records that the engines of a path produced an event.
-pub fn record_progress(edge: &Edge, path: &[Part]) {
-    let now = edge.now();
-    edge.roster(|roster| {
-        for part in path {
-            roster.record_liveness(now, &part.endpoint);
-        }
-    });
-}
-
 /// Records that the engines of a path completed a request.
 pub fn record_success(edge: &Edge, path: &[Part]) {
     edge.roster(|roster| {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -18,12 +19,15 @@
 use crate::clock::Millis;
 use crate::core::admit::AdmissionController;
 use crate::core::admit::Policy;
+use crate::core::admit::streams::StreamAdmission;
 use crate::core::attempt::RetryBudget;
 use crate::core::attempt::RetryBudgets;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Member;
 use crate::core::load::Exchange;
 use crate::core::load::NameHash;
+use crate::core::plain::ErrorTable;
+use crate::core::plain::Room;
 use crate::core::poison::PartTable;
 use crate::core::poison::SuspectTable;
 use crate::core::position::Position;
@@ -53,9 +57,12 @@
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
     load: RefCell<Exchange<SocketAddr>>,
+    errors: RefCell<ErrorTable>,
+    rooms: RefCell<BTreeMap<ServiceName, Room>>,
     reach: RefCell<Reach>,
     budgets: RefCell<RetryBudgets>,
     admission: RefCell<AdmissionController>,
+    streams: RefCell<StreamAdmission>,
     suspects: RefCell<SuspectTable>,
     parts: RefCell<PartTable>,
     packed_news: RefCell<Option<PackedNews>>,
@@ -104,11 +111,14 @@
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
             load: RefCell::new(Exchange::new(start)),
+            errors: RefCell::new(ErrorTable::new(start)),
+            rooms: RefCell::default(),
             reach: RefCell::default(),
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             parts: RefCell::default(),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
+            streams: RefCell::default(),
             packed_news: RefCell::default(),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
@@ -197,6 +207,23 @@
         work(&mut self.inner.load.borrow_mut())
     }
 
+    /// Runs `work` on the counts of failed calls of this VM and of the others.
+    pub fn errors<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut ErrorTable) -> T,
+    {
+        work(&mut self.inner.errors.borrow_mut())
+    }
+
+    /// Runs `work` on the calls that wait for room in a plain service.
+    pub fn room<T, F>(&self, service: &ServiceName, work: F) -> T
+    where
+        F: FnOnce(&mut Room) -> T,
+    {
+        let mut rooms = self.inner.rooms.borrow_mut();
+        work(rooms.entry(service.clone()).or_default())
+    }
+
     /// Runs `work` on what is known of the links to endpoints.
     pub fn reach<T, F>(&self, work: F) -> T
     where
@@ -218,6 +245,14 @@
         work(self.inner.budgets.borrow_mut().service(service))
     }
 
+    /// Runs `work` on the admission of streams to services with several priorities.
+    pub fn streams<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut StreamAdmission) -> T,
+    {
+        work(&mut self.inner.streams.borrow_mut())
+    }
+
     /// Runs `work` on the admission controller of streams.
     pub fn admission<T, F>(&self, work: F) -> T
     where
@@ -320,6 +355,11 @@
         self.site().is_some() && self.roster(|roster| roster.end()) > Position::default()
     }
 
+    /// Returns whether the VM is synced, and no other VM has a newer configuration.
+    pub fn is_caught_up(&self) -> bool {
+        self.is_synced() && self.fleet(|fleet| fleet.is_caught_up(self.now()))
+    }
+
     /// Returns whether the VM serves callers: it has a configuration, the store has answered, and
     /// it is not stopping.
     pub fn is_ready(&self) -> bool {
