--- a/src/core/roster/tempo.rs
+++ b/src/core/roster/tempo.rs
@@ -30,8 +30,9 @@
     last_event: Millis,
 }
 
-fn average(old: Option<f64>, new: f64) -> Option<f64> {
-    Some(old.map_or(new, |old| old + (new - old) * WEIGHT))
+fn add_to(average: &mut Option<f64>, value: f64) {
+    let old = average.unwrap_or(value);
+    *average = Some(old + (value - old) * WEIGHT);
 }
 
 impl Roster {
@@ -42,15 +43,25 @@
             return;
         }
         if let Some(tempo) = self.tempo_at(now, endpoint) {
-            tempo.gap = average(tempo.gap, gap.0 as f64);
+            add_to(&mut tempo.gap, gap.0 as f64);
         }
     }
 
-    /// Records after how long a stream through an endpoint sent its first event, as a ratio to
-    /// [`Self::estimate_first`].
-    pub fn record_lag(&mut self, now: Millis, endpoint: &EndpointName, ratio: f64) {
+    /// Records how long a stream through an endpoint took to its first event, and the
+    /// [`Self::estimate_first`] of its path; 0 if there is none.
+    pub fn record_lag(
+        &mut self,
+        now: Millis,
+        endpoint: &EndpointName,
+        waited: Millis,
+        estimate: f64,
+    ) {
+        if estimate <= 0.0 {
+            return;
+        }
+        let ratio = waited.0 as f64 / estimate;
         if let Some(tempo) = self.tempo_at(now, endpoint) {
-            tempo.lag = average(tempo.lag, ratio.clamp(0.0, MAX_LAG));
+            add_to(&mut tempo.lag, ratio.clamp(0.0, MAX_LAG));
         }
     }
 
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -213,15 +213,12 @@
         } else {
             None
         };
-        let conn = match kept {
-            Some(conn) => {
-                edge.metrics().count_connection("reused");
-                conn
-            }
-            None => {
-                edge.metrics().count_connection("opened");
-                edge.pool().dial(addr).await?
-            }
+        let kind = if kept.is_some() { "reused" } else { "opened" };
+        edge.metrics().count_connection(kind);
+        let conn = if let Some(conn) = kept {
+            conn
+        } else {
+            edge.pool().dial(addr).await?
         };
         if run.is_over.get() {
             edge.pool().put(addr, conn);
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -170,12 +170,10 @@
             if now == stream.next_event {
                 for part in &stream.path {
                     roster.record_liveness(now, &part.endpoint);
+                    let waited = now.since(stream.start);
                     match stream.timer.gap(now) {
                         Some(gap) => roster.record_gap(now, &part.endpoint, gap),
-                        None => {
-                            let lag = now.since(stream.start).0 as f64 / stream.estimate;
-                            roster.record_lag(now, &part.endpoint, lag);
-                        }
+                        None => roster.record_lag(now, &part.endpoint, waited, stream.estimate),
                     }
                 }
                 stream.timer.record_event(now);
@@ -218,6 +216,7 @@
     let mut roster = roster();
     play(&mut roster, Millis::seconds(20), 7);
     for events in [1, 3, 20] {
+        let mut roster = roster.clone();
         let path = path(0);
         let start = Millis::seconds(21);
         let (mut timer, estimate) = watch(&roster, start, &path);
@@ -311,7 +310,7 @@
     let requests = 300;
     for number in 0..requests {
         let now = number * 450;
-        let stages: Vec<Stage> = (0..12)
+        let stages: Vec<Stage> = (0..40)
             .map(|index| Stage {
                 endpoint: format!("e{index}").as_str().into(),
                 addr: addr(index),
@@ -327,7 +326,7 @@
             .collect();
         let path = choose_path(&stages, &model(), &"north".into(), DEMAND).expect("a path");
         let lead = path[0].addr;
-        let index = (0..12).find(|index| addr(*index) == lead).expect("known");
+        let index = (0..40).find(|index| addr(*index) == lead).expect("known");
         assert!(index != 0, "a connection must not outweigh load");
         opened += u32::from(!stages[index].is_warm);
         leads.insert(index);
