--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -1,4 +1,5 @@
-//! Exchange of the VMs' loads over the gossip socket (docs/design/room.md).
+//! This VM's load on engines, and its exchange with the other VMs over the gossip socket
+//! (docs/design/room.md).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,7 +8,10 @@
 
 use super::state::Edge;
 use crate::core::load::LoadMessage;
+use crate::core::load::NameHash;
 use crate::core::load::REPORT_INTERVAL;
+use crate::core::pipe::Demand;
+use crate::core::pipe::Part;
 
 /// Sends this VM's load to its hub, and what it owes other VMs if it is a hub, periodically.
 pub async fn run(edge: Edge, socket: Rc<UdpSocket>) {
@@ -58,3 +62,51 @@
     }
     true
 }
+
+/// Counts a request as load on the engines of its path until dropped.
+#[derive(Debug)]
+pub struct LoadGuard {
+    edge: Edge,
+    tokens: u32,
+    /// Each engine with whether the path begins there, and the request's tokens times the layers that
+    /// it runs.
+    parts: Vec<(NameHash, bool, u64)>,
+}
+
+impl LoadGuard {
+    /// Adds a request to the load of its engines and of this VM.
+    pub fn begin(edge: &Edge, path: &[Part], demand: Demand) -> Self {
+        let tokens = demand.prompt + demand.answer;
+        let claim = |(index, part): (usize, &Part)| {
+            let cells = tokens * f64::from(part.span.len());
+            (NameHash::of(&part.endpoint), index == 0, cells as u64)
+        };
+        let parts: Vec<_> = path.iter().enumerate().map(claim).collect();
+        edge.load(|exchange| {
+            for (engine, leading, cells) in &parts {
+                exchange.begin_request(*engine, *leading, *cells);
+            }
+        });
+        let tokens = tokens as u32;
+        edge.fleet(|fleet| fleet.me().load += tokens);
+        Self {
+            edge: edge.clone(),
+            tokens,
+            parts,
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.edge.fleet(|fleet| {
+            let load = &mut fleet.me().load;
+            *load = load.saturating_sub(self.tokens);
+        });
+        self.edge.load(|exchange| {
+            for (engine, leading, cells) in &self.parts {
+                exchange.end_request(*engine, *leading, *cells);
+            }
+        });
+    }
+}
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -496,54 +496,6 @@
     });
 }
 
-/// Counts a request as load on the engines of its path until dropped.
-#[derive(Debug)]
-pub struct LoadGuard {
-    edge: Edge,
-    tokens: u32,
-    /// Each engine with whether the path begins there, and the request's tokens times the layers that
-    /// it runs.
-    parts: Vec<(NameHash, bool, u64)>,
-}
-
-impl LoadGuard {
-    /// Adds a request to the load of its engines and of this VM.
-    pub fn begin(edge: &Edge, path: &[Part], demand: Demand) -> Self {
-        let tokens = demand.prompt + demand.answer;
-        let claim = |(index, part): (usize, &Part)| {
-            let cells = tokens * f64::from(part.span.len());
-            (NameHash::of(&part.endpoint), index == 0, cells as u64)
-        };
-        let parts: Vec<_> = path.iter().enumerate().map(claim).collect();
-        edge.load(|exchange| {
-            for (engine, leading, cells) in &parts {
-                exchange.begin_request(*engine, *leading, *cells);
-            }
-        });
-        let tokens = tokens as u32;
-        edge.fleet(|fleet| fleet.me().load += tokens);
-        Self {
-            edge: edge.clone(),
-            tokens,
-            parts,
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.edge.fleet(|fleet| {
-            let load = &mut fleet.me().load;
-            *load = load.saturating_sub(self.tokens);
-        });
-        self.edge.load(|exchange| {
-            for (engine, leading, cells) in &self.parts {
-                exchange.end_request(*engine, *leading, *cells);
-            }
-        });
-    }
-}
-
 /// Formats a path for logs: each engine with its layers, as `engine=from-to`.
 pub fn format_path(path: &[Part]) -> String {
     let part = |part: &Part| format!("{}={}-{}", part.endpoint, part.span.from, part.span.to);
