--- a/src/core/load/exchange.rs
+++ b/src/core/load/exchange.rs
@@ -16,8 +16,8 @@
 
 /// The interval between two reports of a VM, and between two messages of a hub.
 pub const REPORT_INTERVAL: Millis = Millis(100);
-/// How long a report or a sum counts. Three messages in a row are rarely lost, and the requests of a
-/// VM that is gone end soon after.
+/// How long a report or a sum counts. Ten messages in a row are rarely lost, and the requests of a VM
+/// that is gone end soon after.
 const REPORT_TTL: Millis = Millis(1000);
 /// How long a total is used; with an older one this VM relies on its own load.
 const TOTAL_TTL: Millis = Millis(2000);
--- a/src/core/load/mod.rs
+++ b/src/core/load/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A single VM of a large fleet has zero or one request on an engine, which says nothing of the
 //! engine's load. So each VM reports what it has in progress to a hub, hubs exchange their sums, and
-//! each VM gets the total a few times a second (docs/design/room.md).
+//! each VM gets the total ten times a second (docs/design/room.md).
 
 mod exchange;
 
@@ -64,8 +64,8 @@
 /// What the callers of a class ask for and have.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassLoad {
-    /// The size of the requests that arrive each second, admitted or not: tokens, or requests for a
-    /// plain service.
+    /// The size of the new requests that arrive each second, admitted or not, in tokens. Those that
+    /// come back after a refusal are counted in [`Load::returns`].
     pub offered: u32,
     /// The size of the requests in progress, in the same unit.
     pub held: u32,
@@ -73,13 +73,13 @@
     pub waiting: u32,
 }
 
-/// Identifies the promised returns of a service in one span of time. VMs have no common clock, so
+/// Identifies the promised returns of a class in one span of time. VMs have no common clock, so
 /// [`Self::slot`] counts spans of [`RETURN_SLOT_MS`] since the Unix epoch.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct ReturnKey {
-    /// The service that the callers were refused by.
+    /// The service that the callers were refused by, with the priority of their class.
     pub service: NameHash,
     /// The span of time in which they were told to come back.
     pub slot: u64,
