--- a/review/rig/barred_part.rs
+++ b/review/rig/assist.rs
@@ -1,8 +1,7 @@
-//! The engines of a model crash while some requests begin that share the first part of their prompts.
+//! A deployment with a model, whose engines hold all layers each, and clients that read its streams.
 
 use std::io;
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,89 +9,9 @@
 use crate::world::*;
 
 const MODEL: &str = "assist-llm";
-const ENGINES: [&str; 6] = ["m-1", "m-2", "m-3", "m-4", "m-5", "m-6"];
-/// The requests that come at the same time, and the time between two such clumps.
-const CLUMP: usize = 18;
-const PAUSE_MS: u64 = 2500;
-/// How long crashed engines are down.
-const DOWN_MS: u64 = 4500;
-/// How long after a final fault requests must be served again.
-const RECOVER_MS: u64 = 12_000;
 /// The events of a whole stream.
 const EVENTS: usize = 10;
 
-pub fn run(dir: &str, is_troubled: bool) -> io::Result<bool> {
-    let mut world = World::new(dir)?;
-    world.write_config(&config());
-    for (at, id) in ["i-1", "i-2"].into_iter().enumerate() {
-        let own = addr("127.0.0.1", free_port("127.0.0.1"));
-        world.start_engine(id, own, own, ZONES[1 + at], &[])?;
-    }
-    // All engines of the model are in one zone, and each holds the whole model.
-    for id in ENGINES {
-        let own = addr("127.0.0.1", free_port("127.0.0.1"));
-        start(&mut world, id, own, ZONES[0], &[])?;
-    }
-    world.start_daemons(3)?;
-    if !world.wait_ready(Duration::from_secs(20)) {
-        return Err(io::Error::other("the daemons did not get ready"));
-    }
-    sleep(3000);
-
-    let mut before = Vec::new();
-    for round in 0..4 {
-        before.extend(wait(clump(&world, &format!("before-{round}"))));
-        sleep(PAUSE_MS);
-    }
-    let clients = clump(&world, "at-crash");
-    sleep(150);
-    if is_troubled {
-        for id in ENGINES {
-            world.kill_engine(id);
-        }
-    }
-    before.extend(wait(clients));
-    if is_troubled {
-        sleep(DOWN_MS);
-        for id in ENGINES {
-            let own = world.engines[id].addr;
-            start(&mut world, id, own, ZONES[0], &[])?;
-        }
-    }
-    sleep(2000);
-    before.extend(wait(clump(&world, "engines-back")));
-    sleep(PAUSE_MS);
-
-    // The final fault: all daemons are killed.
-    for at in 0..3 {
-        world.kill_daemon(at);
-    }
-    sleep(1000);
-    for at in 0..3 {
-        world.restart_daemon(at)?;
-    }
-    if !world.wait_ready(Duration::from_secs(20)) {
-        return Err(io::Error::other("the daemons did not get ready again"));
-    }
-    sleep(RECOVER_MS);
-    let mut after = Vec::new();
-    for round in 0..4 {
-        after.extend(wait(clump(&world, &format!("after-{round}"))));
-        sleep(PAUSE_MS);
-    }
-
-    let served = |list: &[bool]| list.iter().filter(|is_served| **is_served).count();
-    let (had, has) = (served(&before), served(&after));
-    let line = format!(
-        "{had} of {} requests were served before the final fault, and {has} of {} later than {RECOVER_MS} ms after the daemons were back",
-        before.len(),
-        after.len()
-    );
-    world.record.add(&format!("check   {line}"));
-    println!("{line}");
-    Ok(!(had * 4 >= before.len() && has * 4 < after.len()))
-}
-
 /// Starts an engine of the model, which holds all layers, with further `flags`.
 pub fn start(world: &mut World, id: &str, own: SocketAddr, zone: &'static str, flags: &[&str]) -> io::Result<()> {
     world.spawn_engine(id, own, &[&["layers=20", "from=0", "to=8", "work=100", "slots=192"], flags].concat())?;
@@ -101,20 +20,6 @@
     Ok(())
 }
 
-/// Sends some requests at the same time.
-fn clump(world: &World, name: &str) -> Vec<thread::JoinHandle<bool>> {
-    let client = |at: usize| {
-        let (record, front, id) = (world.record.clone(), world.daemons[at % 3].front, format!("{name}-{at}"));
-        thread::spawn(move || stream(&record, front, &id, "/assist/1", &id))
-    };
-    (0..CLUMP).map(client).collect()
-}
-
-/// Waits for the clients; returns for each whether it was served.
-fn wait(clients: Vec<thread::JoinHandle<bool>>) -> Vec<bool> {
-    clients.into_iter().map(|client| client.join().expect("the client failed")).collect()
-}
-
 /// Sends a streaming request; returns whether its stream was complete.
 pub fn stream(record: &Record, front: SocketAddr, id: &str, path: &str, prompt: &str) -> bool {
     let start = Instant::now();
--- a/review/rig/late_crash.rs
+++ b/review/rig/late_crash.rs
@@ -4,9 +4,9 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::barred_part::config;
-use crate::barred_part::start;
-use crate::barred_part::stream;
+use crate::assist::config;
+use crate::assist::start;
+use crate::assist::stream;
 use crate::world::*;
 
 const ENGINES: [&str; 6] = ["m-1", "m-2", "m-3", "m-4", "m-5", "m-6"];
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,9 +2,10 @@
 //!
 //! A case exits with 1 if its rule was broken, 0 if it held, and 2 if it could not run.
 
-mod barred_part;
+mod assist;
 mod engine;
 mod foreign_entry;
+mod foreign_order;
 mod late_crash;
 mod many_channels;
 mod net;
@@ -28,7 +29,7 @@
     let result = match words[..] {
         ["many-channels", dir] => many_channels::run(dir, is_troubled),
         ["foreign-entry", dir] => foreign_entry::run(dir, is_troubled),
-        ["barred-part", dir] => barred_part::run(dir, is_troubled),
+        ["foreign-order", dir] => foreign_order::run(dir, is_troubled),
         ["late-crash", dir] => late_crash::run(dir, is_troubled),
         ["stuck-check", dir] => stuck_check::run(dir, is_troubled),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/rig/many_channels.rs
+++ b/review/rig/many_channels.rs
@@ -6,7 +6,6 @@
 use std::io::Write;
 use std::process::Child;
 use std::process::ChildStdin;
-use std::process::ChildStdout;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::mpsc;
@@ -89,7 +88,7 @@
 
 /// Clients in processes of their own, so that none needs more descriptors than usual.
 struct Crowd {
-    parts: Vec<(Child, ChildStdin, BufReader<ChildStdout>)>,
+    parts: Vec<(Child, ChildStdin, mpsc::Receiver<(usize, usize)>)>,
 }
 
 impl Crowd {
@@ -109,7 +108,18 @@
                 .stdout(Stdio::piped())
                 .spawn()?;
             let (input, output) = (child.stdin.take().expect("piped"), child.stdout.take().expect("piped"));
-            parts.push((child, input, BufReader::new(output)));
+            let (sender, total) = mpsc::channel();
+            let record = world.record.clone();
+            thread::spawn(move || {
+                for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    record.add(&format!("clients {line}"));
+                    let numbers: Vec<usize> = line.split(' ').skip(1).filter_map(|text| text.parse().ok()).collect();
+                    if let ("total", [opened, answered]) = (line.split(' ').next().unwrap_or(""), &numbers[..]) {
+                        let _ = sender.send((*opened, *answered));
+                    }
+                }
+            });
+            parts.push((child, input, total));
         }
         Ok(Self { parts })
     }
@@ -117,12 +127,10 @@
     /// Waits until all have been answered or have failed, and says how they fared.
     fn reply(&mut self) -> io::Result<String> {
         let (mut opened, mut answered) = (0, 0);
-        for (_, _, output) in &mut self.parts {
-            let mut line = String::new();
-            output.read_line(&mut line)?;
-            let mut numbers = line.split(' ').filter_map(|text| text.trim().parse::<usize>().ok());
-            opened += numbers.next().unwrap_or(0);
-            answered += numbers.next().unwrap_or(0);
+        for (_, _, total) in &self.parts {
+            let total = total.recv_timeout(Duration::from_secs(30)).map_err(io::Error::other)?;
+            opened += total.0;
+            answered += total.1;
         }
         Ok(format!("{opened} channels opened, {answered} requests answered with 200"))
     }
@@ -167,7 +175,9 @@
                 let mut answered = 0;
                 for (at, batch) in conns.chunks_mut(BATCH).enumerate() {
                     let name = format!("{name}-{round}-{}", first + at * BATCH);
-                    answered += ask(batch, &name);
+                    let count = ask(batch, &name);
+                    println!("sent {name}-0 to -{}, answered with 200: {count}", batch.len() - 1);
+                    answered += count;
                 }
                 if round == 0 {
                     let _ = done.send((conns.len(), answered));
@@ -180,7 +190,7 @@
         let results: Vec<(usize, usize)> = counted.iter().take(groups).collect();
         let opened: usize = results.iter().map(|result| result.0).sum();
         let answered: usize = results.iter().map(|result| result.1).sum();
-        println!("{opened} {answered}");
+        println!("total {opened} {answered}");
     });
     let _ = io::stdin().read_line(&mut String::new());
 }
--- a/review/rig/stuck_check.rs
+++ b/review/rig/stuck_check.rs
@@ -102,8 +102,10 @@
     let is_open = |answer: &&Seen, ms: u64| answer.status == 0 && answer.left || answer.took > ms;
     let long = answers.iter().filter(|answer| is_open(answer, TIMEOUT_MS)).count();
     let late = answers.iter().filter(|answer| is_open(answer, TIMEOUT_MS + 500)).count();
+    let is_ready = world.is_ready(0);
     let line = format!(
-        "of {} requests, {long} had no final answer at the route's {TIMEOUT_MS} ms, and {late} none half a second later",
+        "of {} requests, {long} had no final answer at the route's {TIMEOUT_MS} ms, and {late} none half a second later; the daemon \
+         is ready: {is_ready}",
         answers.len()
     );
     world.record.add(&format!("check   {line}"));
--- a/review/rig/world.rs
+++ b/review/rig/world.rs
@@ -101,10 +101,8 @@
 }
 
 pub struct Daemon {
-    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    settings: PathBuf,
     pub child: Child,
 }
 
@@ -116,8 +114,7 @@
     pub engines: BTreeMap<String, Engine>,
     pub daemons: Vec<Daemon>,
     events: Arc<Mutex<Vec<Event>>>,
-    /// The entries of living engines, and how often each was written.
-    entries: Arc<Mutex<BTreeMap<String, (Entry, u64)>>>,
+    entries: Entries,
     /// The limit of a daemon's descriptors.
     pub descriptors: Option<u32>,
 }
@@ -145,8 +142,28 @@
     let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", child.id())).status();
 }
 
+/// The entries of living engines, and how often each was written.
+type Entries = Arc<Mutex<BTreeMap<String, (Entry, u64)>>>;
+
+/// Ends the heartbeats of an engine that has crashed, and removes its entry after three of them, unless the
+/// engine is back by then.
+fn lapse(store: &Store, entries: &Entries, record: &Record, id: &str) {
+    if entries.lock().unwrap().remove(id).is_none() {
+        return;
+    }
+    let (store, entries, record, id) = (store.clone(), Arc::clone(entries), record.clone(), id.to_owned());
+    thread::spawn(move || {
+        sleep(3 * HEARTBEAT_MS);
+        let entries = entries.lock().unwrap();
+        if !entries.contains_key(&id) {
+            record.add(&format!("store   servers/{id} removed"));
+            store.put("keyed.servers", &id, b"");
+        }
+    });
+}
+
 /// Writes the entries of living engines at every heartbeat.
-fn beat(store: Store, entries: Arc<Mutex<BTreeMap<String, (Entry, u64)>>>) {
+fn beat(store: Store, entries: Entries) {
     thread::spawn(move || {
         loop {
             sleep(HEARTBEAT_MS);
@@ -196,11 +213,6 @@
         self.store.put("keyed.servers", id, b"");
     }
 
-    /// Stops the heartbeats of an engine that has crashed; its entry stays.
-    pub fn stop_heartbeats(&self, id: &str) {
-        self.entries.lock().unwrap().remove(id);
-    }
-
     /// Starts the process of an engine, and waits until it answers.
     pub fn spawn_engine(&mut self, id: &str, at: SocketAddr, args: &[&str]) -> io::Result<()> {
         let mut child = Command::new(std::env::current_exe()?)
@@ -213,9 +225,13 @@
             .spawn()?;
         let output = child.stdout.take().expect("piped");
         let (events, record, name) = (Arc::clone(&self.events), self.record.clone(), id.to_owned());
+        let (store, entries) = (self.store.clone(), Arc::clone(&self.entries));
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 record.add(&format!("engine  {name} {line}"));
+                if line.starts_with("crashes") {
+                    lapse(&store, &entries, &record, &name);
+                }
                 let words = line.split(' ').map(str::to_owned).collect();
                 events.lock().unwrap().push(Event { at: record.ms(), engine: name.clone(), words });
             }
@@ -241,7 +257,7 @@
         let _ = engine.child.kill();
         let _ = engine.child.wait();
         self.record.add(&format!("engine  {id} killed"));
-        self.stop_heartbeats(id);
+        lapse(&self.store, &self.entries, &self.record, id);
     }
 
     /// Returns what the engines have reported so far.
@@ -292,10 +308,8 @@
             fs::write(&settings, text)?;
             let child = self.spawn_daemon(&name, &settings)?;
             self.daemons.push(Daemon {
-                name,
                 front: addr(ip, ports[0]),
                 ready: addr(ip, ports[1]),
-                settings,
                 child,
             });
         }
@@ -321,20 +335,6 @@
             .spawn()
     }
 
-    /// Kills a daemon without notice.
-    pub fn kill_daemon(&mut self, at: usize) {
-        let daemon = &mut self.daemons[at];
-        self.record.add(&format!("daemon  {} killed", daemon.name));
-        let _ = daemon.child.kill();
-        let _ = daemon.child.wait();
-    }
-
-    pub fn restart_daemon(&mut self, at: usize) -> io::Result<()> {
-        let (name, settings) = (self.daemons[at].name.clone(), self.daemons[at].settings.clone());
-        self.daemons[at].child = self.spawn_daemon(&name, &settings)?;
-        Ok(())
-    }
-
     pub fn is_ready(&self, at: usize) -> bool {
         net::get(self.daemons[at].ready, "/v1/readyz", Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
     }
