Checks for lost endpoints log their begin and end

Its log couldn't tell a check that never ends from a request that waits for room, for a retry or for a second endpoint: a check was logged only when it found the VM cut off, and a request that waits for one not at all. Now each check logs its begin and its end, and a request logs that it suspects a crash before it waits.

--- a/src/edge/reach.rs
+++ b/src/edge/reach.rs
@@ -80,6 +80,7 @@
         (has_failed, (edge.random() * f64::from(u32::MAX)) as u32)
     });
     targets.truncate(count);
+    log::info!(asked = targets.len(); "endpoint_check_begun");
     let answers = Rc::new(Mailbox::new(targets.len().max(1)));
     for addr in &targets {
         monoio::spawn(ask(edge.clone(), *addr, Rc::clone(&answers)));
@@ -97,8 +98,11 @@
     }
     let now = edge.now();
     let asked = targets.len();
-    if edge.reach(|reach| reach.end_check(now, start, asked)) {
-        log::warn!(asked, ms = now.since(start).0; "endpoints_lost");
+    let is_lost = edge.reach(|reach| reach.end_check(now, start, asked));
+    let ms = now.since(start).0;
+    log::info!(asked, ms, cut_off = edge.is_cut_off(); "endpoint_check_ended");
+    if is_lost {
+        log::warn!(asked, ms; "endpoints_lost");
         edge.metrics().count_cut_off();
         edge.fleet(|fleet| fleet.set_cut_off(true));
         edge.trigger_gossip();
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -85,6 +85,7 @@
         match within(CHECK_TIMEOUT, edge.pool().dial(*addr)).await {
             Ok(Ok(conn)) => edge.pool().put(*addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
+                log::info!(id = ctx.id, endpoint:% = endpoint; "crash_suspected");
                 if !reach::confirm(edge).await {
                     log::info!(id = ctx.id, endpoint:% = endpoint, reason = "cut_off"; "crash_not_recorded");
                     return false;
