A caller that leaves no longer keeps a check for lost endpoints open

Callers saw no answer: after a client had left while the daemon checked whether it reached any endpoint, every later request at that daemon whose endpoint crashed stayed unanswered, until a restart.

Cause: reach::confirm marked the check as begun and ran it inside the future of the request that asked for it. call::run drops that future when its caller leaves; the mark stayed, and confirm waits for it without end.

The check is now a task of its own, so that it ends whoever waits for it, and its guard ends it also when its task does not.

--- a/src/core/reach.rs
+++ b/src/core/reach.rs
@@ -71,6 +71,11 @@
         true
     }
 
+    /// Ends a check that was given up; it shows nothing.
+    pub const fn cancel_check(&mut self) {
+        self.is_checking = false;
+    }
+
     /// Returns whether a check is in progress.
     #[must_use]
     pub const fn is_checking(&self) -> bool {
--- a/src/edge/reach.rs
+++ b/src/edge/reach.rs
@@ -34,7 +34,7 @@
         reach.begin_check(now, known)
     });
     if is_due {
-        monoio::spawn(check(edge.clone(), CHECKED));
+        monoio::spawn(check(CheckGuard::new(edge), CHECKED));
     }
 }
 
@@ -51,9 +51,12 @@
 }
 
 /// Checks whether an endpoint is reached, or waits for a check that is in progress.
+///
+/// The check is a task of its own: the request that asked for it may end with its caller's connection,
+/// and others wait for the same check.
 pub async fn confirm(edge: &Edge) -> bool {
-    if edge.reach(Reach::begin_recheck) {
-        check(edge.clone(), CHECKED).await;
+    if let Some(begun) = CheckGuard::begin(edge) {
+        monoio::spawn(check(begun, CHECKED));
     }
     while edge.reach(|reach| reach.is_checking()) {
         monoio::time::sleep(POLL_INTERVAL.duration()).await;
@@ -61,19 +64,64 @@
     !edge.is_cut_off()
 }
 
+/// A check in progress; dropped before its end, it shows nothing, and another one may begin.
+#[derive(Debug)]
+struct CheckGuard {
+    edge: Edge,
+    start: Millis,
+}
+
+impl CheckGuard {
+    /// Begins a check that does not depend on failures, unless one is in progress.
+    fn begin(edge: &Edge) -> Option<Self> {
+        let is_begun = edge.reach(Reach::begin_recheck);
+        is_begun.then(|| Self::new(edge))
+    }
+
+    fn new(edge: &Edge) -> Self {
+        Self {
+            edge: edge.clone(),
+            start: edge.now(),
+        }
+    }
+
+    /// Ends the check, in which so many endpoints were asked.
+    fn end(self, asked: usize) {
+        let Self { edge, start } = &self;
+        let now = edge.now();
+        let is_lost = edge.reach(|reach| reach.end_check(now, *start, asked));
+        let ms = now.since(*start).0;
+        log::info!(asked, ms, cut_off = edge.is_cut_off(); "endpoint_check_ended");
+        if is_lost {
+            log::warn!(asked, ms; "endpoints_lost");
+            edge.metrics().count_cut_off();
+            edge.fleet(|fleet| fleet.set_cut_off(true));
+            edge.trigger_gossip();
+        }
+    }
+}
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.edge.reach(Reach::cancel_check);
+    }
+}
+
 /// Checks again and again while no endpoint is reached, forever.
 pub async fn run(edge: Edge) {
     loop {
         monoio::time::sleep(RECHECK_INTERVAL.duration()).await;
-        if edge.is_cut_off() && edge.reach(Reach::begin_recheck) {
-            check(edge.clone(), RECHECKED).await;
+        if edge.is_cut_off()
+            && let Some(begun) = CheckGuard::begin(&edge)
+        {
+            check(begun, RECHECKED).await;
         }
     }
 }
 
 /// Asks some endpoints for a report over new connections, those first that have not failed.
-async fn check(edge: Edge, count: usize) {
-    let start = edge.now();
+async fn check(begun: CheckGuard, count: usize) {
+    let (edge, start) = (begun.edge.clone(), begun.start);
     let mut targets = edge.roster(|roster| roster.reachable(start).collect::<Vec<_>>());
     targets.sort_by_cached_key(|addr| {
         let has_failed = edge.reach(|reach| reach.has_failed(addr));
@@ -96,17 +144,7 @@
             Err(_) => break,
         }
     }
-    let now = edge.now();
-    let asked = targets.len();
-    let is_lost = edge.reach(|reach| reach.end_check(now, start, asked));
-    let ms = now.since(start).0;
-    log::info!(asked, ms, cut_off = edge.is_cut_off(); "endpoint_check_ended");
-    if is_lost {
-        log::warn!(asked, ms; "endpoints_lost");
-        edge.metrics().count_cut_off();
-        edge.fleet(|fleet| fleet.set_cut_off(true));
-        edge.trigger_gossip();
-    }
+    begun.end(targets.len());
 }
 
 async fn ask(edge: Edge, addr: SocketAddr, answers: Rc<Mailbox<bool>>) {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -6,6 +6,8 @@
 mod fake;
 #[path = "edge/fleet.rs"]
 mod fleet;
+#[path = "edge/leave.rs"]
+mod leave;
 #[path = "edge/lost.rs"]
 mod lost;
 #[path = "edge/pause.rs"]
