The crash of an endpoint is recorded also if the caller leaves meanwhile

Callers whose endpoint a request had crashed were cut off again and again: a request that crashes the endpoints that run it was never barred if its callers left while a daemon confirmed the crash, which takes until another endpoint has answered.

The check is a task of its own, which a request may wait for. The new test failed before (the fourth request ran and crashed a fourth endpoint) and passes now.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -232,7 +232,7 @@
                 has_begun: true,
                 events: 0,
             };
-            suspect::check_endpoints(edge, ctx, progress, &[endpoint]).await;
+            suspect::check_endpoints(edge, ctx, progress, vec![endpoint]).await;
             return outcome;
         }
         Err(_) => {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -192,17 +192,14 @@
         };
         let first = (first.endpoint.clone(), first.addr);
         let progress = self.run.progress;
-        suspect::check_endpoints(self.edge, self.ctx, progress, &[first]).await
+        suspect::check_endpoints(self.edge, self.ctx, progress, vec![first]).await
     }
 
     /// Starts a check whether one of the silent engines of a path crashed.
     fn spawn_check(&mut self, silent: Vec<(EndpointName, SocketAddr)>) {
         if self.begin_check() {
-            let (edge, ctx) = (self.edge.clone(), self.ctx.clone());
-            let progress = self.run.progress;
-            monoio::spawn(async move {
-                suspect::check_endpoints(&edge, &ctx, progress, &silent).await;
-            });
+            // Nothing waits for its result.
+            let _ = suspect::check_endpoints(self.edge, self.ctx, self.run.progress, silent);
         }
     }
 
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use monoio::task::JoinHandle;
+
 use super::bars;
 use super::context::RequestContext;
 use super::engine::is_refusal;
@@ -68,29 +70,39 @@
     Some(until.since(now))
 }
 
-/// Checks the endpoints whose connections broke or that fell silent under a request, and records
-/// the first that refuses connections as crashed; returns whether one does.
+/// Starts a check of the endpoints whose connections broke or that fell silent under a request. It
+/// records the first that refuses connections as crashed, also if the caller leaves meanwhile; the
+/// task's result is whether one does.
 ///
 /// Only a refusal shows that the process ended, and only if another endpoint is reached: where this
 /// VM is cut off, all connections may be refused on the way. A connection may also be reset on the
 /// way, and an endpoint that is cut off does not answer. One run counts as one crash, however many
 /// endpoints of its path ended, since they may have ended for the same other reason.
-pub async fn check_endpoints(
+pub fn check_endpoints(
     edge: &Edge,
     ctx: &RequestContext,
     progress: RunProgress,
-    endpoints: &[(EndpointName, SocketAddr)],
+    endpoints: Vec<(EndpointName, SocketAddr)>,
+) -> JoinHandle<bool> {
+    monoio::spawn(find_crash(edge.clone(), ctx.clone(), progress, endpoints))
+}
+
+async fn find_crash(
+    edge: Edge,
+    ctx: RequestContext,
+    progress: RunProgress,
+    endpoints: Vec<(EndpointName, SocketAddr)>,
 ) -> bool {
     for (endpoint, addr) in endpoints {
-        match within(CHECK_TIMEOUT, edge.pool().dial(*addr)).await {
-            Ok(Ok(conn)) => edge.pool().put(*addr, conn),
+        match within(CHECK_TIMEOUT, edge.pool().dial(addr)).await {
+            Ok(Ok(conn)) => edge.pool().put(addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
                 log::info!(id = ctx.id, endpoint:% = endpoint; "crash_suspected");
-                if !reach::confirm(edge).await {
+                if !reach::confirm(&edge).await {
                     log::info!(id = ctx.id, endpoint:% = endpoint, reason = "cut_off"; "crash_not_recorded");
                     return false;
                 }
-                record_crash(edge, ctx, progress, endpoint);
+                record_crash(&edge, &ctx, progress, &endpoint);
                 return true;
             }
             Ok(Err(_)) | Err(_) => {}
--- a/tests/edge/leave.rs
+++ b/tests/edge/leave.rs
@@ -8,6 +8,7 @@
 use cornelwharf::standin::fleet::CrashTarget;
 use http::StatusCode;
 
+use super::CRASH_LIMIT;
 use super::World;
 use super::run;
 use super::sleep;
@@ -46,3 +47,20 @@
         assert_eq!(world.endpoints.crash_count(), 3);
     });
 }
+
+/// The crash of an endpoint was not recorded if the caller left before it was confirmed.
+#[test]
+fn a_request_whose_callers_leave_is_barred_after_it_crashed_three_endpoints() {
+    run(async |world: Rc<World>| {
+        world.endpoints.delay_reports(REPORT_DELAY);
+        world.endpoints.crash_on("/read/crash", CrashTarget::First);
+        for _ in 0..CRASH_LIMIT {
+            call_and_leave(&world, "/read/crash", PATIENCE).await;
+            sleep(RECOVERY).await;
+        }
+        assert_eq!(world.endpoints.crash_count(), CRASH_LIMIT);
+        let answer = world.call(0, "/read/crash", "red-key").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(world.endpoints.crash_count(), CRASH_LIMIT);
+    });
+}
