A trial whose caller leaves before it is sent is given back; requests are dropped at each poll in a test

A part of a prompt whose bar is uncertain may be tried twice on its home VM. A trial counted when its request was let in, so callers that left before it reached an engine used up both, and callers with a harmless part were refused for up to an hour. The trial now goes with the request's context, and dropping it before the request was sent gives it back; the pause until the next one stays.

The new tests drop a request's future after its first, second, third and later polls, for plain requests, streams, crashing endpoints, detours and both queues, and check that the daemon keeps nothing of it (checks, load, room, limits, retries, queue places, trials) and answers the next request.

--- a/src/core/poison/part_table.rs
+++ b/src/core/poison/part_table.rs
@@ -218,6 +218,13 @@
         true
     }
 
+    /// Gives back a trial whose request reached no endpoint; the next one is due after the usual pause.
+    pub fn return_trial(&mut self, part: PartDigest) {
+        if let Some(trials) = self.trials.get_mut(&part) {
+            trials.count = trials.count.saturating_sub(1);
+        }
+    }
+
     /// Removes expired records.
     pub fn expire(&mut self, now: Millis) {
         let bars = &self.bars;
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -215,6 +215,7 @@
     };
     let request = forward_request(edge, &ctx.request, &info);
     outcome.sent = true;
+    ctx.record_sent();
     outcome.ending = Ending::Unknown;
     let answer = within(
         remaining,
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -7,6 +7,7 @@
 use http::header;
 
 use super::detour::DetourInfo;
+use super::parts::Trial;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::PartDigest;
@@ -60,6 +61,8 @@
     pub deadline: Millis,
     /// Set if another VM accepted the request and reaches no endpoint.
     pub detour: Option<DetourInfo>,
+    /// The trial of a barred part of its prompt, if it runs as one.
+    pub trial: Option<Rc<Trial>>,
 }
 
 impl RequestContext {
@@ -69,6 +72,13 @@
         self.detour.is_none() && (edge.is_cut_off() || unreached >= MAX_UNREACHED)
     }
 
+    /// Records that the request is sent to an endpoint or to another VM, so that it may run.
+    pub fn record_sent(&self) {
+        if let Some(trial) = &self.trial {
+            trial.record_sent();
+        }
+    }
+
     /// Returns whether the caller gave the request an id, by which its answer is told apart.
     pub fn has_id(&self) -> bool {
         self.id != NO_ID
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -168,6 +168,7 @@
         };
         let request = build_request(edge, ctx, attempts, last_event);
         let bodiless = request.method == Method::HEAD;
+        ctx.record_sent();
         let work = async {
             conn.writer.request(&request).await?;
             conn.reader.response_head(bodiless).await
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use http::HeaderValue;
 use http::Method;
@@ -20,6 +21,7 @@
 use super::detour::DetourInfo;
 use super::forward;
 use super::parts;
+use super::parts::Trial;
 use super::relay;
 use super::state::Edge;
 use super::suspect;
@@ -78,7 +80,10 @@
     }
 }
 
-async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
+/// Serves the requests of a caller's connection, one after the other, until either side closes it.
+///
+/// The future may be dropped at any time, which ends the request in progress as if its caller had left.
+pub async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
     loop {
         if !matches!(conn.reader.request_begins(|| bounds(&edge)).await, Ok(true)) {
             return;
@@ -233,7 +238,7 @@
         .and_then(|text| text.parse().ok())
         .map(Millis);
     let timeout = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
-    let ctx = RequestContext {
+    let mut ctx = RequestContext {
         id,
         content: content_digest(&request, team.as_ref()),
         parts: part_digests(edge, &request, &service),
@@ -246,12 +251,14 @@
         request,
         route,
         detour,
+        trial: None,
     };
     if ctx.detour.is_none() {
         edge.budget(&ctx.service, |budget| budget.record_request(start));
     }
-    if let Some(wait) = find_bar(edge, &ctx) {
-        return respond(edge, conn, forward::refusal(wait), bodiless, start).await;
+    match check_bars(edge, &ctx) {
+        Ok(trial) => ctx.trial = trial.map(Rc::new),
+        Err(wait) => return respond(edge, conn, forward::refusal(wait), bodiless, start).await,
     }
     match ctx.route.kind {
         RouteKind::Stream => relay::serve(edge, conn, &ctx).await,
@@ -262,21 +269,27 @@
     }
 }
 
-/// Returns how long a request is barred for the endpoints that its content or a part of its prompt
-/// crashed, and logs the refusal; `None` if it may run.
-fn find_bar(edge: &Edge, ctx: &RequestContext) -> Option<Millis> {
+/// Returns the trial as which a request with a barred part may run, or `None` if nothing is barred.
+///
+/// # Errors
+///
+/// Fails with the time for which the request is still barred, as its content or a part of its prompt
+/// crashed endpoints; the refusal is logged.
+fn check_bars(edge: &Edge, ctx: &RequestContext) -> Result<Option<Trial>, Millis> {
     let (id, version, route) = (&ctx.id, ctx.site.version, &ctx.route.name);
     if let Some(wait) = suspect::barred_for(edge, &ctx.content) {
         let content = ctx.content.short();
         log::info!(id, content, version, route, retry_ms = wait.0, reason = "barred"; "refused");
-        return Some(wait);
+        return Err(wait);
     }
-    let (part, wait) = parts::find_barred(edge, ctx)?;
-    if parts::begin_trial(edge, ctx, part) {
-        return None;
+    let Some((part, wait)) = parts::find_barred(edge, ctx) else {
+        return Ok(None);
+    };
+    if let Some(trial) = parts::begin_trial(edge, ctx, part) {
+        return Ok(Some(trial));
     }
     log::info!(id, part:% = part, version, route, retry_ms = wait.0, reason = "part_barred"; "refused");
-    Some(wait)
+    Err(wait)
 }
 
 fn content_digest(request: &Request, team: Option<&Team>) -> RequestDigest {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -47,6 +47,7 @@
 use signal_hook::consts::SIGTERM;
 
 use self::dialect::Dialect;
+pub use self::front::serve;
 use self::settings::Settings;
 pub use self::state::Edge;
 pub use self::store::StoreError;
--- a/src/edge/parts.rs
+++ b/src/edge/parts.rs
@@ -1,6 +1,8 @@
 //! Parts of prompts that crash the endpoints that begin to answer on them: what this VM sees, what
 //! it tells other VMs, and whether a request may run (docs/operators/barred-requests.md).
 
+use std::cell::Cell;
+
 use super::bars;
 use super::context::RequestContext;
 use super::state::Edge;
@@ -24,14 +26,41 @@
     })
 }
 
-/// Returns whether a request with a barred part may run once to find out whether the part is guilty.
-pub fn begin_trial(edge: &Edge, ctx: &RequestContext, part: PartDigest) -> bool {
+/// Lets a request with a barred part run once to find out whether the part is guilty, if a trial is due.
+pub fn begin_trial(edge: &Edge, ctx: &RequestContext, part: PartDigest) -> Option<Trial> {
     let now = edge.now();
-    let is_trial = is_home(edge, part) && edge.parts(|table| table.begin_trial(now, part));
-    if is_trial {
-        log::info!(id = ctx.id, part:% = part; "part_tried");
+    if !is_home(edge, part) || !edge.parts(|table| table.begin_trial(now, part)) {
+        return None;
+    }
+    log::info!(id = ctx.id, part:% = part; "part_tried");
+    Some(Trial {
+        edge: edge.clone(),
+        part,
+        is_sent: Cell::new(false),
+    })
+}
+
+/// The trial of a barred part, given back if it is dropped before its request was sent.
+#[derive(Debug)]
+pub struct Trial {
+    edge: Edge,
+    part: PartDigest,
+    is_sent: Cell<bool>,
+}
+
+impl Trial {
+    /// Records that the trial's request was sent, so that it may have run.
+    pub fn record_sent(&self) {
+        self.is_sent.set(true);
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if !self.is_sent.get() {
+            self.edge.parts(|table| table.return_trial(self.part));
+        }
     }
-    is_trial
 }
 
 /// Returns whether this VM is the first in the ranking for a part, among the VMs that it hears of.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -397,6 +397,7 @@
     progress.paths += 1;
     selector.set_attempts(progress.paths);
     selector.begin_run();
+    ctx.record_sent();
     let from = progress.events.last_id().unwrap_or(0);
     log::info!(id = ctx.id, path:% = paths::format_path(path), last = from; "path");
     match link.conn.writer.request(&request).await {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -2,6 +2,8 @@
 
 #[path = "edge/cut.rs"]
 mod cut;
+#[path = "edge/dropped.rs"]
+mod dropped;
 #[path = "edge/fake.rs"]
 mod fake;
 #[path = "edge/fleet.rs"]
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -107,6 +107,26 @@
     assert!(!table.begin_trial(START + Millis::seconds(10), part("guilty")));
 }
 
+#[test]
+fn a_trial_that_reached_no_endpoint_is_made_again_after_the_usual_pause() {
+    let mut table = PartTable::default();
+    for turn in 0..TIED_VERDICT as u64 {
+        record(&mut table, START, turn, &[&["shared", "guilty"]]);
+    }
+    let mut trials = 0;
+    for second in 0..60 {
+        let now = START + Millis::seconds(second);
+        if table.begin_trial(now, part("shared")) {
+            trials += 1;
+            if trials == 1 {
+                table.return_trial(part("shared"));
+                assert!(!table.begin_trial(now, part("shared")));
+            }
+        }
+    }
+    assert_eq!(trials, 3);
+}
+
 #[test]
 fn a_part_that_was_harmless_before_is_barred_if_nothing_else_explains_the_crashes() {
     let mut table = PartTable::default();
