An earlier refusal written once more is not taken for the answer to the next request

Another operator reports that a faulty engine writes an earlier refusal again on a kept connection, and that callers were told 'not run' for requests that ran, or such requests ran twice. This can happen here in three places:

- The same request sent again (a caller may repeat its id) met the connection of its refusal: the echoed id tells whose answer it is, not of which attempt.
The new test ran a plain request at two endpoints and refused it.
A connection now remembers the ids of its last four requests and is not used for them again; the same holds for connections to other VMs, whose answers are also checked for another request's id.
- The answer to an order names no order, and one of an earlier report or order passed for it.
Orders go over a connection of their own.

Reports and probes: a second copy counted as silence of an engine that had answered. What a kept connection brings instead of a report is asked for again on a new one, and a report that cannot be read shows that the engine is not down.

Can't happen: a plain request that runs once always has a new connection, and a stream closes the connection of a refusal; both have a test that passed before.

--- a/src/core/session/wire.rs
+++ b/src/core/session/wire.rs
@@ -91,6 +91,17 @@
     pub input: Input,
 }
 
+/// The header in which an engine names the hop that it refuses, as [`Hop::name`] returns it.
+pub const HOP_HEADER: &str = "x-hop";
+
+impl Hop {
+    /// Returns the text by which an answer names the hop in [`HOP_HEADER`].
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("{}/{}/{}", self.session, self.attempt, self.token)
+    }
+}
+
 /// The input of a hop's layers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -134,10 +134,11 @@
         };
         tried.push(entry.endpoint.clone());
         let may_reuse = ctx.route.kind != RouteKind::Once && ctx.has_id();
+        let reuse_for = may_reuse.then_some(ctx.id.as_str());
         edge.roster(|roster| roster.take_limited(edge.now(), &entry.endpoint));
         let guard = CallGuard::new(edge, &entry.endpoint);
         let run_start = edge.now();
-        let outcome = attempt(edge, ctx, &entry, may_reuse).await;
+        let outcome = attempt(edge, ctx, &entry, reuse_for).await;
         drop(guard);
         record_outcome(edge, ctx, &entry, &outcome);
         if matches!(outcome.ending, Ending::Answered(_)) {
@@ -181,7 +182,12 @@
     Some(response)
 }
 
-async fn attempt(edge: &Edge, ctx: &RequestContext, entry: &Entry, may_reuse: bool) -> Outcome {
+async fn attempt(
+    edge: &Edge,
+    ctx: &RequestContext,
+    entry: &Entry,
+    reuse_for: Option<&str>,
+) -> Outcome {
     let mut outcome = Outcome {
         ending: Ending::NotRun,
         sent: false,
@@ -193,7 +199,7 @@
         edge,
         &entry.endpoint,
         entry.addr,
-        may_reuse,
+        reuse_for,
     )
     .await
     {
@@ -216,6 +222,7 @@
     let request = forward_request(edge, &ctx.request, &info);
     outcome.sent = true;
     ctx.record_sent();
+    conn.writer.record_id(&ctx.id);
     outcome.ending = Ending::Unknown;
     let answer = within(
         remaining,
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -169,6 +169,7 @@
         let request = build_request(edge, ctx, attempts, last_event);
         let bodiless = request.method == Method::HEAD;
         ctx.record_sent();
+        conn.writer.record_id(&ctx.id);
         let work = async {
             conn.writer.request(&request).await?;
             conn.reader.response_head(bodiless).await
@@ -178,6 +179,12 @@
             edge.pool().clear(peer);
             DetourFault::Unknown
         })?;
+        let echo = head.header(&edge.dialect().headers.request_id);
+        if let Some(stray) = echo.filter(|echo| ctx.has_id() && *echo != ctx.id) {
+            log::warn!(id = ctx.id, peer:% = peer, stray; "stray_answer");
+            edge.pool().clear(peer);
+            return Err(DetourFault::Unknown);
+        }
         let Some(reason) = read_decline(edge, &head) else {
             log::info!(id = ctx.id, peer:% = peer, status = head.status.as_u16(); "detour");
             edge.metrics().count_detour();
@@ -272,10 +279,11 @@
 /// Opens a connection to another VM, or reuses one where the request may be repeated.
 async fn connect(edge: &Edge, ctx: &RequestContext, peer: SocketAddr) -> Option<Conn> {
     let opened = async {
-        if ctx.route.kind == RouteKind::Once {
-            edge.pool().dial(peer).await
-        } else {
-            edge.pool().get(peer).await
+        let may_reuse = ctx.route.kind != RouteKind::Once && ctx.has_id();
+        let idle = may_reuse.then(|| edge.pool().take_idle_for(peer, &ctx.id));
+        match idle.flatten() {
+            Some(conn) => Ok(conn),
+            None => edge.pool().dial(peer).await,
         }
     };
     let opened = within(CONNECT_TIMEOUT, opened).await;
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -50,6 +50,17 @@
     Dialect(DialectError),
 }
 
+impl EngineError {
+    /// Returns whether the engine answered with success, although its answer cannot be read.
+    #[must_use]
+    pub const fn is_unreadable(&self) -> bool {
+        let Self::Dialect(error) = self else {
+            return false;
+        };
+        !matches!(error, DialectError::Status { .. })
+    }
+}
+
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub struct Link {
@@ -70,7 +81,8 @@
     Withdrawn,
 }
 
-/// Takes an idle connection to an endpoint if it `may_reuse` one, or opens a new one.
+/// Takes an idle connection to an endpoint for a request with the id `reuse_for`, or opens a new one;
+/// always a new one without an id.
 ///
 /// # Errors
 ///
@@ -80,13 +92,9 @@
     edge: &Edge,
     endpoint: &EndpointName,
     addr: SocketAddr,
-    may_reuse: bool,
+    reuse_for: Option<&str>,
 ) -> Result<Link, ConnectError> {
-    let idle = if may_reuse {
-        edge.pool().take_idle(addr)
-    } else {
-        None
-    };
+    let idle = reuse_for.and_then(|id| edge.pool().take_idle_for(addr, id));
     let kind = if idle.is_some() { "reused" } else { "opened" };
     edge.metrics().count_connection(kind);
     if let Some(conn) = idle {
@@ -108,18 +116,43 @@
     Ok(Link { conn, is_new: true })
 }
 
-/// Fetches an engine's report.
+/// Fetches an engine's report. A report names no request, so what a kept connection brings instead may
+/// be an earlier answer, and a new connection decides.
 ///
 /// # Errors
 ///
 /// Fails if the engine does not answer in time, or its response cannot be parsed.
 pub async fn fetch_report(edge: &Edge, addr: SocketAddr) -> Result<Report, EngineError> {
-    let response = edge
-        .pool()
-        .call(addr, &(edge.dialect().report_request)(), CALL_TIMEOUT)
-        .await?;
-    read_answer(edge, addr, &response)?;
-    Ok((edge.dialect().parse_report)(&response)?)
+    let work = async {
+        if let Some(conn) = edge.pool().take_idle(addr)
+            && let Ok(report) = ask_report(edge, addr, conn).await
+        {
+            return Ok(report);
+        }
+        let conn = edge.pool().dial(addr).await?;
+        ask_report(edge, addr, conn).await
+    };
+    let report = within(CALL_TIMEOUT, work).await;
+    report.unwrap_or(Err(EngineError::Http(HttpError::TimedOut)))
+}
+
+async fn ask_report(edge: &Edge, addr: SocketAddr, conn: Conn) -> Result<Report, EngineError> {
+    let request = (edge.dialect().report_request)();
+    let answer = edge.pool().call_on(addr, conn, &request, CALL_TIMEOUT);
+    read_report(edge, addr, &answer.await?)
+}
+
+/// Parses a report, and reads what the engine says of itself beside it. No connection to the engine is
+/// used again after an answer that is none.
+fn read_report(edge: &Edge, addr: SocketAddr, response: &Response) -> Result<Report, EngineError> {
+    let report = match read_answer(edge, addr, response) {
+        Ok(()) => (edge.dialect().parse_report)(response).map_err(Into::into),
+        Err(error) => Err(error.into()),
+    };
+    if report.is_err() {
+        edge.pool().clear(addr);
+    }
+    report
 }
 
 /// Fetches an endpoint's report over a new connection, to learn whether it is reached. Any response
@@ -171,6 +204,7 @@
         is_over: Cell::new(false),
     });
     let start = edge.now();
+    let mut unread = None;
     for attempt in 0..PROBE_TRIES {
         monoio::spawn(send_probe(edge.clone(), addr, attempt, Rc::clone(&run)));
         let wait = match attempt + 1 {
@@ -179,17 +213,20 @@
             _ => PROBE_RETRY_DELAY,
         };
         match within(wait, run.answers.receive()).await {
-            Ok(Ok(response)) => {
-                run.is_over.set(true);
-                read_answer(edge, addr, &response)?;
-                return Ok((edge.dialect().parse_report)(&response)?);
-            }
+            Ok(Ok(response)) => match read_report(edge, addr, &response) {
+                Ok(report) => {
+                    run.is_over.set(true);
+                    return Ok(report);
+                }
+                // It may be an earlier answer, and the next request has a connection of its own.
+                Err(error) => unread = Some(error),
+            },
             Ok(Err(error)) if is_refusal(&error) => return Err(error.into()),
             Ok(Err(_)) => edge.pool().clear(addr),
             Err(_) => {}
         }
     }
-    Err(HttpError::TimedOut.into())
+    Err(unread.unwrap_or(EngineError::Http(HttpError::TimedOut)))
 }
 
 /// Returns whether nothing listens at the address, so that a retry would not help.
@@ -234,7 +271,8 @@
     }
 }
 
-/// Sends an order to an engine.
+/// Sends an order to an engine over a connection of its own: the answer to an order names none, and
+/// another one taken for it would leave the sender with a wrong belief.
 ///
 /// # Errors
 ///
@@ -244,7 +282,12 @@
     addr: SocketAddr,
     request: &Request,
 ) -> Result<OrderAnswer, EngineError> {
-    let response = edge.pool().call(addr, request, CALL_TIMEOUT).await?;
+    let call = async {
+        let mut conn = edge.pool().dial(addr).await?;
+        conn.call(request, CALL_TIMEOUT).await
+    };
+    let response = within(CALL_TIMEOUT, call).await;
+    let response = response.unwrap_or(Err(HttpError::TimedOut))?;
     read_answer(edge, addr, &response)?;
     Ok((edge.dialect().parse_answer)(&response))
 }
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -173,6 +173,7 @@
     let names = &edge.dialect().headers;
     let id = request
         .header(&names.request_id)
+        .filter(|id| !id.is_empty())
         .unwrap_or(NO_ID)
         .to_owned();
     if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -15,6 +15,9 @@
 /// The pace, a multiple of the usual time, from which an engine counts as slow.
 const SLOW_PACE: f64 = 2.0;
 
+/// The pace of an engine whose report cannot be read: it answers, so it is not down.
+const USUAL_PACE: f64 = 1.0;
+
 /// Returns whether this VM is among the few that ask engines for their pace now.
 fn draws_pace(edge: &Edge) -> bool {
     let now = edge.now();
@@ -71,6 +74,11 @@
                 mark_stalled(&edge, &report);
             }
         }
+        Err(error) if error.is_unreadable() => {
+            log::warn!(endpoint:% = part.endpoint, error:% = error; "report_refused");
+            edge.roster(|roster| roster.record_probe_answer(start));
+            record_report(&edge, &part.endpoint, USUAL_PACE);
+        }
         Err(error) => {
             let ms = edge.now().since(start).0;
             log::info!(endpoint:% = part.endpoint, error:% = error, compared, ms; "endpoint_silent");
@@ -143,6 +151,10 @@
     let down = edge.roster(|roster| roster.is_down(&endpoint));
     match report {
         Ok(report) => record_report(&edge, &endpoint, report.pace),
+        Err(error) if error.is_unreadable() => {
+            log::warn!(endpoint:% = endpoint, error:% = error; "report_refused");
+            record_report(&edge, &endpoint, USUAL_PACE);
+        }
         Err(_) if edge.is_cut_off() => {}
         Err(_) => mark(&edge, &endpoint, None),
     }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -371,7 +371,8 @@
 ) -> Result<Link, StreamEnd> {
     let edge = selector.edge;
     let ctx = selector.ctx;
-    let mut link = match engine::connect(edge, &first.endpoint, first.addr, ctx.has_id()).await {
+    let reuse_for = ctx.has_id().then_some(ctx.id.as_str());
+    let mut link = match engine::connect(edge, &first.endpoint, first.addr, reuse_for).await {
         Ok(link) => link,
         Err(error @ ConnectError::Withdrawn) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
@@ -398,6 +399,7 @@
     selector.set_attempts(progress.paths);
     selector.begin_run();
     ctx.record_sent();
+    link.conn.writer.record_id(&ctx.id);
     let from = progress.events.last_id().unwrap_or(0);
     log::info!(id = ctx.id, path:% = paths::format_path(path), last = from; "path");
     match link.conn.writer.request(&request).await {
--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -11,6 +11,8 @@
 
 use crate::clock::Millis;
 use crate::consts::PROBE_TIMEOUT;
+use crate::core::attempt::AnswerOwner;
+use crate::core::attempt::answer_owner;
 use crate::core::daemon::Event;
 use crate::core::daemon::LoadReport;
 use crate::core::session;
@@ -18,6 +20,7 @@
 use crate::core::session::event::Health;
 use crate::core::session::event::HopKey;
 use crate::core::session::event::RequestId;
+use crate::core::session::wire::HOP_HEADER;
 use crate::core::session::wire::Hop;
 use crate::core::session::wire::HopError;
 use crate::core::session::wire::HopReply;
@@ -44,12 +47,21 @@
 /// Sends a hop to an engine and feeds its replies, or the fault that ended them, to the core.
 pub async fn send(shell: Shell, id: RequestId, addr: SocketAddr, hop: Hop) {
     let key = hop.key();
-    let fault = match send_request(&shell, addr, &hop).await {
+    let kept = shell.pool().take_idle(addr);
+    let is_new = kept.is_none();
+    let fault = match send_request(&shell, addr, kept, &hop).await {
         Ok((conn, head)) if head.status == StatusCode::OK => {
             feed_load_report(&shell, addr, &head);
             feed_replies(&shell, id, addr, &hop, conn).await
         }
-        Ok((conn, head)) => Some(read_refusal(&shell, addr, conn, head).await),
+        Ok((conn, head)) => match find_owner(&head, &hop, is_new) {
+            AnswerOwner::Own => Some(read_refusal(&shell, addr, conn, head).await),
+            // It may be that of an earlier hop on the connection, while the engine runs this one.
+            owner @ (AnswerOwner::Other | AnswerOwner::Unclear) => {
+                log::warn!(addr:% = addr, status = head.status.as_u16(), owner:?; "refusal_unclear");
+                Some(Fault::Broken)
+            }
+        },
         Err(fault) => Some(fault),
     };
     if let Some(fault) = fault {
@@ -60,19 +72,23 @@
     }
 }
 
-/// Sends the hop over a pooled or a new connection and reads the head of the answer.
+/// Sends the hop over a kept or a new connection and reads the head of the answer.
 async fn send_request(
     shell: &Shell,
     addr: SocketAddr,
+    kept: Option<Conn>,
     hop: &Hop,
 ) -> Result<(Conn, Response), Fault> {
     let uri = Uri::from_static("/v1/hops");
     let request = Request::json(Method::POST, uri, hop).map_err(|_| Fault::Invalid)?;
-    let mut conn = shell
-        .pool()
-        .get(addr)
-        .await
-        .map_err(|_| Fault::Unreachable)?;
+    let mut conn = match kept {
+        Some(conn) => conn,
+        None => shell
+            .pool()
+            .dial(addr)
+            .await
+            .map_err(|_| Fault::Unreachable)?,
+    };
     conn.writer
         .request(&request)
         .await
@@ -86,6 +102,12 @@
     }
 }
 
+/// Decides whether a refusal is the answer to a hop.
+fn find_owner(head: &Response, hop: &Hop, is_new: bool) -> AnswerOwner {
+    let echo = head.header(&HeaderName::from_static(HOP_HEADER));
+    answer_owner(echo, &hop.name(), is_new)
+}
+
 /// Feeds the load report in an answer's head to the core, if there is one and the last one from
 /// this address is old enough.
 fn feed_load_report(shell: &Shell, addr: SocketAddr, head: &Response) {
--- a/src/io/http/writer.rs
+++ b/src/io/http/writer.rs
@@ -1,5 +1,9 @@
 //! The writing half of a connection.
 
+use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io::Write;
 use std::net::SocketAddr;
 
@@ -20,12 +24,18 @@
 /// The largest buffer that is kept for the next write; a larger one is freed.
 const MAX_KEPT_BYTES: usize = 8 * 1024;
 
+/// The requests whose ids a connection remembers. A second copy of an answer arrives before the answer
+/// to the request after it.
+const MAX_RECENT: usize = 4;
+
 /// The writing half of a connection.
 #[derive(Debug)]
 pub struct Writer {
     io: OwnedWriteHalf<TcpStream>,
     buf: Vec<u8>,
     host: Option<SocketAddr>,
+    /// The hashes of the ids of the last requests, the newest last.
+    recent: VecDeque<u64>,
 }
 
 impl Writer {
@@ -34,6 +44,7 @@
             io,
             buf: Vec::new(),
             host: None,
+            recent: VecDeque::new(),
         }
     }
 
@@ -42,6 +53,20 @@
         self.host = Some(host);
     }
 
+    /// Remembers the id of a request that is about to be sent.
+    pub(crate) fn record_id(&mut self, id: &str) {
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(hash(id));
+    }
+
+    /// Returns whether one of the last requests had an id. An answer that names it may then be a second
+    /// copy of that request's answer.
+    pub(crate) fn has_carried(&self, id: &str) -> bool {
+        self.recent.contains(&hash(id))
+    }
+
     /// Writes a complete request.
     ///
     /// # Errors
@@ -175,3 +200,9 @@
         Ok(())
     }
 }
+
+fn hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -100,6 +100,16 @@
         self.take(addr, MAX_IDLE_TIME, Vec::pop)
     }
 
+    /// Takes a connection out of the pool like [`Self::take_idle`], for a request with this id. One that
+    /// carried the id before is left: the endpoint may send a second copy of its answer to that, which
+    /// names the same id.
+    pub fn take_idle_for(&self, addr: SocketAddr, id: &str) -> Option<Conn> {
+        self.take(addr, MAX_IDLE_TIME, |list| {
+            let is_other = |kept: &IdleConn| !kept.conn.writer.has_carried(id);
+            list.iter().rposition(is_other).map(|at| list.remove(at))
+        })
+    }
+
     /// Takes the connection out of the pool that was idle for the longest time. It may be too old for
     /// a request, so this is for reports, which can be asked again over another one.
     pub fn take_spare(&self, addr: SocketAddr) -> Option<Conn> {
--- a/src/standin/engine/run.rs
+++ b/src/standin/engine/run.rs
@@ -14,6 +14,7 @@
 use super::serve::Reply;
 use super::take_one;
 use crate::core::daemon::LoadReport;
+use crate::core::session::wire::HOP_HEADER;
 use crate::core::session::wire::Hop;
 use crate::core::session::wire::HopError;
 use crate::core::session::wire::HopReply;
@@ -45,11 +46,11 @@
     mut conn: BoxedConn,
 ) -> (BoxedConn, Reply) {
     let Ok(hop) = serde_json::from_slice::<Hop>(&request.body) else {
-        return (conn, refuse(Refusal::Bad));
+        return (conn, refuse(Refusal::Bad, None));
     };
     let step = match state.borrow_mut().admit(&hop) {
         Ok(step) => step,
-        Err(refusal) => return (conn, refuse(refusal)),
+        Err(refusal) => return (conn, refuse(refusal, Some(&hop))),
     };
     let key = step.key;
     state.borrow_mut().running_attempts.insert(key);
@@ -60,13 +61,20 @@
     (conn, reply)
 }
 
-fn refuse(error: Refusal) -> Reply {
+fn refuse(error: Refusal, hop: Option<&Hop>) -> Reply {
     let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
     let body = HopError {
         error,
         message: error.to_string(),
     };
-    Reply::Response(Response::json(status, &body))
+    let mut response = Response::json(status, &body);
+    let name = hop.map(|hop| HeaderValue::try_from(hop.name()));
+    if let Some(Ok(name)) = name {
+        response
+            .headers
+            .insert(HeaderName::from_static(HOP_HEADER), name);
+    }
+    Reply::Response(response)
 }
 
 /// Returns response headers with the load report.
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,5 +1,7 @@
 //! Three edge daemons, a store, engines and plain endpoints over real sockets, in one event loop.
 
+#[path = "edge/again.rs"]
+mod again;
 #[path = "edge/cut.rs"]
 mod cut;
 #[path = "edge/dropped.rs"]
--- a/tests/edge/fake.rs
+++ b/tests/edge/fake.rs
@@ -99,6 +99,12 @@
     format!("{:x}\r\n{data}\r\n", data.len())
 }
 
+/// A refusal, which states that the request did not run.
+pub fn refusal(id: Option<&str>) -> String {
+    let echo = id.map_or_else(String::new, |id| format!("request-id: {id}\r\n"));
+    format!("HTTP/1.1 429 Busy\r\nnot-run: 1\r\n{echo}content-length: 0\r\n\r\n")
+}
+
 /// A whole answer: a stream of events from the one after `last`, or a plain body of `word`.
 pub fn answer(request: &Request, id: Option<&str>, word: &str) -> String {
     if !request.headers.contains_key("path") {
