One odd record of the store costs no other one, and neither the process nor the reader

Found here, each with a test that failed before:

- An engine with layers that the model does not have ended the leader's process as soon as a layer had no copy (index out of bounds in move_spare, the same in plan_move), and streams were sent to it.
Paths and placement leave such engines out.

A refused entry is logged once, not at each heartbeat of its writer. Ruled out: the parser itself, which stops at 128 levels, and ports out of range, which were refused before.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -45,7 +45,7 @@
     /// Returns a duration of `count` seconds.
     #[must_use]
     pub const fn seconds(count: u64) -> Self {
-        Self(count * 1000)
+        Self(count.saturating_mul(1000))
     }
 
     /// Converts the duration to the standard library's type, for timers.
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -52,6 +52,12 @@
         self.to <= self.from
     }
 
+    /// Returns whether a model of so many layers has all of the range.
+    #[must_use]
+    pub const fn is_within(self, layers: u32) -> bool {
+        self.to <= layers
+    }
+
     /// Returns whether `layer` is in the range.
     #[must_use]
     pub const fn contains(self, layer: u32) -> bool {
--- a/src/core/pipe/moves.rs
+++ b/src/core/pipe/moves.rs
@@ -160,7 +160,7 @@
         let given_up = |layer: &u32| !span.contains(*layer);
         if (held.from..held.to)
             .filter(given_up)
-            .any(|layer| holders[layer as usize] < 2)
+            .any(|layer| holders.get(layer as usize).is_none_or(|count| *count < 2))
         {
             continue;
         }
--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -210,7 +210,7 @@
     let spare = |engine: &&&Engine| {
         engine
             .span
-            .is_some_and(|span| (span.from..span.to).all(|layer| held[layer as usize] > 1))
+            .is_some_and(|span| span.is_within(model.layers) && has_others(held, span))
     };
     let engine = engines.iter().filter(spare).max_by(|a, b| {
         let fit = |engine: &Engine| engine.max_layers(model, LAYER_MEMORY_SHARE).min(gap.len());
@@ -225,19 +225,25 @@
     Some((engine.endpoint.clone(), span))
 }
 
+/// Returns whether each layer of an engine has another copy.
+fn has_others(held: &[u32], span: Span) -> bool {
+    let copies = held.get(span.from as usize..span.to as usize);
+    copies.is_some_and(|copies| copies.iter().all(|count| *count > 1))
+}
+
 /// Extends the range of an engine next to the gap, as far as its memory allows.
 fn extend_neighbour(engines: &[&Engine], model: &Model, gap: Span) -> Option<(EndpointName, Span)> {
     engines
         .iter()
         .filter_map(|engine| {
-            let span = engine.span?;
+            let span = engine.span.filter(|span| span.is_within(model.layers))?;
             let max = engine.max_layers(model, MAX_LAYER_MEMORY_SHARE);
             let spare = max.saturating_sub(span.len());
             if spare == 0 {
                 return None;
             }
             if span.to == gap.from {
-                let to = gap.to.min(span.to + spare);
+                let to = gap.to.min(span.to.saturating_add(spare));
                 return Some((engine, Span { to, ..span }));
             }
             if span.from == gap.to {
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -54,6 +54,9 @@
 /// How long the removal of an entry is kept for VMs that have not learned of it yet.
 const TOMBSTONE_TTL: Millis = Millis::seconds(60);
 
+/// The most keys with a refused entry that are remembered; more are not logged.
+const MAX_REFUSED: usize = 1024;
+
 /// The load that this VM puts on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointLoad {
@@ -135,6 +138,8 @@
     last_removed: Millis,
     last_answered_probe: Millis,
     store_returned: Option<Millis>,
+    /// The keys whose entry was refused, so that each is logged once.
+    refused: BTreeSet<EndpointName>,
 }
 
 impl Roster {
@@ -248,6 +253,17 @@
         true
     }
 
+    /// Records that an endpoint's entry was refused; returns whether the one before was not.
+    pub fn refuse_entry(&mut self, endpoint: &EndpointName) -> bool {
+        let is_new = self.refused.len() < MAX_REFUSED && !self.refused.contains(endpoint);
+        is_new && self.refused.insert(endpoint.clone())
+    }
+
+    /// Records that an endpoint's entry was accepted, or removed.
+    pub fn accept_entry(&mut self, endpoint: &EndpointName) {
+        self.refused.remove(endpoint);
+    }
+
     /// Returns a removal for every known endpoint that is missing from a full list read up to
     /// `end`.
     pub fn removals(&self, listed: &[EndpointName], end: Position) -> Vec<Change> {
@@ -386,7 +402,7 @@
             let Some(card) = model.cards.get(kind) else {
                 continue;
             };
-            if span.is_empty() || health.is_avoided(now) {
+            if span.is_empty() || !span.is_within(model.layers) || health.is_avoided(now) {
                 continue;
             }
             let cells = model.kv_capacity(*card, span.len()).max(1.0);
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -1,8 +1,6 @@
 //! Keeps the configuration and the endpoints up to date from the store; [`super::news`] does so from
 //! other VMs.
 
-use bytes::Bytes;
-
 use super::dialect::KeyedRecord;
 use super::dialect::Tail;
 use super::state::Edge;
@@ -99,6 +97,10 @@
                 if failures == 0 {
                     log_loss(topic, from, &error);
                 }
+                if error.is_unreadable() {
+                    // The records from here on stay unreadable; the list may not have them.
+                    from = None;
+                }
                 failures += 1;
                 edge.metrics().count_store_call("failed");
                 edge.mark_store_down();
@@ -170,7 +172,19 @@
         let endpoint = EndpointName::from(record.key.as_str());
         let entry = record
             .value
-            .and_then(|value| decode_entry(edge, &endpoint, &value, record.offset));
+            .map(|value| (edge.dialect().parse_entry)(&endpoint, &value));
+        let entry = match entry.transpose() {
+            Ok(entry) => {
+                edge.roster(|roster| roster.accept_entry(&endpoint));
+                entry
+            }
+            Err(error) => {
+                if edge.roster(|roster| roster.refuse_entry(&endpoint)) {
+                    log::warn!(endpoint:% = endpoint, offset:% = record.offset, error:% = error; "entry_refused");
+                }
+                None
+            }
+        };
         let change = Change {
             endpoint,
             offset: record.offset,
@@ -216,21 +230,6 @@
     }
 }
 
-fn decode_entry(
-    edge: &Edge,
-    endpoint: &EndpointName,
-    value: &Bytes,
-    offset: Position,
-) -> Option<crate::core::roster::Entry> {
-    match (edge.dialect().parse_entry)(endpoint, value) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::warn!(endpoint:% = endpoint, offset:% = offset, error:% = error; "entry_refused");
-            None
-        }
-    }
-}
-
 /// Applies a change of an endpoint's entry; returns whether it changed anything.
 pub(super) fn apply_change(edge: &Edge, now: Millis, change: Change) -> bool {
     let endpoint = change.endpoint.clone();
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -205,6 +205,9 @@
     let card = model.cards.get(entry.kind.as_ref()?)?;
     let pending = leader.pending.get(&entry.endpoint).map(|(span, _)| *span);
     let held = entry.span.filter(|span| !span.is_empty());
+    if held.is_some_and(|span| !span.is_within(model.layers)) {
+        return None;
+    }
     Some(Engine {
         endpoint: entry.endpoint.clone(),
         domain: entry.domain.clone(),
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -44,6 +44,17 @@
     },
 }
 
+impl StoreError {
+    /// Returns whether the store answered, and the records in its answer cannot be told apart.
+    #[must_use]
+    pub const fn is_unreadable(&self) -> bool {
+        let Self::Dialect(error) = self else {
+            return false;
+        };
+        !matches!(error, DialectError::Status { .. })
+    }
+}
+
 /// A client of the platform's store; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct Store {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -14,6 +14,8 @@
 mod leave;
 #[path = "edge/lost.rs"]
 mod lost;
+#[path = "edge/odd.rs"]
+mod odd;
 #[path = "edge/pause.rs"]
 mod pause;
 #[path = "edge/restart.rs"]
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -2,6 +2,7 @@
 //! paths avoid full engines.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use cornelwharf::clock::Millis;
@@ -12,6 +13,7 @@
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::StallTimer;
 use cornelwharf::core::pipe::choose_path;
+use cornelwharf::core::pipe::plan_moves;
 use cornelwharf::core::pipe::plan_placement;
 use cornelwharf::core::pipe::repair_placement;
 use cornelwharf::core::pipe::reroute;
@@ -259,6 +261,29 @@
     }
 }
 
+/// An engine with layers that the model does not have ended the process of the leader.
+#[test]
+fn an_engine_with_layers_beyond_the_model_is_not_moved() {
+    let all = place_layers(fleet());
+    for (from, to) in [(90, 200), (80, u32::MAX), (u32::MAX - 1, u32::MAX)] {
+        // No engine holds the last layers, and the odd one has layers of its own.
+        let mut engines = all.clone();
+        engines.retain(|engine| engine.span.is_none_or(|span| span.to < LAYERS));
+        let domain = engines[0].domain.clone();
+        let mut odd = engine(900, &domain, 36_000.0, 0.1);
+        odd.span = Some(Span { from, to });
+        engines.push(odd.clone());
+        for (endpoint, span) in repair_placement(&engines, &model(), true, true) {
+            assert_ne!(endpoint, odd.endpoint);
+            assert!(span.to <= LAYERS);
+        }
+        let demand = BTreeMap::from([(domain, 1e6)]);
+        for step in plan_moves(&engines, &model(), &demand, &BTreeSet::new()) {
+            assert_ne!(step.endpoint, odd.endpoint);
+        }
+    }
+}
+
 #[test]
 fn domain_gaps_are_not_filled_before_departures_settle() {
     let mut engines = place_layers(fleet());
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -64,6 +64,17 @@
     assert!(serving(&roster, NOW).is_empty());
 }
 
+/// A refused entry was logged at each heartbeat of its writer.
+#[test]
+fn an_entry_that_is_refused_again_and_again_is_reported_once() {
+    let mut roster = Roster::default();
+    let name = "a".into();
+    let news: Vec<bool> = (0..3).map(|_| roster.refuse_entry(&name)).collect();
+    assert_eq!(news, [true, false, false]);
+    roster.accept_entry(&name);
+    assert!(roster.refuse_entry(&name), "after a good one");
+}
+
 #[test]
 fn leaving_or_removed_endpoint_gets_no_new_work() {
     let mut roster = Roster::default();
