A stream that began goes on only with whole events of the same stream

Another operator reports that after a stream broke off, the next engine's error, at times its whole head, came in the middle of the stream, or the stream ended as if it were complete. Found here, with tests that failed before:

- A success that is no event stream (200 with another media type, 204, or 200 with an empty body) ended the stream as complete, or its text passed for an event.
An answer now goes on with a stream only if its status is 200 and its media type that of the first answer; from another VM too.
One that comes first is relayed in one piece.
- The head of another answer after half an event, in the same body, passed for a part of that event.
Fields of other names are taken in the first line of an event only.
- Events were left out where an engine went on after a later one.
Where all ids so far followed each other, the first one of a resumption has to as well.

Can't happen, with tests that passed before: an error status with and without a length, a refusal and an unsigned answer, from an engine and from another VM, were not relayed once the stream had begun.

--- a/src/core/attempt/events.rs
+++ b/src/core/attempt/events.rs
@@ -8,10 +8,13 @@
 /// The size of the longest mark that ends an event.
 const MAX_END_BYTES: usize = 4;
 
+/// The names of fields, the empty one of comments and empty lines among them.
+const FIELDS: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
+
 /// Buffers the bytes of a server-sent event stream and returns only complete events.
 ///
 /// Event ids increase, so events that an endpoint repeats after a resumption are dropped by their
-/// id.
+/// id. Where each id was the one after the last, a resumption that leaves some out is not the same stream.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     buf: BytesMut,
@@ -22,11 +25,15 @@
     has_event: bool,
     last_id: Option<u64>,
     count: u64,
+    /// Whether an id was not the one after the last, so that none can be missed.
+    has_gaps: bool,
+    /// Whether the next new id is the first one of another endpoint.
+    is_resumed: bool,
 }
 
 impl EventBuffer {
-    /// Appends bytes; returns `false` if they are not events: one is longer than
-    /// [`MAX_EVENT_BYTES`], or has a line that is neither a field nor a comment.
+    /// Appends bytes; returns `false` if they are not the stream's next events: one is longer than
+    /// [`MAX_EVENT_BYTES`], has a line that is neither a field nor a comment, or some are left out.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.buf.extend_from_slice(bytes);
         while let Some(end) = end_of_event(&self.buf[self.scanned..]) {
@@ -39,6 +46,14 @@
                 if self.last_id.is_some_and(|last| id <= last) {
                     continue;
                 }
+                let is_next = self
+                    .last_id
+                    .is_none_or(|last| last.checked_add(1) == Some(id));
+                let is_resumed = std::mem::take(&mut self.is_resumed);
+                if !is_next && is_resumed && self.count > 1 && !self.has_gaps {
+                    return false;
+                }
+                self.has_gaps |= !is_next;
                 self.last_id = Some(id);
                 self.count += 1;
             }
@@ -61,10 +76,12 @@
         self.has_event
     }
 
-    /// Discards a partial event after the connection to the endpoint broke.
+    /// Discards a partial event after the connection to the endpoint broke, before another endpoint
+    /// resumes the stream.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
         self.scanned = 0;
+        self.is_resumed = true;
     }
 
     /// Returns whether no partial event is buffered.
@@ -99,14 +116,19 @@
     }
 }
 
-/// Returns whether each line is empty, a comment, or a field: a name, alone or before a colon.
+/// Returns whether each line is empty, a comment, or a field of an event stream. The first line may be a
+/// field of another name, alone or before a colon.
+///
+/// A strange field further on is most likely the head of another response, which follows a partial event
+/// on a connection whose endpoint failed.
 fn is_event(event: &[u8]) -> bool {
     let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
-    event.split(|byte| *byte == b'\n').all(|line| {
+    let mut lines = event.split(|byte| *byte == b'\n').map(|line| {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
-        let name = line.split(|byte| *byte == b':').next().unwrap_or(line);
-        name.iter().all(is_name)
-    })
+        line.split(|byte| *byte == b':').next().unwrap_or(line)
+    });
+    let is_first_valid = lines.next().is_none_or(|name| name.iter().all(is_name));
+    is_first_valid && lines.all(|name| FIELDS.contains(&name))
 }
 
 fn is_comment(event: &[u8]) -> bool {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -57,6 +57,8 @@
 /// How often a started stream looks for a path while none exists; it is not ended while it has time
 /// left.
 const PATH_POLL: Millis = Millis(50);
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// The most paths tried for one request that did not run it.
 const MAX_NOT_RUN: u32 = 4;
 
@@ -71,8 +73,8 @@
     NotRun,
     /// The stream broke, or its path stalled.
     Broke,
-    /// The engine answered with this error status, which was relayed.
-    Failed(u16),
+    /// The engine gave an answer with this status that is no stream, mostly an error; it was relayed.
+    Answered(u16),
     /// The caller disconnected.
     Left,
     /// The request's deadline passed.
@@ -87,6 +89,8 @@
     is_started: bool,
     /// Whether that head states that the connection ends with the stream.
     announces_close: bool,
+    /// The media type that the head stated, in lower case.
+    media: Option<String>,
     events: EventBuffer,
     /// The paths that the request was sent along and that did not refuse it.
     paths: u32,
@@ -111,6 +115,18 @@
         }
     }
 
+    /// Returns whether an answer is a stream of events, and the same one as before if it has begun. Only
+    /// the media type tells a stream from an answer of one piece.
+    fn is_stream(&self, response: &Response) -> bool {
+        let media = media_type(response);
+        let is_same = if self.is_started {
+            media == self.media
+        } else {
+            media.is_none_or(|media| media == EVENT_STREAM)
+        };
+        response.status == StatusCode::OK && is_same
+    }
+
     /// Records the time of an event that is about to be relayed.
     fn record_event(&mut self, edge: &Edge, ctx: &RequestContext) {
         let now = edge.now();
@@ -164,8 +180,8 @@
     match ended {
         // A caller that was not told so may use the connection again, and is told then.
         StreamEnd::Done if !progress.announces_close => ConnAction::Keep,
-        StreamEnd::Failed(_) if edge.stopping().is_none() => ConnAction::Keep,
-        StreamEnd::Done | StreamEnd::Failed(_) | StreamEnd::Left => ConnAction::Close,
+        StreamEnd::Answered(_) if edge.stopping().is_none() => ConnAction::Keep,
+        StreamEnd::Done | StreamEnd::Answered(_) | StreamEnd::Left => ConnAction::Close,
         _ if progress.is_started => ConnAction::Close,
         StreamEnd::NotRun | StreamEnd::NotSent if !progress.ran => {
             let wait = selector.pause().unwrap_or(RETRY_AFTER);
@@ -323,7 +339,8 @@
         return ended;
     }
     selector.record_head();
-    if !response.status.is_success() {
+    let is_stream = progress.is_stream(&response);
+    if !is_stream {
         selector.record_completion();
     }
     if response.status.is_server_error() {
@@ -333,10 +350,11 @@
             return StreamEnd::Broke;
         }
     }
-    if !response.status.is_success() {
-        return relay_failure(selector, writer, progress, reader, response).await;
+    if !is_stream {
+        return relay_whole(selector, writer, progress, reader, response).await;
     }
     if !progress.is_started {
+        progress.media = media_type(&response);
         let mut headers = response.headers.clone();
         forward::strip_hop_headers(&mut headers);
         progress.announce_close(edge, &mut headers);
@@ -618,8 +636,15 @@
     }
 }
 
-/// Relays an engine's error response, unless part of the stream was already sent.
-async fn relay_failure(
+/// Returns the media type of a response without its parameters, in lower case.
+fn media_type(response: &Response) -> Option<String> {
+    let text = response.header(&header::CONTENT_TYPE)?;
+    let media = text.split(';').next().unwrap_or(text);
+    Some(media.trim().to_ascii_lowercase())
+}
+
+/// Relays an answer that is no stream, unless part of the stream was already sent.
+async fn relay_whole(
     selector: &PathSelector<'_>,
     writer: &mut Writer,
     progress: &Progress,
@@ -628,6 +653,9 @@
 ) -> StreamEnd {
     let edge = selector.edge;
     if progress.is_started {
+        let (id, status) = (&selector.ctx.id, response.status.as_u16());
+        let media = media_type(&response).unwrap_or_default();
+        log::info!(id, status, media; "answer_not_continued");
         return StreamEnd::Broke;
     }
     let mut body = BytesMut::new();
@@ -650,7 +678,7 @@
     edge.metrics()
         .record_answer(status, edge.now().since(selector.ctx.start));
     match writer.response(&response, false).await {
-        Ok(()) => StreamEnd::Failed(status),
+        Ok(()) => StreamEnd::Answered(status),
         Err(_) => StreamEnd::Left,
     }
 }
--- a/src/edge/relay/peer.rs
+++ b/src/edge/relay/peer.rs
@@ -4,7 +4,8 @@
 
 use super::Progress;
 use super::StreamEnd;
-use super::relay_failure;
+use super::media_type;
+use super::relay_whole;
 use crate::edge::detour;
 use crate::edge::detour::DetourFault;
 use crate::edge::detour::Taken;
@@ -36,17 +37,16 @@
         Err(_) => return Some(StreamEnd::Broke),
     };
     let status = taken.head.status;
-    if !status.is_success() {
+    if !progress.is_stream(&taken.head) {
         // A refusal is passed on with its time to come back, unless the request may have run.
         if detour::is_refused(edge, &taken.head) && (progress.ran || progress.is_started) {
             progress.paths -= 1;
             return Some(StreamEnd::NotRun);
         }
-        return Some(
-            relay_failure(selector, writer, progress, taken.conn.reader, taken.head).await,
-        );
+        return Some(relay_whole(selector, writer, progress, taken.conn.reader, taken.head).await);
     }
     if !progress.is_started {
+        progress.media = media_type(&taken.head);
         let mut headers = taken.head.headers.clone();
         forward::strip_hop_headers(&mut headers);
         progress.announce_close(edge, &mut headers);
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -195,15 +195,35 @@
         b"\x01\x02\n\n",
         b"id: 1\n\xff\n\n",
         b"two words\n\n",
+        b"id: 1\ndata: aHTTP/1.1 503 Busy\r\nRetry-After: 1\r\n\r\n",
     ] {
         assert!(!EventBuffer::default().push(bytes), "{bytes:?}");
     }
     let mut buffer = EventBuffer::default();
-    let events = b": comment\n\nevent\r\nid: 1\r\ndata: {\"a\": \"\xc3\xa9\"}\r\n\r\n\n\n";
+    let events =
+        b": comment\n\nversion: 2\nevent\r\nid: 1\r\ndata: {\"a\": \"\xc3\xa9\"}\r\n\r\n\n\n";
     assert!(buffer.push(events));
     assert_eq!(buffer.take(), events[..]);
 }
 
+/// Events were left out where another endpoint went on.
+#[test]
+fn a_resumption_that_leaves_events_out_is_refused() {
+    let begin = |ids: &[u64]| {
+        let mut events = EventBuffer::default();
+        for id in ids {
+            assert!(events.push(&event_stream(*id, *id)));
+        }
+        events.discard_partial();
+        events
+    };
+    assert!(!begin(&[1, 2]).push(b"id: 4\ndata: d\n\n"));
+    assert!(!begin(&[1, 2]).push(b"id: 2\ndata: b\n\nid: 4\ndata: d\n\n"));
+    assert!(begin(&[1, 2]).push(b"id: 3\ndata: c\n\nid: 5\ndata: e\n\n"));
+    assert!(begin(&[1, 4]).push(b"id: 8\ndata: h\n\n"), "ids have gaps");
+    assert!(begin(&[u64::MAX - 1, u64::MAX]).push(b"data: no id\n\n"));
+}
+
 #[test]
 fn an_event_without_end_is_refused_at_the_limit_in_small_pieces() {
     let mut buffer = EventBuffer::default();
