A request is answered by its deadline, whatever it waits for

Callers of a request whose connection to an endpoint hung got their answer after 1 s, though it had 300 ms left: the timeout of a connection doesn't know the deadline. The end of a request is now its deadline in one place, for plain requests and streams, and what it still waits for is dropped; its own timeouts end it 50 ms earlier where they exist, and tell more.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -61,6 +61,8 @@
 }
 
 /// Serves a request to a plain service; returns `None` if the caller disconnected.
+///
+/// The answer comes by the deadline, whatever the request waits for then.
 pub async fn run(edge: &Edge, conn: &mut Conn, ctx: &RequestContext) -> Option<Response> {
     let mut gone = pin!(conn.reader.closed());
     let mut work = pin!(run_attempts(edge, ctx));
@@ -70,6 +72,11 @@
             log::info!(id = ctx.id, route = ctx.route.name, outcome = "caller_left"; "request");
             None
         }
+        () = ctx.wait_for_deadline(edge) => {
+            let response = Response::new(StatusCode::GATEWAY_TIMEOUT);
+            log_request(edge, ctx, &[], NextStep::Fail, &response);
+            Some(response)
+        }
     }
 }
 
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -25,6 +25,9 @@
 /// The endpoints that a request may fail to reach before another VM is asked to serve it.
 const MAX_UNREACHED: usize = 2;
 
+/// How long after its deadline a request is ended that has not ended by itself.
+const DEADLINE_MARGIN: Millis = Millis(50);
+
 /// What happens to a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnAction {
@@ -84,6 +87,13 @@
         self.id != NO_ID
     }
 
+    /// Waits until the deadline, and a little longer: what the request waits for mostly ends then, and
+    /// tells more of it.
+    pub async fn wait_for_deadline(&self, edge: &Edge) {
+        let left = self.remaining(edge.now()) + DEADLINE_MARGIN;
+        monoio::time::sleep(left.duration()).await;
+    }
+
     /// Returns the time left until the deadline, 0 once it has passed.
     pub fn remaining(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -169,6 +169,7 @@
         monoio::select! {
             ended = &mut work => ended,
             () = &mut gone => Ok(StreamEnd::Left),
+            () = ctx.wait_for_deadline(edge) => Ok(StreamEnd::Late),
         }
     };
     let ended = match ended {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -6,6 +6,8 @@
 mod cut;
 #[path = "edge/cut_stream.rs"]
 mod cut_stream;
+#[path = "edge/deadline.rs"]
+mod deadline;
 #[path = "edge/dropped.rs"]
 mod dropped;
 #[path = "edge/fake.rs"]
