--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -29,6 +29,7 @@
 use crate::consts::TICK_INTERVAL;
 use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
+use crate::core::site::Route;
 use crate::core::site::RouteError;
 use crate::core::site::RouteKind;
 use crate::io::http::Bounds;
@@ -234,11 +235,7 @@
         )
         .await;
     };
-    let requested = request
-        .header(&names.deadline)
-        .and_then(|text| text.parse().ok())
-        .map(Millis);
-    let timeout = requested.map_or(route.timeout, |requested| requested.min(route.timeout));
+    let timeout = find_timeout(edge, &request, &route);
     let mut ctx = RequestContext {
         id,
         content: content_digest(&request, team.as_ref()),
@@ -270,6 +267,15 @@
     }
 }
 
+/// Returns how long a request may take: what its caller asks for, at most the timeout of its route.
+fn find_timeout(edge: &Edge, request: &Request, route: &Route) -> Millis {
+    let requested = request
+        .header(&edge.dialect().headers.deadline)
+        .and_then(|text| text.parse().ok())
+        .map(Millis);
+    requested.map_or(route.timeout, |requested| requested.min(route.timeout))
+}
+
 /// Returns the trial as which a request with a barred part may run, or `None` if nothing is barred.
 ///
 /// # Errors
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -198,8 +198,9 @@
     /// Starts a check whether one of the silent engines of a path crashed.
     fn spawn_check(&mut self, silent: Vec<(EndpointName, SocketAddr)>) {
         if self.begin_check() {
-            // Nothing waits for its result.
-            let _ = suspect::check_endpoints(self.edge, self.ctx, self.run.progress, silent);
+            let check = suspect::check_endpoints(self.edge, self.ctx, self.run.progress, silent);
+            // It goes on, and nothing waits for its result.
+            drop(check);
         }
     }
 
--- a/tests/edge/dropped.rs
+++ b/tests/edge/dropped.rs
@@ -280,8 +280,8 @@
             let key = PartDigest::of(&service, id).key();
             home_of(key, &vms) == Some(&edge.settings().vm)
         };
-        let ids = (0..).map(|id| format!("part{id}")).find(is_home);
-        let id = ids.expect("a part");
+        let ids = (0..100).map(|id| format!("part{id}")).find(is_home);
+        let id = ids.expect("one of a hundred has its home here");
         let parts = [id.as_str(), "guilty"].map(|id| PartDigest::of(&service, id));
         let old = edge.now() - Millis::seconds(2);
         for boot in 0..TIED_VERDICT as u64 {
