--- a/src/io/hop.rs
+++ b/src/io/hop.rs
@@ -47,7 +47,7 @@
 /// Sends a hop to an engine and feeds its replies, or the fault that ended them, to the core.
 pub async fn send(shell: Shell, id: RequestId, addr: SocketAddr, hop: Hop) {
     let key = hop.key();
-    let kept = shell.pool().take_idle(addr);
+    let kept = shell.pool().take_idle_for(addr, &hop.name());
     let is_new = kept.is_none();
     let fault = match send_request(&shell, addr, kept, &hop).await {
         Ok((conn, head)) if head.status == StatusCode::OK => {
@@ -89,6 +89,7 @@
             .await
             .map_err(|_| Fault::Unreachable)?,
     };
+    conn.writer.record_id(&hop.name());
     conn.writer
         .request(&request)
         .await
--- a/tests/edge/dropped.rs
+++ b/tests/edge/dropped.rs
@@ -30,7 +30,6 @@
 use super::run;
 use super::site;
 use super::sleep;
-use super::unused_addrs;
 
 /// The polls after which a request is dropped, one after the other.
 const POLLS: usize = 10;
@@ -41,7 +40,7 @@
 
 /// Serves a request on the first daemon until it was polled so many times, and drops it.
 async fn drop_after(world: &World, request: &Request, polls: usize) {
-    let listener = listen::bind(unused_addrs(1)[0]).expect("a listener");
+    let listener = listen::bind(world.spare[0]).expect("a listener");
     let addr = listener.local_addr().expect("an address");
     let mut client = Conn::dial(addr).await.expect("a connection");
     let (stream, from) = listener.accept().await.expect("a connection");
--- a/tests/edge/restart.rs
+++ b/tests/edge/restart.rs
@@ -33,7 +33,7 @@
     };
     let [a, b, c, d] = v4.ip().octets();
     let mut vm: Vec<SocketAddr> = world.spare.clone();
-    vm[4] = SocketAddr::from(([a, b, c, d + 100], known.port()));
+    vm[4] = SocketAddr::from(([a, b ^ 0x40, c, d], known.port()));
     let text = settings(3, &vm, world.store_addr, &known.to_string());
     let settings = Settings::parse(&text).expect("settings");
     let edge = Edge::new(settings, dialect(), Clock::start(), 77);
