--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,7 +7,7 @@
 //! configuration changes), in which no answer may be cut off.
 //!
 //! `cargo test --test soak` runs the CI seeds and those that failed before;
-//! `SEEDS=100..150 cargo test --test soak` runs other seeds.
+//! `SEEDS=100..150 cargo test --test soak` runs other seeds; `SOAK_LOGS=FOLDER` keeps the daemons' logs there.
 
 #[path = "soak/proxy.rs"]
 mod proxy;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -7,8 +7,10 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt::Write;
+use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 #[expect(
     clippy::disallowed_types,
@@ -182,7 +184,7 @@
         command
             .arg("edge")
             .arg(&vms[vm].settings)
-            .stdout(Stdio::null());
+            .stdout(log_of(vm));
         vms[vm].child = Some(command.spawn().expect("failed to start a daemon"));
     }
 
@@ -432,6 +434,16 @@
     }
 }
 
+/// Returns the file for a daemon's log in the folder that `SOAK_LOGS` names, if it is set.
+fn log_of(vm: usize) -> Stdio {
+    let Some(folder) = std::env::var_os("SOAK_LOGS") else {
+        return Stdio::null();
+    };
+    let path = Path::new(&folder).join(format!("vm-{vm}.log"));
+    let file = File::options().create(true).append(true).open(path);
+    file.expect("a log file").into()
+}
+
 async fn exchange(front: SocketAddr, request: &Request, seen: &mut Seen) {
     let Ok(mut conn) = Conn::dial(front).await else {
         return;
