--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -253,7 +253,8 @@
         true
     }
 
-    /// Records that an endpoint's entry was refused; returns whether the one before was not.
+    /// Records that an endpoint's entry was refused; returns whether to log that, as the entry before it
+    /// was not refused.
     pub fn refuse_entry(&mut self, endpoint: &EndpointName) -> bool {
         let is_new = self.refused.len() < MAX_REFUSED && !self.refused.contains(endpoint);
         is_new && self.refused.insert(endpoint.clone())
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -87,8 +87,8 @@
         self.id != NO_ID
     }
 
-    /// Waits until the deadline, and a little longer: what the request waits for mostly ends then, and
-    /// tells more of it.
+    /// Waits until shortly after the deadline. Most waits of a request end at the deadline by themselves,
+    /// and their log lines say what for.
     pub async fn wait_for_deadline(&self, edge: &Edge) {
         let left = self.remaining(edge.now()) + DEADLINE_MARGIN;
         monoio::time::sleep(left.duration()).await;
