A line and a counter for each look at an endpoint whose connection broke

The logs showed crashes that were suspected, not the looks that saw something else, so they could not tell a race from a request that was never looked at. endpoint_checked names what was seen and how long after the break; edge_endpoint_checks counts it. No decision changes.

--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -28,6 +28,7 @@
     cut_offs: Counter<u64>,
     detours: Counter<u64>,
     notices: Counter<u64>,
+    endpoint_checks: Counter<u64>,
     standings: Counter<u64>,
     dropped_notices: Counter<u64>,
     rooms: Counter<u64>,
@@ -66,6 +67,10 @@
                 "edge_endpoint_notices",
                 "Endpoints that said that they are leaving or asked for a pause, by kind.",
             ),
+            endpoint_checks: counter(
+                "edge_endpoint_checks",
+                "Looks at an endpoint whose connection broke under a request, by what was seen",
+            ),
             load_messages: counter(
                 "edge_load_messages",
                 "Messages on the load of VMs, by outcome.",
@@ -194,6 +199,11 @@
         self.notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a look at an endpoint whose connection broke under a request, by what was seen.
+    pub fn count_endpoint_check(&self, saw: &'static str) {
+        self.endpoint_checks.add(1, &[KeyValue::new("saw", saw)]);
+    }
+
     /// Counts a plain endpoint that was found to fail more calls than the others, or no longer to.
     pub fn count_standing(&self, stands_out: bool) {
         let outcome = if stands_out { "failing" } else { "recovered" };
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -93,8 +93,19 @@
     progress: RunProgress,
     endpoints: Vec<(EndpointName, SocketAddr)>,
 ) -> bool {
+    let start = edge.now();
     for (endpoint, addr) in endpoints {
-        match within(CHECK_TIMEOUT, edge.pool().dial(addr)).await {
+        let dialed = within(CHECK_TIMEOUT, edge.pool().dial(addr)).await;
+        let saw = match &dialed {
+            Ok(Ok(_)) => "accepted",
+            Ok(Err(error)) if is_refusal(error) => "refused",
+            Ok(Err(_)) => "broke",
+            Err(_) => "silent",
+        };
+        let ms = edge.now().since(start).0;
+        log::info!(id = ctx.id, endpoint:% = endpoint, saw, ms, events = progress.events; "endpoint_checked");
+        edge.metrics().count_endpoint_check(saw);
+        match dialed {
             Ok(Ok(conn)) => edge.pool().put(addr, conn),
             Ok(Err(error)) if is_refusal(&error) => {
                 log::info!(id = ctx.id, endpoint:% = endpoint; "crash_suspected");
