Whether an endpoint crashed is found out by several looks, not by one at the first moment

Cause: the edge opened one connection in the moment in which the other broke and counted a crash only if that was refused. A process does not end in one moment, or another one is there already, so the look saw an open listener; streams were not looked at after their third event; a VM that took itself for cut off dropped the crash. Evidence: endpoint_checked saw=accepted ms=0 for all crashes that were missed.

A connection that was opened for a look is not used for requests.

--- a/src/core/poison/mod.rs
+++ b/src/core/poison/mod.rs
@@ -12,6 +12,7 @@
 //! guilty.
 
 mod digest;
+mod ending;
 mod history;
 mod message;
 mod part;
@@ -24,6 +25,10 @@
 
 pub use digest::DigestError;
 pub use digest::RequestDigest;
+pub use ending::EndingWatch;
+pub use ending::Finding;
+pub use ending::SETTLE_TIME;
+pub use ending::Sight;
 pub use history::BAR_TTL;
 pub use history::CrashHistory;
 pub use history::INCIDENT_LIMIT;
--- a/src/core/roster/notice.rs
+++ b/src/core/roster/notice.rs
@@ -39,6 +39,15 @@
         is_new
     }
 
+    /// Returns whether an endpoint is leaving, by its entry, one of its answers or another VM.
+    pub fn is_leaving(&self, endpoint: &EndpointName) -> bool {
+        let state = self.endpoints.get(endpoint);
+        state.is_some_and(|state| {
+            let entry = state.last_entry.as_ref();
+            state.left.is_some() || entry.is_some_and(|entry| entry.leaving)
+        })
+    }
+
     /// Applies another VM's notice, unless the endpoint started anew since. Returns whether this is
     /// new.
     pub fn apply_notice(&mut self, now: Millis, notice: &LeavingNotice) -> bool {
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -4,6 +4,7 @@
 
 use http::Method;
 use http::StatusCode;
+use monoio::task::JoinHandle;
 
 use super::context::RequestContext;
 use super::detour;
@@ -22,6 +23,7 @@
 use super::retry;
 use super::state::Edge;
 use super::suspect;
+use super::suspect::Process;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::attempt::AnswerOwner;
@@ -242,16 +244,13 @@
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "attempt_broke");
             edge.pool().clear(entry.addr);
             reach::record_failure(edge, entry.addr);
-            let endpoint = (entry.endpoint.clone(), entry.addr);
-            let progress = RunProgress {
-                has_begun: true,
-                events: 0,
-            };
-            suspect::check_endpoints(edge, ctx, progress, vec![endpoint]).await;
+            check_process(edge, ctx, entry).await;
             return outcome;
         }
         Err(_) => {
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, ms = remaining.0; "attempt_timed_out");
+            // It may have fallen silent for good; the answer to the caller is due now.
+            drop(check_process(edge, ctx, entry));
             return outcome;
         }
     };
@@ -270,6 +269,20 @@
     outcome
 }
 
+/// Starts to look whether an endpoint crashed under a request; the result is whether it is known to have.
+fn check_process(edge: &Edge, ctx: &RequestContext, entry: &Entry) -> JoinHandle<bool> {
+    let process = Process {
+        endpoint: entry.endpoint.clone(),
+        addr: entry.addr,
+        boot: entry.born,
+    };
+    let progress = RunProgress {
+        has_begun: true,
+        events: 0,
+    };
+    suspect::check_endpoints(edge, ctx, progress, vec![process], Millis(0))
+}
+
 /// Classifies an endpoint's response.
 ///
 /// An endpoint may state that it did not run the request. Otherwise only a signed response counts
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -171,6 +171,9 @@
     pub busy: bool,
     /// The layers that it holds, if any.
     pub layers: Option<Span>,
+    /// When its process started, by its own clock, in milliseconds since the Unix epoch; `None` if it does
+    /// not say so.
+    pub born: Option<u64>,
 }
 
 /// A request of the platform or a caller to the edge itself, not to a service.
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -172,6 +172,27 @@
     Ok(())
 }
 
+/// Asks the process at an address for a report over a new connection, to learn when it started; `None` if it
+/// answers and does not say so.
+///
+/// # Errors
+///
+/// Fails if the connection cannot be opened or breaks, or if no response comes in time.
+pub async fn ask_start(edge: &Edge, addr: SocketAddr) -> Result<Option<u64>, HttpError> {
+    let request = (edge.dialect().report_request)();
+    let call = async {
+        let conn = edge.pool().dial(addr).await?;
+        edge.pool()
+            .call_on(addr, conn, &request, CALL_TIMEOUT)
+            .await
+    };
+    let response = within(CALL_TIMEOUT, call).await;
+    let response = response.unwrap_or(Err(HttpError::TimedOut))?;
+    read_answer(edge, addr, &response)?;
+    let report = (edge.dialect().parse_report)(&response).ok();
+    Ok(report.and_then(|report| report.born))
+}
+
 /// Reads what the engine at an address says of itself in an answer.
 ///
 /// # Errors
--- a/src/edge/parts.rs
+++ b/src/edge/parts.rs
@@ -72,10 +72,10 @@
     home_of(part.key(), &vms) == Some(me)
 }
 
-/// Records that an endpoint crashed right after it began to answer a request.
-pub fn record_crash(edge: &Edge, ctx: &RequestContext, crash: &PartCrash) {
+/// Records that an endpoint crashed right after it began to answer a request with these parts.
+pub fn record_crash(edge: &Edge, parts: &[PartDigest], crash: &PartCrash) {
     let now = edge.now();
-    edge.parts(|table| table.record_crash(now, &ctx.parts, crash));
+    edge.parts(|table| table.record_crash(now, parts, crash));
     report_changes(edge, "self");
 }
 
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use monoio::task::JoinHandle;
+
 use super::context::RequestContext;
 use super::dialect::OrderAnswer;
 use super::engine;
@@ -10,6 +12,7 @@
 use super::retry;
 use super::state::Edge;
 use super::suspect;
+use super::suspect::Process;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
@@ -44,10 +47,6 @@
 /// The pace that an engine is marked with after it refused a request, until it is probed.
 const REFUSED_PACE: f64 = 8.0;
 
-/// The number of events after which a request cannot have crashed the engines of its path by its
-/// start. The first events may still arrive although an engine crashes at the first token.
-const SURVIVED_EVENTS: u32 = 3;
-
 /// Selects the paths of one request, without the engines that failed it.
 #[derive(Debug)]
 pub struct PathSelector<'a> {
@@ -67,9 +66,10 @@
 }
 
 /// The request's run on its current path.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Run {
     start: Millis,
+    processes: Vec<Process>,
     progress: RunProgress,
     /// Whether the path's engines were checked for a crash.
     is_checked: bool,
@@ -114,9 +114,18 @@
     }
 
     /// Records that the request starts to run on a new or changed path.
-    pub fn begin_run(&mut self) {
+    pub fn begin_run(&mut self, path: &[Part]) {
+        let process = |part: &Part| Process {
+            endpoint: part.endpoint.clone(),
+            addr: part.addr,
+            boot: self
+                .edge
+                .roster(|roster| roster.born(&part.endpoint))
+                .unwrap_or(0),
+        };
         self.run = Run {
             start: self.edge.now(),
+            processes: path.iter().map(process).collect(),
             ..Run::default()
         };
     }
@@ -160,7 +169,7 @@
             }
         });
         self.run.progress.events += 1;
-        if self.run.progress.events == SURVIVED_EVENTS {
+        if self.run.progress.events == suspect::SURVIVED_EVENTS {
             parts::record_survival(self.edge, self.ctx);
         }
     }
@@ -176,32 +185,39 @@
         suspect::is_barred(self.edge, self.ctx)
     }
 
-    /// Returns whether the current run may have crashed an engine of its path that has failed, and
-    /// was not checked yet. A path that has produced several events outlived the request's start.
-    fn begin_check(&mut self) -> bool {
-        let is_due = self.run.progress.events < SURVIVED_EVENTS && !self.run.is_checked;
-        self.run.is_checked |= is_due;
-        is_due
+    /// Starts to look at engines of the path that failed under the current run, once a run.
+    fn check(&mut self, addrs: &[SocketAddr], patience: Millis) -> Option<JoinHandle<bool>> {
+        if std::mem::replace(&mut self.run.is_checked, true) {
+            return None;
+        }
+        let failed = self
+            .run
+            .processes
+            .iter()
+            .filter(|process| addrs.contains(&process.addr));
+        let failed = failed.cloned().collect();
+        let progress = self.run.progress;
+        Some(suspect::check_endpoints(
+            self.edge, self.ctx, progress, failed, patience,
+        ))
     }
 
-    /// Checks whether the first engine of a path crashed after its connection broke, and records the
-    /// crash. Returns `false` without a check if the request cannot have crashed it.
-    pub async fn check_first(&mut self, path: &[Part]) -> bool {
-        let Some(first) = path.first().filter(|_| self.begin_check()) else {
+    /// Looks whether the first engine of a path crashed after its connection broke, for up to `patience`;
+    /// the crash is recorded also if it shows later. Returns whether it is known to have crashed.
+    pub async fn check_first(&mut self, path: &[Part], patience: Millis) -> bool {
+        let Some(first) = path.first() else {
             return false;
         };
-        let first = (first.endpoint.clone(), first.addr);
-        let progress = self.run.progress;
-        suspect::check_endpoints(self.edge, self.ctx, progress, vec![first]).await
+        match self.check(&[first.addr], patience) {
+            Some(check) => check.await,
+            None => false,
+        }
     }
 
-    /// Starts a check whether one of the silent engines of a path crashed.
-    fn spawn_check(&mut self, silent: Vec<(EndpointName, SocketAddr)>) {
-        if self.begin_check() {
-            let check = suspect::check_endpoints(self.edge, self.ctx, self.run.progress, silent);
-            // It goes on, and nothing waits for its result.
-            drop(check);
-        }
+    /// Starts to look whether one of the silent engines of a path crashed.
+    fn spawn_check(&mut self, silent: &[SocketAddr]) {
+        // It goes on, and nothing waits for its result.
+        drop(self.check(silent, Millis(0)));
     }
 
     /// Sets how many paths the request was sent along, which decides whether it may try another.
@@ -398,19 +414,16 @@
         if is_down(&&first) {
             let quiet = self.edge.now().since(since).0;
             log::info!(id, endpoint:% = first.endpoint, quiet; "path_silent");
-            self.spawn_check(vec![(first.endpoint, first.addr)]);
+            self.spawn_check(&[first.addr]);
             return false;
         }
         let down = path.iter().filter(is_down);
-        let down: Vec<_> = down
-            .map(|part| (part.endpoint.clone(), part.addr))
-            .collect();
-        let silent: Vec<SocketAddr> = down.iter().map(|(_, addr)| *addr).collect();
+        let silent: Vec<SocketAddr> = down.map(|part| part.addr).collect();
         if silent.is_empty() {
             self.probe_engines(path, watch);
             return true;
         }
-        self.spawn_check(down);
+        self.spawn_check(&silent);
         if self.is_barred() {
             return false;
         }
@@ -435,8 +448,8 @@
         log::info!(id, silent:? = silent, path:% = format_path(&other), answer:? = answer; "repath");
         match answer {
             Ok(OrderAnswer::Begun | OrderAnswer::Done) => {
+                self.begin_run(&other);
                 *path = other;
-                self.begin_run();
                 true
             }
             // The engine no longer has the request: it ended just now.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -54,6 +54,9 @@
 
 /// The `Retry-After` of a refusal when no path could run the request.
 const RETRY_AFTER: Millis = Millis(1000);
+/// How long the end of a stream waits that only the close of its connection marks, for a sign that the
+/// engine crashed. All events are relayed by then.
+const END_PATIENCE: Millis = Millis(300);
 /// How often a started stream looks for a path while none exists; it is not ended while it has time
 /// left.
 const PATH_POLL: Millis = Millis(50);
@@ -416,7 +419,7 @@
     let request = forward_request(edge, &ctx.request, &info);
     progress.paths += 1;
     selector.set_attempts(progress.paths);
-    selector.begin_run();
+    selector.begin_run(path);
     ctx.record_sent();
     link.conn.writer.record_id(&ctx.id);
     let from = progress.events.last_id().unwrap_or(0);
@@ -426,7 +429,7 @@
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_sent");
             edge.pool().clear(first.addr);
-            selector.check_first(path).await;
+            selector.check_first(path, Millis(0)).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -448,7 +451,7 @@
             selector.edge.pool().clear(path[0].addr);
             selector.record_failure(path[0].addr);
             reach::record_failure(selector.edge, path[0].addr);
-            selector.check_first(path).await;
+            selector.check_first(path, Millis(0)).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -529,7 +532,7 @@
             }
             Ok(None) => {
                 log::info!(id = ctx.id, endpoint:% = path[0].endpoint; "stream_torn");
-                selector.check_first(path).await;
+                selector.check_first(path, Millis(0)).await;
                 return Err(StreamEnd::Broke);
             }
             Err(error) => {
@@ -537,7 +540,7 @@
                 log::info!(id = ctx.id, endpoint:% = endpoint, error:% = error; "stream_broke");
                 selector.record_failure(path[0].addr);
                 reach::record_failure(edge, path[0].addr);
-                selector.check_first(path).await;
+                selector.check_first(path, Millis(0)).await;
                 return Err(StreamEnd::Broke);
             }
         }
@@ -562,7 +565,9 @@
         return true;
     }
     // Without a link to any endpoint, a crash cannot be told.
-    progress.events.count() > 0 && !selector.check_first(path).await && !selector.edge.is_cut_off()
+    progress.events.count() > 0
+        && !selector.check_first(path, END_PATIENCE).await
+        && !selector.edge.is_cut_off()
 }
 
 /// Reads the head of the response to this request, after second copies of earlier ones.
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -15,6 +15,7 @@
 use super::news::PackedNews;
 use super::settings::Settings;
 use super::store::Store;
+use super::suspect::WatchList;
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::core::admit::AdmissionController;
@@ -65,6 +66,7 @@
     streams: RefCell<StreamAdmission>,
     suspects: RefCell<SuspectTable>,
     parts: RefCell<PartTable>,
+    watches: RefCell<WatchList>,
     packed_news: RefCell<Option<PackedNews>>,
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
@@ -117,6 +119,7 @@
             budgets: RefCell::new(budgets),
             suspects: RefCell::new(SuspectTable::new(settings.vm.clone())),
             parts: RefCell::default(),
+            watches: RefCell::default(),
             admission: RefCell::new(AdmissionController::new(Policy::default())),
             streams: RefCell::default(),
             packed_news: RefCell::default(),
@@ -277,6 +280,14 @@
         work(&mut self.inner.parts.borrow_mut())
     }
 
+    /// Runs `work` on the endpoints that are looked at after a connection to them broke.
+    pub fn watches<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut WatchList) -> T,
+    {
+        work(&mut self.inner.watches.borrow_mut())
+    }
+
     /// Runs `work` on the list of endpoints that is kept packed for other VMs.
     pub fn packed_news<T, F>(&self, work: F) -> T
     where
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -1,31 +1,44 @@
 //! Requests that crash the endpoints that run them: the crashes that this VM sees, what it tells
 //! other VMs, and whether a request may still run (docs/operators/barred-requests.md).
 
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use monoio::task::JoinHandle;
 
 use super::bars;
 use super::context::RequestContext;
+use super::engine;
 use super::engine::is_refusal;
 use super::parts;
 use super::reach;
 use super::state::Edge;
 use crate::clock::Millis;
+use crate::core::poison::EndingWatch;
+use crate::core::poison::Finding;
 use crate::core::poison::Incident;
 use crate::core::poison::PartCrash;
 use crate::core::poison::PartDigest;
 use crate::core::poison::RequestDigest;
+use crate::core::poison::Sight;
 use crate::core::poison::SuspectGossip;
 use crate::core::poison::SuspectStatus;
+use crate::io::http::HttpError;
 use crate::io::timeout::within;
 use crate::names::EndpointName;
 
 /// The most changed records in one message, which keeps it within one packet.
 const MAX_NEWS: usize = 4;
-/// How long the check of an endpoint whose connection broke may take. A refusal arrives within
+/// How long the first look at an endpoint whose connection broke may take. A refusal arrives within
 /// milliseconds, and the request waits for the result.
 const CHECK_TIMEOUT: Millis = Millis(100);
+/// How often a request looks whether the first look at its endpoint has ended.
+const POLL_INTERVAL: Millis = Millis(2);
+/// The number of events after which a request cannot have crashed the engines of its path by its
+/// start. The first events may still arrive although an engine crashes at the first token.
+pub const SURVIVED_EVENTS: u32 = 3;
 /// The interval at which expired records are removed.
 const EXPIRY_INTERVAL: Millis = Millis::seconds(60);
 
@@ -70,86 +83,220 @@
     Some(until.since(now))
 }
 
-/// Starts a check of the endpoints whose connections broke or that fell silent under a request. It
-/// records the first that refuses connections as crashed, also if the caller leaves meanwhile; the
-/// task's result is whether one does.
+/// The process of an endpoint that a request was sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// The endpoint's name.
+    pub endpoint: EndpointName,
+    /// Where it accepts requests.
+    pub addr: SocketAddr,
+    /// When it started, by the entry that was known when the request was sent.
+    pub boot: u64,
+}
+
+/// A run of a request whose connection broke or whose endpoint fell silent.
+#[derive(Clone, Debug)]
+struct BrokenRun {
+    id: String,
+    content: RequestDigest,
+    parts: Vec<PartDigest>,
+    progress: RunProgress,
+    /// Set with the first of its endpoints that is found to have ended: one run counts as one crash,
+    /// however many endpoints of its path ended, since they may have ended for the same other reason.
+    is_recorded: Rc<Cell<bool>>,
+}
+
+/// An endpoint that is looked at, and the runs under which its connections broke.
+#[derive(Debug)]
+pub struct Watched {
+    watch: EndingWatch,
+    runs: Vec<BrokenRun>,
+    looks: u32,
+}
+
+/// The endpoints that are looked at, by name and start of the process.
+pub type WatchList = BTreeMap<(EndpointName, u64), Watched>;
+
+/// Starts to look at the endpoints whose connections broke or that fell silent under a request, until it
+/// is known whether their processes ended; records that as a crash, also if the caller leaves meanwhile.
+/// Requests that broke on the same process share the looks.
 ///
-/// Only a refusal shows that the process ended, and only if another endpoint is reached: where this
-/// VM is cut off, all connections may be refused on the way. A connection may also be reset on the
-/// way, and an endpoint that is cut off does not answer. One run counts as one crash, however many
-/// endpoints of its path ended, since they may have ended for the same other reason.
+/// The task's result is whether one is known to have ended after a first look at each, or within
+/// `patience` if that is longer.
 pub fn check_endpoints(
     edge: &Edge,
     ctx: &RequestContext,
     progress: RunProgress,
-    endpoints: Vec<(EndpointName, SocketAddr)>,
+    processes: Vec<Process>,
+    patience: Millis,
 ) -> JoinHandle<bool> {
-    monoio::spawn(find_crash(edge.clone(), ctx.clone(), progress, endpoints))
+    let run = BrokenRun {
+        id: ctx.id.clone(),
+        content: ctx.content,
+        parts: ctx.parts.clone(),
+        progress,
+        is_recorded: Rc::default(),
+    };
+    let now = edge.now();
+    let mut keys = Vec::new();
+    for process in processes {
+        let Process {
+            endpoint,
+            addr,
+            boot,
+        } = process;
+        // A process that was told to leave ends as planned.
+        if edge.roster(|roster| roster.is_leaving(&endpoint)) {
+            log::info!(id = ctx.id, endpoint:% = endpoint, reason = "leaving"; "endpoint_not_checked");
+            continue;
+        }
+        let key = (endpoint, boot);
+        let is_new = edge.watches(|watches| {
+            let is_new = !watches.contains_key(&key);
+            let watched = watches.entry(key.clone()).or_insert_with(|| Watched {
+                watch: EndingWatch::new(now, boot),
+                runs: Vec::new(),
+                looks: 0,
+            });
+            watched.watch.record_break(now);
+            watched.runs.push(run.clone());
+            is_new
+        });
+        if is_new {
+            monoio::spawn(watch(edge.clone(), key.clone(), addr));
+        }
+        keys.push(key);
+    }
+    monoio::spawn(wait_for_looks(
+        edge.clone(),
+        run.is_recorded,
+        keys,
+        patience,
+    ))
 }
 
-async fn find_crash(
+/// Waits until one of the endpoints is known to have ended, or all are looked at and `patience` has passed.
+async fn wait_for_looks(
     edge: Edge,
-    ctx: RequestContext,
-    progress: RunProgress,
-    endpoints: Vec<(EndpointName, SocketAddr)>,
+    is_recorded: Rc<Cell<bool>>,
+    keys: Vec<(EndpointName, u64)>,
+    patience: Millis,
 ) -> bool {
     let start = edge.now();
-    for (endpoint, addr) in endpoints {
-        let dialed = within(CHECK_TIMEOUT, edge.pool().dial(addr)).await;
-        let saw = match &dialed {
-            Ok(Ok(_)) => "accepted",
-            Ok(Err(error)) if is_refusal(error) => "refused",
-            Ok(Err(_)) => "broke",
-            Err(_) => "silent",
-        };
-        let ms = edge.now().since(start).0;
-        log::info!(id = ctx.id, endpoint:% = endpoint, saw, ms, events = progress.events; "endpoint_checked");
-        edge.metrics().count_endpoint_check(saw);
-        match dialed {
-            Ok(Ok(conn)) => edge.pool().put(addr, conn),
-            Ok(Err(error)) if is_refusal(&error) => {
-                log::info!(id = ctx.id, endpoint:% = endpoint; "crash_suspected");
-                if !reach::confirm(&edge).await {
-                    log::info!(id = ctx.id, endpoint:% = endpoint, reason = "cut_off"; "crash_not_recorded");
-                    return false;
+    loop {
+        let is_open = |key| edge.watches(|watches| watches.contains_key(key));
+        let is_unseen =
+            |key| edge.watches(|watches| watches.get(key).is_some_and(|w| w.looks == 0));
+        let passed = edge.now().since(start);
+        let must_wait = keys.iter().any(is_unseen) && passed < CHECK_TIMEOUT
+            || keys.iter().any(is_open) && passed < patience;
+        if is_recorded.get() || !must_wait {
+            return is_recorded.get();
+        }
+        monoio::time::sleep(POLL_INTERVAL.duration()).await;
+    }
+}
+
+/// Looks at an endpoint until it is known whether the process ended to which connections broke.
+async fn watch(edge: Edge, key: (EndpointName, u64), addr: SocketAddr) {
+    let start = edge.now();
+    let (endpoint, boot) = &key;
+    loop {
+        let sight = look(&edge, &key, addr, start).await;
+        let now = edge.now();
+        let finding = edge.watches(|watches| {
+            let watched = watches.get_mut(&key)?;
+            watched.looks += 1;
+            Some(watched.watch.judge(now, sight))
+        });
+        let pause = match finding {
+            Some(Finding::Open(pause)) => pause,
+            Some(Finding::Ended) => {
+                let watched = edge.watches(|watches| watches.remove(&key));
+                for run in watched.into_iter().flat_map(|watched| watched.runs) {
+                    if !run.is_recorded.replace(true) {
+                        record_crash(&edge, &run, endpoint, *boot);
+                    }
                 }
-                record_crash(&edge, &ctx, progress, &endpoint);
-                return true;
+                return;
             }
-            Ok(Err(_)) | Err(_) => {}
-        }
+            Some(Finding::GoesOn | Finding::Unknown) | None => {
+                edge.watches(|watches| watches.remove(&key));
+                let (ms, goes_on) = (now.since(start).0, finding == Some(Finding::GoesOn));
+                log::info!(endpoint:% = endpoint, boot, ms, goes_on; "crash_not_recorded");
+                return;
+            }
+        };
+        monoio::time::sleep(pause.duration()).await;
+    }
+}
+
+/// Looks at an endpoint once. The first look only opens a connection, so that a request that waits for it
+/// goes on at once.
+///
+/// A refusal counts only if another endpoint is reached: where this VM is cut off, all connections may be
+/// refused on the way.
+async fn look(edge: &Edge, key: &(EndpointName, u64), addr: SocketAddr, start: Millis) -> Sight {
+    let (endpoint, boot) = key;
+    let newest = edge.roster(|roster| roster.entry_at(addr).map(|entry| entry.born));
+    let is_first = edge.watches(|watches| watches.get(key).is_some_and(|w| w.looks == 0));
+    let seen = if newest.is_some_and(|born| born > *boot) {
+        Ok(newest)
+    } else if is_first {
+        let dialed = within(CHECK_TIMEOUT, edge.pool().dial(addr)).await;
+        let dialed = dialed.unwrap_or(Err(HttpError::TimedOut));
+        // Only an answer shows that the process behind the listener still runs, so the connection is not
+        // kept for requests.
+        dialed.map(|_| None)
+    } else {
+        engine::ask_start(edge, addr).await
+    };
+    let saw = match &seen {
+        Ok(Some(born)) if born != boot => "restarted",
+        Ok(_) if is_first => "accepted",
+        Ok(_) => "answered",
+        Err(error) if is_refusal(error) => "refused",
+        Err(HttpError::TimedOut) => "silent",
+        Err(_) => "broke",
+    };
+    let ms = edge.now().since(start).0;
+    log::info!(endpoint:% = endpoint, boot, saw, ms; "endpoint_checked");
+    edge.metrics().count_endpoint_check(saw);
+    match seen {
+        Ok(born) if born.is_some() || !is_first => Sight::Answered(born),
+        Err(error) if is_refusal(&error) && reach::confirm(edge).await => Sight::Refused,
+        Ok(_) | Err(_) => Sight::Unclear,
     }
-    false
 }
 
-fn record_crash(edge: &Edge, ctx: &RequestContext, progress: RunProgress, endpoint: &EndpointName) {
+fn record_crash(edge: &Edge, run: &BrokenRun, endpoint: &EndpointName, boot: u64) {
     let now = edge.now();
-    let boot = edge.roster(|roster| roster.born(endpoint)).unwrap_or(0);
+    let BrokenRun { id, content, .. } = run;
     let incident = Incident {
         alone: false,
         at: now,
         endpoint: endpoint.clone(),
         boot,
     };
-    if progress.has_begun {
+    let RunProgress { has_begun, events } = run.progress;
+    // A part of a prompt shows at the start of a run.
+    if has_begun && events < SURVIVED_EVENTS {
         let crash = PartCrash {
             at: now,
             endpoint: endpoint.clone(),
             boot,
         };
-        parts::record_crash(edge, ctx, &crash);
+        parts::record_crash(edge, &run.parts, &crash);
     }
-    let was_barred = barred_for(edge, &ctx.content).is_some();
-    edge.suspects(|suspects| suspects.record_crash(now, ctx.content, incident));
-    let content = ctx.content.short();
-    let parts = format_parts(&ctx.parts);
-    let RunProgress { has_begun, events } = progress;
-    log::info!(id = ctx.id, content, parts, endpoint:% = endpoint, boot, has_begun, events; "endpoint_crashed");
+    let was_barred = barred_for(edge, content).is_some();
+    edge.suspects(|suspects| suspects.record_crash(now, *content, incident));
+    let (short, parts) = (content.short(), format_parts(&run.parts));
+    log::info!(id, content = short, parts, endpoint:% = endpoint, boot, has_begun, events; "endpoint_crashed");
     edge.metrics().count_crash();
     edge.trigger_gossip();
-    if let Some(wait) = barred_for(edge, &ctx.content).filter(|_| !was_barred) {
-        log::warn!(content, source = "self", ms = wait.0; "request_barred");
-        monoio::spawn(bars::publish(edge.clone(), ctx.content));
+    if let Some(wait) = barred_for(edge, content).filter(|_| !was_barred) {
+        log::warn!(content = short, source = "self", ms = wait.0; "request_barred");
+        monoio::spawn(bars::publish(edge.clone(), *content));
     }
 }
 
--- a/src/standin/fleet/dialect.rs
+++ b/src/standin/fleet/dialect.rs
@@ -63,6 +63,9 @@
     pub orders: u64,
     /// The layers held; `None` for a plain endpoint or an engine without layers.
     pub span: Option<Span>,
+    /// When the process started.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 /// Returns the dialect of the stand-ins, for use by an edge daemon.
@@ -201,6 +204,7 @@
         accepted_orders: body.orders,
         busy: false,
         layers: body.span,
+        born: body.born,
     })
 }
 
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -368,6 +368,7 @@
             },
             orders: all.get(&addr).map_or(0, |endpoint| endpoint.orders),
             span: all.get(&addr).and_then(|endpoint| endpoint.entry.span),
+            born: all.get(&addr).map(|endpoint| endpoint.entry.born),
         };
         Response::json(StatusCode::OK, &body)
     }
