VMs that start learn of the crashes before their start

Cause: messages repeated barred requests only; a crash that did not bar yet was told once, to the VMs that ran at that moment. Now messages take those with the most crashes first and repeat suspects in turn, with two crashes first.

Remaining: crashes before the third are lost if all VMs are replaced at once.

--- a/src/core/poison/table.rs
+++ b/src/core/poison/table.rs
@@ -1,5 +1,6 @@
 //! The suspects known to one VM, and the decision how a request may run.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
@@ -34,6 +35,8 @@
 
 /// The maximum number of requests whose crash history is kept.
 pub const ENTRY_LIMIT: usize = 1024;
+/// The crashes after which a request is repeated to other VMs before other suspects: the next one bars it.
+const REPEATED_CRASHES: usize = 2;
 /// How far a peer's clock may be ahead; records from further in the future are ignored.
 const MAX_CLOCK_SKEW: Millis = Millis::seconds(60);
 /// The longest retry delay that a caller is given while another request holds the permit.
@@ -86,6 +89,8 @@
     unsent: BTreeSet<RequestDigest>,
     /// The last request sent by [`Self::next_repeat`]; `None` to start from the first.
     cursor: Option<RequestDigest>,
+    /// The last suspect that [`Self::next_records`] repeated, whatever its number of crashes.
+    suspect_cursor: Option<RequestDigest>,
 }
 
 impl SuspectTable {
@@ -100,6 +105,7 @@
             parts: PartTable::default(),
             unsent: BTreeSet::new(),
             cursor: None,
+            suspect_cursor: None,
         }
     }
 
@@ -283,31 +289,52 @@
         !self.unsent.is_empty()
     }
 
-    /// Returns up to `limit` changed records and then the next barred request in turn, to make up
-    /// for lost messages and for VMs that started meanwhile.
+    /// Returns up to `limit` changed records, those with the most crashes first, and then others in turn,
+    /// to make up for lost messages and for VMs that started meanwhile: one that is barred or has crashed
+    /// more than one endpoint, and if there is room, any suspect.
+    ///
+    /// A crash makes a suspect of each request that ran there, and of these the guilty one comes again.
     pub fn next_records(&mut self, now: Millis, limit: usize) -> SuspectGossip {
-        let mut digests: Vec<RequestDigest> = Vec::new();
-        while let Some(digest) = self.unsent.pop_first() {
-            digests.push(digest);
-            if digests.len() >= limit {
-                break;
-            }
+        let crashes = |digest: &RequestDigest| {
+            let entry = self.entries.get(digest);
+            entry.map_or(0, |entry| entry.incidents().len())
+        };
+        let mut digests: Vec<RequestDigest> = self.unsent.iter().copied().collect();
+        digests.sort_by_key(|digest| Reverse(crashes(digest)));
+        digests.truncate(limit);
+        for digest in &digests {
+            self.unsent.remove(digest);
         }
-        self.cursor = self.next_barred(now, self.cursor);
+        self.cursor = self.next_in_turn(now, self.cursor, REPEATED_CRASHES);
         digests.extend(self.cursor.filter(|digest| !digests.contains(digest)));
+        if digests.len() <= limit {
+            self.suspect_cursor = self.next_in_turn(now, self.suspect_cursor, 1);
+            let next = self.suspect_cursor;
+            digests.extend(next.filter(|digest| !digests.contains(digest)));
+        }
         let records = digests.iter().map(|digest| self.record(digest));
         SuspectGossip {
             records: records.collect(),
         }
     }
 
-    /// Returns the first barred request after another one, or else the first of all.
-    fn next_barred(&self, now: Millis, last: Option<RequestDigest>) -> Option<RequestDigest> {
+    /// Returns the first request after another one, or else the first of all, that is barred or a suspect
+    /// with at least `crashes`.
+    fn next_in_turn(
+        &self,
+        now: Millis,
+        last: Option<RequestDigest>,
+        crashes: usize,
+    ) -> Option<RequestDigest> {
         let from = last.map_or(Bound::Unbounded, Bound::Excluded);
         let later = self.entries.range((from, Bound::Unbounded));
         let mut turn = later.chain(&self.entries);
-        let barred = turn.find(|(_, entry)| matches!(entry.status(now), SuspectStatus::Barred(_)));
-        barred.map(|(digest, _)| *digest)
+        let found = turn.find(|(_, entry)| match entry.status(now) {
+            SuspectStatus::Clear => false,
+            SuspectStatus::Suspect => entry.incidents().len() >= crashes,
+            SuspectStatus::Barred(_) => true,
+        });
+        found.map(|(digest, _)| *digest)
     }
 
     /// Returns the parts of prompts under which endpoints crashed. Only a daemon that records its runs
