An answer whose end only the close marks is whole only if its endpoint goes on

Played here: every byte of the head, with a length, with chunks and without either, plain answers and streams, on new and used connections. A head cut before its empty line was never a success. One that ends right after it, without length or chunks, was: 200 and an empty body.

Now a success without length that has no body is not whole, and an answer or stream of that kind waits until the endpoint's process has answered a report, which takes milliseconds, or 0.3 s if it does not answer. Looks at one process are made early when a further connection to it breaks, at least 30 ms apart.

Tests that failed before: cut_head::a_plain_answer_without_length_that_ends_after_its_head_is_not_a_success, an_answer_without_length_whose_endpoint_ends_is_not_relayed_as_whole (real processes). Those of the cut heads passed before as well. Ruled out: cuts before the empty line; detours, which need a marked end already.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -24,6 +24,7 @@
 use super::state::Edge;
 use super::suspect;
 use super::suspect::Process;
+use super::suspect::RunEnd;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::attempt::AnswerOwner;
@@ -244,16 +245,21 @@
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "attempt_broke");
             edge.pool().clear(entry.addr);
             reach::record_failure(edge, entry.addr);
-            check_process(edge, ctx, entry).await;
+            check_process(edge, ctx, entry, RunEnd::Broken).await;
             return outcome;
         }
         Err(_) => {
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, ms = remaining.0; "attempt_timed_out");
             // It may have fallen silent for good; the answer to the caller is due now.
-            drop(check_process(edge, ctx, entry));
+            drop(check_process(edge, ctx, entry, RunEnd::Broken));
             return outcome;
         }
     };
+    if !is_whole(edge, ctx, entry, &conn, &response).await {
+        log::info!(id = ctx.id, endpoint:% = entry.endpoint, bytes = response.body.len(); "answer_torn");
+        edge.pool().clear(entry.addr);
+        return outcome;
+    }
     if is_new {
         reach::record_contact(edge);
     }
@@ -269,8 +275,30 @@
     outcome
 }
 
+/// Returns whether an answer is complete. Where the close of the connection is the only mark of its end, a crash
+/// of the endpoint looks the same: a success without a body is not complete then, nor is one whose endpoint
+/// is found to have ended.
+async fn is_whole(
+    edge: &Edge,
+    ctx: &RequestContext,
+    entry: &Entry,
+    conn: &Conn,
+    response: &Response,
+) -> bool {
+    if conn.reader.has_marked_end() {
+        return true;
+    }
+    let is_empty = response.status.is_success() && response.body.is_empty();
+    !check_process(edge, ctx, entry, RunEnd::Unmarked).await && !is_empty
+}
+
 /// Starts to look whether an endpoint crashed under a request; the result is whether it is known to have.
-fn check_process(edge: &Edge, ctx: &RequestContext, entry: &Entry) -> JoinHandle<bool> {
+fn check_process(
+    edge: &Edge,
+    ctx: &RequestContext,
+    entry: &Entry,
+    end: RunEnd,
+) -> JoinHandle<bool> {
     let process = Process {
         endpoint: entry.endpoint.clone(),
         addr: entry.addr,
@@ -280,7 +308,7 @@
         has_begun: true,
         events: 0,
     };
-    suspect::check_endpoints(edge, ctx, progress, vec![process], Millis(0))
+    suspect::check_endpoints(edge, ctx, progress, vec![process], end)
 }
 
 /// Classifies an endpoint's response.
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -13,6 +13,7 @@
 use super::state::Edge;
 use super::suspect;
 use super::suspect::Process;
+use super::suspect::RunEnd;
 use super::suspect::RunProgress;
 use crate::clock::Millis;
 use crate::core::admit::Decision;
@@ -186,7 +187,7 @@
     }
 
     /// Starts to look at engines of the path that failed under the current run, once a run.
-    fn check(&mut self, addrs: &[SocketAddr], patience: Millis) -> Option<JoinHandle<bool>> {
+    fn check(&mut self, addrs: &[SocketAddr], end: RunEnd) -> Option<JoinHandle<bool>> {
         if std::mem::replace(&mut self.run.is_checked, true) {
             return None;
         }
@@ -198,17 +199,17 @@
         let failed = failed.cloned().collect();
         let progress = self.run.progress;
         Some(suspect::check_endpoints(
-            self.edge, self.ctx, progress, failed, patience,
+            self.edge, self.ctx, progress, failed, end,
         ))
     }
 
-    /// Looks whether the first engine of a path crashed after its connection broke, for up to `patience`;
-    /// the crash is recorded also if it shows later. Returns whether it is known to have crashed.
-    pub async fn check_first(&mut self, path: &[Part], patience: Millis) -> bool {
+    /// Looks whether the first engine of a path crashed, whose connection broke or ended; after a break the
+    /// crash is recorded also if it shows later. Returns whether it is known to have crashed.
+    pub async fn check_first(&mut self, path: &[Part], end: RunEnd) -> bool {
         let Some(first) = path.first() else {
             return false;
         };
-        match self.check(&[first.addr], patience) {
+        match self.check(&[first.addr], end) {
             Some(check) => check.await,
             None => false,
         }
@@ -217,7 +218,7 @@
     /// Starts to look whether one of the silent engines of a path crashed.
     fn spawn_check(&mut self, silent: &[SocketAddr]) {
         // It goes on, and nothing waits for its result.
-        drop(self.check(silent, Millis(0)));
+        drop(self.check(silent, RunEnd::Broken));
     }
 
     /// Sets how many paths the request was sent along, which decides whether it may try another.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -37,6 +37,7 @@
 use super::paths::PathSelector;
 use super::reach;
 use super::state::Edge;
+use super::suspect::RunEnd;
 use crate::clock::Millis;
 use crate::core::attempt::AnswerOwner;
 use crate::core::attempt::Ending;
@@ -54,9 +55,6 @@
 
 /// The `Retry-After` of a refusal when no path could run the request.
 const RETRY_AFTER: Millis = Millis(1000);
-/// How long the end of a stream waits that only the close of its connection marks, for a sign that the
-/// engine crashed. All events are relayed by then.
-const END_PATIENCE: Millis = Millis(300);
 /// How often a started stream looks for a path while none exists; it is not ended while it has time
 /// left.
 const PATH_POLL: Millis = Millis(50);
@@ -429,7 +427,7 @@
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_sent");
             edge.pool().clear(first.addr);
-            selector.check_first(path, Millis(0)).await;
+            selector.check_first(path, RunEnd::Broken).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -451,7 +449,7 @@
             selector.edge.pool().clear(path[0].addr);
             selector.record_failure(path[0].addr);
             reach::record_failure(selector.edge, path[0].addr);
-            selector.check_first(path, Millis(0)).await;
+            selector.check_first(path, RunEnd::Broken).await;
             Err(StreamEnd::Broke)
         }
     }
@@ -532,7 +530,7 @@
             }
             Ok(None) => {
                 log::info!(id = ctx.id, endpoint:% = path[0].endpoint; "stream_torn");
-                selector.check_first(path, Millis(0)).await;
+                selector.check_first(path, RunEnd::Broken).await;
                 return Err(StreamEnd::Broke);
             }
             Err(error) => {
@@ -540,7 +538,7 @@
                 log::info!(id = ctx.id, endpoint:% = endpoint, error:% = error; "stream_broke");
                 selector.record_failure(path[0].addr);
                 reach::record_failure(edge, path[0].addr);
-                selector.check_first(path, Millis(0)).await;
+                selector.check_first(path, RunEnd::Broken).await;
                 return Err(StreamEnd::Broke);
             }
         }
@@ -566,7 +564,7 @@
     }
     // Without a link to any endpoint, a crash cannot be told.
     progress.events.count() > 0
-        && !selector.check_first(path, END_PATIENCE).await
+        && !selector.check_first(path, RunEnd::Unmarked).await
         && !selector.edge.is_cut_off()
 }
 
@@ -674,6 +672,10 @@
             _ => return StreamEnd::Broke,
         }
     }
+    if !reader.has_marked_end() && body.is_empty() && response.status.is_success() {
+        // The engine may have stopped after its head.
+        return StreamEnd::Broke;
+    }
     let status = response.status.as_u16();
     response.body = body.freeze();
     forward::strip_hop_headers(&mut response.headers);
--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -26,6 +26,7 @@
 use crate::core::poison::SuspectGossip;
 use crate::core::poison::SuspectStatus;
 use crate::io::http::HttpError;
+use crate::io::mailbox::Mailbox;
 use crate::io::timeout::within;
 use crate::names::EndpointName;
 
@@ -34,6 +35,11 @@
 /// How long the first look at an endpoint whose connection broke may take. A refusal arrives within
 /// milliseconds, and the request waits for the result.
 const CHECK_TIMEOUT: Millis = Millis(100);
+/// The least time between two looks at one endpoint, however many connections to it break.
+const MIN_PAUSE: Millis = Millis(30);
+/// How long a run whose end is unmarked waits for an answer of its endpoint's process. One that ends does so
+/// within this time, and one that goes on answers within milliseconds.
+const UNMARKED_TIMEOUT: Millis = Millis(300);
 /// How often a request looks whether the first look at its endpoint has ended.
 const POLL_INTERVAL: Millis = Millis(2);
 /// The number of events after which a request cannot have crashed the engines of its path by its
@@ -83,6 +89,15 @@
     Some(until.since(now))
 }
 
+/// How a run ended whose endpoint may have crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Its connection broke, or its endpoint fell silent.
+    Broken,
+    /// Its answer is whole unless the endpoint crashed: only the close of the connection marks its end.
+    Unmarked,
+}
+
 /// The process of an endpoint that a request was sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Process {
@@ -112,6 +127,10 @@
     watch: EndingWatch,
     runs: Vec<BrokenRun>,
     looks: u32,
+    /// When the last look began that the process answered.
+    answered: Option<Millis>,
+    /// Has the next look made early, as a further connection broke.
+    wake: Mailbox<()>,
 }
 
 /// The endpoints that are looked at, by name and start of the process.
@@ -121,14 +140,14 @@
 /// is known whether their processes ended; records that as a crash, also if the caller leaves meanwhile.
 /// Requests that broke on the same process share the looks.
 ///
-/// The task's result is whether one is known to have ended after a first look at each, or within
-/// `patience` if that is longer.
+/// The task's result is whether one is known to have ended after a first look at each; after a run whose end
+/// is unmarked, until the process has answered. What happens to the endpoint of such a run later does not count.
 pub fn check_endpoints(
     edge: &Edge,
     ctx: &RequestContext,
     progress: RunProgress,
     processes: Vec<Process>,
-    patience: Millis,
+    end: RunEnd,
 ) -> JoinHandle<bool> {
     let run = BrokenRun {
         id: ctx.id.clone(),
@@ -151,63 +170,82 @@
             continue;
         }
         let key = (endpoint, boot);
-        let is_new = edge.watches(|watches| {
+        let (is_new, looks) = edge.watches(|watches| {
             let is_new = !watches.contains_key(&key);
             let watched = watches.entry(key.clone()).or_insert_with(|| Watched {
                 watch: EndingWatch::new(now, boot),
                 runs: Vec::new(),
                 looks: 0,
+                answered: None,
+                wake: Mailbox::new(1),
             });
             watched.watch.record_break(now);
             watched.runs.push(run.clone());
-            is_new
+            if !is_new {
+                // A full mailbox means that an early look is already due.
+                let _ = watched.wake.send(());
+            }
+            (is_new, watched.looks)
         });
         if is_new {
-            monoio::spawn(watch(edge.clone(), key.clone(), addr));
+            let asks = end == RunEnd::Unmarked;
+            monoio::spawn(watch(edge.clone(), key.clone(), addr, asks));
         }
-        keys.push(key);
+        keys.push((key, looks));
     }
-    monoio::spawn(wait_for_looks(
-        edge.clone(),
-        run.is_recorded,
-        keys,
-        patience,
-    ))
+    monoio::spawn(wait_for_looks(edge.clone(), run.is_recorded, keys, end))
 }
 
-/// Waits until one of the endpoints is known to have ended, or all are looked at and `patience` has passed.
+/// Waits until one of the endpoints is known to have ended, or enough is known of all.
 async fn wait_for_looks(
     edge: Edge,
     is_recorded: Rc<Cell<bool>>,
-    keys: Vec<(EndpointName, u64)>,
-    patience: Millis,
+    keys: Vec<((EndpointName, u64), u32)>,
+    end: RunEnd,
 ) -> bool {
     let start = edge.now();
     loop {
-        let is_open = |key| edge.watches(|watches| watches.contains_key(key));
-        let is_unseen =
-            |key| edge.watches(|watches| watches.get(key).is_some_and(|w| w.looks == 0));
         let passed = edge.now().since(start);
-        let must_wait = keys.iter().any(is_unseen) && passed < CHECK_TIMEOUT
-            || keys.iter().any(is_open) && passed < patience;
+        let must_wait = keys.iter().any(|(key, seen)| {
+            edge.watches(|watches| {
+                watches.get(key).is_some_and(|watched| match end {
+                    RunEnd::Broken => watched.looks <= *seen && passed < CHECK_TIMEOUT,
+                    RunEnd::Unmarked => {
+                        watched.answered.is_none_or(|at| at < start) && passed < UNMARKED_TIMEOUT
+                    }
+                })
+            })
+        });
         if is_recorded.get() || !must_wait {
-            return is_recorded.get();
+            break;
         }
         monoio::time::sleep(POLL_INTERVAL.duration()).await;
     }
+    match end {
+        RunEnd::Broken => is_recorded.get(),
+        // The run is whole, and what happens to its endpoint from now on is not its fault.
+        RunEnd::Unmarked => is_recorded.replace(true),
+    }
 }
 
 /// Looks at an endpoint until it is known whether the process ended to which connections broke.
-async fn watch(edge: Edge, key: (EndpointName, u64), addr: SocketAddr) {
+async fn watch(edge: Edge, key: (EndpointName, u64), addr: SocketAddr, asks_first: bool) {
     let start = edge.now();
     let (endpoint, boot) = &key;
+    let mut asks = asks_first;
     loop {
-        let sight = look(&edge, &key, addr, start).await;
+        let begun = edge.now();
+        let sight = look(&edge, &key, addr, start, asks).await;
+        asks = true;
         let now = edge.now();
         let finding = edge.watches(|watches| {
             let watched = watches.get_mut(&key)?;
             watched.looks += 1;
-            Some(watched.watch.judge(now, sight))
+            let finding = watched.watch.judge(now, sight);
+            if matches!(sight, Sight::Answered(_)) && finding != Finding::Ended {
+                watched.answered = Some(begun);
+            }
+            Some(finding)
         });
         let pause = match finding {
             Some(Finding::Open(pause)) => pause,
@@ -227,22 +265,33 @@
                 return;
             }
         };
-        monoio::time::sleep(pause.duration()).await;
+        let wake = edge.watches(|watches| Some(watches.get(&key)?.wake.clone()));
+        let least = pause.min(MIN_PAUSE);
+        monoio::time::sleep(least.duration()).await;
+        if let Some(wake) = wake {
+            // Woken or timed out, the next look is due.
+            let _ = within(pause - least, wake.receive()).await;
+        }
     }
 }
 
-/// Looks at an endpoint once. The first look only opens a connection, so that a request that waits for it
-/// goes on at once.
+/// Looks at an endpoint once, and `asks` its process when it started. Else the look only opens a connection,
+/// so that a request that waits for it goes on at once.
 ///
 /// A refusal counts only if another endpoint is reached: where this VM is cut off, all connections may be
 /// refused on the way.
-async fn look(edge: &Edge, key: &(EndpointName, u64), addr: SocketAddr, start: Millis) -> Sight {
+async fn look(
+    edge: &Edge,
+    key: &(EndpointName, u64),
+    addr: SocketAddr,
+    start: Millis,
+    asks: bool,
+) -> Sight {
     let (endpoint, boot) = key;
     let newest = edge.roster(|roster| roster.entry_at(addr).map(|entry| entry.born));
-    let is_first = edge.watches(|watches| watches.get(key).is_some_and(|w| w.looks == 0));
     let seen = if newest.is_some_and(|born| born > *boot) {
         Ok(newest)
-    } else if is_first {
+    } else if !asks {
         let dialed = within(CHECK_TIMEOUT, edge.pool().dial(addr)).await;
         let dialed = dialed.unwrap_or(Err(HttpError::TimedOut));
         // Only an answer shows that the process behind the listener still runs, so the connection is not
@@ -253,7 +302,7 @@
     };
     let saw = match &seen {
         Ok(Some(born)) if born != boot => "restarted",
-        Ok(_) if is_first => "accepted",
+        Ok(_) if !asks => "accepted",
         Ok(_) => "answered",
         Err(error) if is_refusal(error) => "refused",
         Err(HttpError::TimedOut) => "silent",
@@ -263,7 +312,7 @@
     log::info!(endpoint:% = endpoint, boot, saw, ms; "endpoint_checked");
     edge.metrics().count_endpoint_check(saw);
     match seen {
-        Ok(born) if born.is_some() || !is_first => Sight::Answered(born),
+        Ok(born) if born.is_some() || asks => Sight::Answered(born),
         Err(error) if is_refusal(&error) && reach::confirm(edge).await => Sight::Refused,
         Ok(_) | Err(_) => Sight::Unclear,
     }
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -4,6 +4,8 @@
 mod again;
 #[path = "edge/cut.rs"]
 mod cut;
+#[path = "edge/cut_head.rs"]
+mod cut_head;
 #[path = "edge/cut_stream.rs"]
 mod cut_stream;
 #[path = "edge/deadline.rs"]
