A stopping VM takes only requests that end within its grace, and answers the others before it exits

Report of another operator: in a planned stop of one VM, requests that came late in the grace were taken and passed on, and at its end they were cut with no answer, among them some that may not be repeated (LOST). It happens here: with a grace of 8 s, 3 of 8 requests of 4.9 s (limit 6 s) that came up to 2.7 s after SIGTERM were cut off; with a grace of 3 s, 4 of 4. Cause: a stopping VM looked at how long ago it was told to stop, not at how long a request may run, and exited 0.7 s before the end of the grace whatever was open.

Now it takes what ends in time even if it runs as long as it may (core/stop.rs); a stream that can be resumed, if it usually does. The rest is refused at once, unrun, with Retry-After 0, and a detour is declined, so that the VM that sent it asks another one. What still runs is answered (504) 0.4 s before the end of the grace, and the daemon exits 0.15 s before it.

Tests with real processes that failed before: requests_that_come_late_in_the_grace_are_not_cut_off_at_its_end (3 cut), a_request_longer_than_the_grace_is_told_so_before_the_daemon_exits (4 cut). Short requests and streams are served through the grace as before. cornelwharfd has no grace of its own: it exits when nothing is open.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,4 +24,5 @@
 pub mod route;
 pub mod session;
 pub mod site;
+pub mod stop;
 pub mod sync;
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -14,6 +14,7 @@
 use crate::core::poison::RequestDigest;
 use crate::core::site::Route;
 use crate::core::site::SiteConfig;
+use crate::core::stop::time_left;
 use crate::io::http::Conn;
 use crate::io::http::Request;
 use crate::io::http::Response;
@@ -28,6 +29,11 @@
 /// How long after its deadline a request is ended that has not ended by itself.
 const DEADLINE_MARGIN: Millis = Millis(50);
 
+/// How often a request looks whether its VM was told to stop.
+const STOP_CHECK_INTERVAL: Millis = Millis::seconds(1);
+/// The least number of such looks within a grace period.
+const STOP_CHECKS: u64 = 4;
+
 /// What happens to a caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnAction {
@@ -87,11 +93,22 @@
         self.id != NO_ID
     }
 
-    /// Waits until shortly after the deadline. Most waits of a request end at the deadline by themselves,
-    /// and their log lines say what for.
+    /// Waits until shortly after the deadline, or until the VM is about to exit. Most waits of a request end at
+    /// the deadline by themselves, and their log lines say what for.
     pub async fn wait_for_deadline(&self, edge: &Edge) {
-        let left = self.remaining(edge.now()) + DEADLINE_MARGIN;
-        monoio::time::sleep(left.duration()).await;
+        let end = self.deadline + DEADLINE_MARGIN;
+        let grace = edge.settings().bounds.grace();
+        let step = STOP_CHECK_INTERVAL.min(Millis(grace.0 / STOP_CHECKS));
+        loop {
+            let now = edge.now();
+            let left = end.since(now);
+            let until_exit = edge.stopping().map(|passed| time_left(passed, grace));
+            if left == Millis(0) || until_exit == Some(Millis(0)) {
+                return;
+            }
+            let wait = left.min(until_exit.unwrap_or(step));
+            monoio::time::sleep(wait.duration()).await;
+        }
     }
 
     /// Returns the time left until the deadline, 0 once it has passed.
--- a/src/edge/detour.rs
+++ b/src/edge/detour.rs
@@ -18,7 +18,6 @@
 use http::StatusCode;
 use http::header;
 
-use super::ACCEPT_AFTER_STOP;
 use super::context::RequestContext;
 use super::forward;
 use super::forward::set_header;
@@ -27,6 +26,7 @@
 use crate::consts::MAX_BODY_BYTES;
 use crate::core::attempt::Ending;
 use crate::core::site::RouteKind;
+use crate::core::stop::ACCEPT_TIME;
 use crate::io::http::Conn;
 use crate::io::http::HttpError;
 use crate::io::http::Request;
@@ -121,7 +121,7 @@
 
 /// Returns why this VM does not serve a request of another one; `None` if it does.
 pub fn find_objection(edge: &Edge, info: DetourInfo) -> Option<&'static str> {
-    if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
+    if edge.stopping().is_some_and(|span| span > ACCEPT_TIME) {
         return Some("stopping");
     }
     if edge.is_cut_off() {
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -10,7 +10,6 @@
 use http::header;
 use http::uri::PathAndQuery;
 
-use super::ACCEPT_AFTER_STOP;
 use super::LISTEN_AFTER_STOP;
 use super::call;
 use super::context::ConnAction;
@@ -32,6 +31,9 @@
 use crate::core::site::Route;
 use crate::core::site::RouteError;
 use crate::core::site::RouteKind;
+use crate::core::stop::ACCEPT_TIME;
+use crate::core::stop::RunLimit;
+use crate::core::stop::takes_request;
 use crate::io::http::Bounds;
 use crate::io::http::Conn;
 use crate::io::http::HttpError;
@@ -177,16 +179,9 @@
         .filter(|id| !id.is_empty())
         .unwrap_or(NO_ID)
         .to_owned();
-    if edge.stopping().is_some_and(|span| span > ACCEPT_AFTER_STOP) {
+    if edge.stopping().is_some_and(|span| span > ACCEPT_TIME) {
         log::info!(id, status = 503, reason = "stopping"; "refused");
-        return respond(
-            edge,
-            conn,
-            forward::refusal(STOPPING_RETRY_AFTER),
-            bodiless,
-            start,
-        )
-        .await;
+        return respond(edge, conn, refuse_stopping(detour), bodiless, start).await;
     }
     while edge.uptime() < STARTUP_WAIT && !edge.is_caught_up() {
         monoio::time::sleep(STARTUP_POLL.duration()).await;
@@ -251,6 +246,11 @@
         detour,
         trial: None,
     };
+    if let Some(limit) = find_objection(edge, &ctx) {
+        let (id, route) = (&ctx.id, &ctx.route.name);
+        log::info!(id, route, status = 503, limit_ms = limit.longest.0, usual_ms = limit.usual, reason = "stopping"; "refused");
+        return respond(edge, conn, refuse_stopping(ctx.detour), bodiless, start).await;
+    }
     if ctx.detour.is_none() {
         edge.budget(&ctx.service, |budget| budget.record_request(start));
     }
@@ -267,6 +267,26 @@
     }
 }
 
+/// Refuses a request that a stopping VM does not take; another VM that sent it tries a third one.
+fn refuse_stopping(detour: Option<DetourInfo>) -> Response {
+    match detour {
+        Some(_) => detour::decline("stopping"),
+        None => forward::refusal(STOPPING_RETRY_AFTER),
+    }
+}
+
+/// Returns how long a request may run, if this VM is stopping and does not take it for that.
+fn find_objection(edge: &Edge, ctx: &RequestContext) -> Option<RunLimit> {
+    let passed = edge.stopping()?;
+    let may_resume = ctx.route.kind == RouteKind::Stream && ctx.route.may_repeat();
+    let limit = RunLimit {
+        longest: ctx.remaining(ctx.start),
+        usual: may_resume.then(|| edge.admission(|control| control.mean_duration())),
+    };
+    let grace = edge.settings().bounds.grace();
+    (!takes_request(passed, grace, limit)).then_some(limit)
+}
+
 /// Returns how long a request may take: what its caller asks for, at most the timeout of its route.
 fn find_timeout(edge: &Edge, request: &Request, route: &Route) -> Millis {
     let requested = request
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -58,18 +58,15 @@
 use crate::io::log::LogError;
 use crate::io::runtime;
 
-/// How long a stopping daemon still accepts requests. Callers cache its address for a while, but
-/// what it accepts later than 3 s it must finish however long that takes (the users' rule for
-/// planned stops).
-pub const ACCEPT_AFTER_STOP: Millis = Millis(2800);
 /// How long a stopping daemon takes connections. The requests on those of the last part are refused with
 /// the time to come back, so that few callers still connect when the listener closes.
 const LISTEN_AFTER_STOP: Millis = Millis(3000);
 /// How long a stopping daemon has no request before it exits. Its listener is closed by then, and each
 /// answer ended its connection, so this covers what is on the way over those.
 const EXIT_QUIET: Millis = Millis(150);
-/// The part of the grace period that is reserved for the exit.
-const EXIT_MARGIN: Millis = Millis(700);
+/// The end of the grace period by which the daemon exits whatever is still open; the requests were
+/// answered before ([`END_MARGIN`](crate::core::stop::END_MARGIN)).
+const EXIT_MARGIN: Millis = Millis(150);
 
 /// An error that keeps a daemon from running.
 #[derive(Debug, Display, Error, From)]
