--- a/tests/edge/pause.rs
+++ b/tests/edge/pause.rs
@@ -11,7 +11,9 @@
 use http::StatusCode;
 
 use super::World;
+use super::fake;
 use super::run;
+use super::sleep;
 
 /// The pause that the endpoint asks for.
 const PAUSE: Millis = Millis::seconds(3);
@@ -74,3 +76,29 @@
 fn an_engine_that_says_it_leaves_while_a_connection_opens_gets_nothing() {
     run(async |world: Rc<World>| check_avoided(world, "/draft/1", leave).await);
 }
+
+#[test]
+fn an_endpoint_that_asked_for_a_pause_is_not_asked_whether_it_crashed() {
+    run(async |world: Rc<World>| {
+        let asked = Rc::new(Cell::new(0));
+        let (count, edge) = (Rc::clone(&asked), world.edges[0].clone());
+        let handle = async move |target,
+                                 conn: &mut fake::Conn,
+                                 request: &fake::Request,
+                                 _: &mut fake::Memory| {
+            if !fake::is_callers(request) {
+                count.set(count.get() + 1);
+                return fake::pass(target, conn, request).await;
+            }
+            let endpoint = edge.roster(|roster| roster.name_at(target));
+            let endpoint = endpoint.expect("a known endpoint");
+            edge.roster(|roster| roster.record_pause(edge.now(), &endpoint, PAUSE));
+            false
+        };
+        fake::replace(&world.edges[..1], &world.plain_endpoints(), handle);
+        let answer = world.call(0, "/post/1", "red-key").await;
+        assert_ne!(answer.status, StatusCode::OK);
+        sleep(Millis(1500)).await;
+        assert_eq!(asked.get(), 0, "requests during the pause");
+    });
+}
