--- a/src/core/poison/ending.rs
+++ b/src/core/poison/ending.rs
@@ -13,11 +13,13 @@
 pub const SETTLE_TIME: Millis = Millis(500);
 /// How long an endpoint is looked at that shows neither. One that fell silent is back after some seconds.
 const WATCH_TIME: Millis = Millis::seconds(15);
+/// How long an endpoint is looked at in all while further connections to it break.
+const MAX_WATCH_TIME: Millis = Millis::seconds(30);
 /// The time from the break to the second look. Most processes have ended by then.
 const FIRST_GAP: Millis = Millis(30);
-/// Each look comes at this multiple of the time since the break, so that few looks cover the first moments
-/// and the seconds after them.
-const GAP_FACTOR: u64 = 3;
+/// Each pause is this multiple of the time since the break, so that few looks cover the first moments and
+/// the seconds after them.
+const GAP_FACTOR: u64 = 2;
 /// The longest time between two looks.
 const MAX_GAP: Millis = Millis::seconds(1);
 
@@ -28,8 +30,8 @@
     Refused,
     /// A process answered, and says when it started if it says so at all.
     Answered(Option<u64>),
-    /// Neither: the connection was accepted without an answer, broke or could not be opened in time, or
-    /// this VM reaches no endpoint at all.
+    /// Neither: the connection was accepted without an answer, broke or could not be opened in time, the
+    /// endpoint wants a pause, or this VM reaches no endpoint at all.
     Unclear,
 }
 
@@ -84,10 +86,12 @@
 
     fn wait(&self, now: Millis) -> Finding {
         let passed = now.since(self.last_break);
-        if passed >= WATCH_TIME || now.since(self.first_break) >= WATCH_TIME + WATCH_TIME {
+        // An endpoint to which connections break again and again is given up as well.
+        let watched = now.since(self.first_break);
+        if passed >= WATCH_TIME || watched >= MAX_WATCH_TIME {
             return Finding::Unknown;
         }
-        let next = Millis(passed.0 * GAP_FACTOR).max(FIRST_GAP);
-        Finding::Open(next.since(passed).max(FIRST_GAP).min(MAX_GAP))
+        let gap = Millis(passed.0 * GAP_FACTOR);
+        Finding::Open(gap.clamp(FIRST_GAP, MAX_GAP))
     }
 }
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -246,7 +246,7 @@
         detour,
         trial: None,
     };
-    if let Some(limit) = find_objection(edge, &ctx) {
+    if let Some(limit) = find_excess(edge, &ctx) {
         let (id, route) = (&ctx.id, &ctx.route.name);
         log::info!(id, route, status = 503, limit_ms = limit.longest.0, usual_ms = limit.usual, reason = "stopping"; "refused");
         return respond(edge, conn, refuse_stopping(ctx.detour), bodiless, start).await;
@@ -275,8 +275,8 @@
     }
 }
 
-/// Returns how long a request may run, if this VM is stopping and does not take it for that.
-fn find_objection(edge: &Edge, ctx: &RequestContext) -> Option<RunLimit> {
+/// Returns how long a request may run, if that is too long for this VM, which is stopping.
+fn find_excess(edge: &Edge, ctx: &RequestContext) -> Option<RunLimit> {
     let passed = edge.stopping()?;
     let may_resume = ctx.route.kind == RouteKind::Stream && ctx.route.may_repeat();
     let limit = RunLimit {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -116,17 +116,17 @@
 
     /// Records that the request starts to run on a new or changed path.
     pub fn begin_run(&mut self, path: &[Part]) {
-        let process = |part: &Part| Process {
-            endpoint: part.endpoint.clone(),
-            addr: part.addr,
-            boot: self
-                .edge
-                .roster(|roster| roster.born(&part.endpoint))
-                .unwrap_or(0),
+        let process = |part: &Part| {
+            let boot = self.edge.roster(|roster| roster.born(&part.endpoint));
+            Some(Process {
+                endpoint: part.endpoint.clone(),
+                addr: part.addr,
+                boot: boot?,
+            })
         };
         self.run = Run {
             start: self.edge.now(),
-            processes: path.iter().map(process).collect(),
+            processes: path.iter().filter_map(process).collect(),
             ..Run::default()
         };
     }
