Comments: what a reset shows of an endpoint; the test's doc names what it does

Found in the last read of the diff: the reason why a reset or no answer is no evidence had gone with the old comment, and a doc comment named a parameter that the function does not have. Formatter, import check and cargo check run; no code changed.

--- a/src/edge/suspect.rs
+++ b/src/edge/suspect.rs
@@ -280,7 +280,8 @@
 /// so that a request that waits for it goes on at once.
 ///
 /// A refusal counts only if another endpoint is reached: where this VM is cut off, all connections may be
-/// refused on the way. An endpoint that asked for a pause is left alone.
+/// refused on the way. A reset or no answer shows nothing: both happen on the way to an endpoint that goes
+/// on. An endpoint that asked for a pause is left alone.
 async fn look(
     edge: &Edge,
     key: &(EndpointName, u64),
--- a/tests/edge/cut_head.rs
+++ b/tests/edge/cut_head.rs
@@ -33,8 +33,8 @@
     fake::head(Some(&id), &framing)
 }
 
-/// Has endpoints stop after the byte `at` of their heads. With `is_kept`, each answers a first request on a
-/// connection. Returns the length of the last head.
+/// Has endpoints stop after the byte `at` of their heads; requests whose path ends in `warm` get a whole
+/// answer, so that their connections are kept. Returns the length of the last head.
 fn cut_heads(
     edges: &[Edge],
     targets: &[SocketAddr],
@@ -65,7 +65,8 @@
     length
 }
 
-/// Plays each cut of the head for requests to `path`; an answer of status 200 must be seen to be cut off.
+/// Plays each cut of the head for requests to `path`, with `is_kept` on used connections; no answer may be a
+/// whole success.
 async fn check(world: &World, path: &str, framing: Framing, is_kept: bool) {
     let at = Rc::new(Cell::new(0));
     let targets = [world.plain_endpoints(), world.first_engines()].concat();
