Lines for what a VM gets after its start, for missing paths and for paths between domains

New lines startup and no_path, the field crossings in path, and the histogram edge_startup; no change of behaviour.

--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -19,6 +19,7 @@
 pub use self::path::Stage;
 pub use self::path::choose_path;
 pub use self::path::choose_subpath;
+pub use self::path::find_gap;
 pub use self::place::Engine;
 pub use self::place::plan_placement;
 pub use self::place::repair_placement;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -286,6 +286,15 @@
     tokens * per_token + (model.delay + LINK_WAIT_MS) * demand.answer
 }
 
+/// Returns the first layers of a model that none of the engines holds; `None` if each has one.
+#[must_use]
+pub fn find_gap(stages: &[Stage], layers: u32) -> Option<Span> {
+    let is_held = |layer: &u32| stages.iter().any(|stage| stage.span.contains(*layer));
+    let from = (0..layers).find(|layer| !is_held(layer))?;
+    let to = (from..layers).find(is_held).unwrap_or(layers);
+    Some(Span { from, to })
+}
+
 /// Follows `previous` back from `end` and returns the parts of the path in order.
 fn collect_parts(
     stages: &[&Stage],
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -45,6 +45,7 @@
 use crate::core::pipe::Stage;
 use crate::core::position::Position;
 use crate::core::site::Model;
+use crate::names::Domain;
 use crate::names::EndpointName;
 use crate::names::ServiceName;
 
@@ -489,6 +490,12 @@
         state.last_entry.as_ref().map(|entry| entry.born)
     }
 
+    /// Returns the failure domain of an endpoint, by its latest entry; `None` if it is unknown.
+    pub fn domain_of(&self, endpoint: &EndpointName) -> Option<&Domain> {
+        let state = self.endpoints.get(endpoint)?;
+        state.last_entry.as_ref().map(|entry| &entry.domain)
+    }
+
     /// Returns the name of the endpoint at an address, chosen as by [`Self::entry_at`].
     pub fn name_at(&self, addr: SocketAddr) -> Option<EndpointName> {
         self.entry_at(addr).map(|entry| entry.endpoint.clone())
--- a/src/edge/context.rs
+++ b/src/edge/context.rs
@@ -8,6 +8,8 @@
 
 use super::detour::DetourInfo;
 use super::parts::Trial;
+use super::startup;
+use super::startup::Step;
 use super::state::Edge;
 use crate::clock::Millis;
 use crate::core::poison::PartDigest;
@@ -133,6 +135,9 @@
     }
     edge.metrics()
         .record_answer(response.status.as_u16(), edge.now().since(start));
+    if response.status.is_success() {
+        startup::record(edge, Step::Answer, "self");
+    }
     match conn.writer.response(&response, bodiless).await {
         Ok(()) if !stopping => ConnAction::Keep,
         Ok(()) => ConnAction::Close,
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -3,6 +3,8 @@
 
 use super::dialect::KeyedRecord;
 use super::dialect::Tail;
+use super::startup;
+use super::startup::Step;
 use super::state::Edge;
 use super::store::StoreError;
 use crate::clock::Millis;
@@ -89,6 +91,7 @@
                 from = next;
                 edge.mark_store_up();
                 edge.metrics().count_store_call("answered");
+                edge.startup().count_call(true);
                 if pause > Millis(0) {
                     monoio::time::sleep(pause.duration()).await;
                 }
@@ -103,6 +106,7 @@
                 }
                 failures += 1;
                 edge.metrics().count_store_call("failed");
+                edge.startup().count_call(false);
                 edge.mark_store_down();
                 let span = edge.fleet(|fleet| fleet.retry_delay(edge.now(), failures));
                 monoio::time::sleep(span.duration()).await;
@@ -149,6 +153,7 @@
         return;
     };
     log::info!(version = site.version, offset:% = offset, routes = site.routes.len(), source; "config_in_force");
+    startup::record(edge, Step::Config, source);
     edge.fleet(|fleet| fleet.me().version = site.version);
     edge.admission(|controller| {
         controller.retain_routes(|name| site.routes.iter().any(|route| route.name == name));
@@ -205,13 +210,14 @@
         roster.sweep(now);
     });
     if news {
-        announce_endpoints(edge, end);
+        announce_endpoints(edge, end, "store");
     }
 }
 
 /// Records that the endpoints' changes before offset `end` were applied, and announces that to the
 /// other VMs.
-pub(super) fn announce_endpoints(edge: &Edge, end: Position) {
+pub(super) fn announce_endpoints(edge: &Edge, end: Position, source: &'static str) {
+    startup::record(edge, Step::Endpoints, source);
     let end = edge.roster(|roster| {
         roster.advance(end);
         roster.end()
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -9,6 +9,8 @@
 use super::notice;
 use super::parts;
 use super::plain;
+use super::startup;
+use super::startup::Step;
 use super::state::Edge;
 use super::suspect;
 use crate::clock::Millis;
@@ -69,6 +71,7 @@
 
 fn receive(edge: &Edge, message: Message) {
     let now = edge.now();
+    startup::record(edge, Step::Peer, "peer");
     for mark in &message.marks {
         if edge.roster(|roster| roster.apply_mark(now, mark)) {
             let source = &message.from.vm;
@@ -203,6 +206,9 @@
     loop {
         let now = edge.now();
         let ready = edge.is_ready();
+        if ready {
+            startup::record(&edge, Step::Ready, "self");
+        }
         let marks = edge.roster(|roster| roster.marks(now));
         let (message, to) = edge.fleet(|fleet| {
             fleet.me().ready = ready;
@@ -281,6 +287,7 @@
     let topic = edge.dialect().topics.vms;
     match edge.store().newest(topic).await {
         Ok((records, _)) => {
+            startup::record(edge, Step::Vms, "store");
             for record in records {
                 let Some(value) = record.value else {
                     continue;
--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -6,6 +6,8 @@
 
 use monoio::net::udp::UdpSocket;
 
+use super::startup;
+use super::startup::Step;
 use super::state::Edge;
 use crate::core::load::LoadMessage;
 use crate::core::load::NameHash;
@@ -53,6 +55,9 @@
         Some(Ok(message)) => {
             let now = edge.now();
             edge.load(|exchange| exchange.receive(now, from, message));
+            if edge.load(|exchange| exchange.age(now)).is_some() {
+                startup::record(edge, Step::Load, "peer");
+            }
         }
         Some(Err(error)) => {
             edge.metrics().count_load_message("dropped");
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -44,6 +44,7 @@
     wait_time: Histogram<f64>,
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
+    startup: Histogram<f64>,
 }
 
 impl Metrics {
@@ -117,6 +118,10 @@
             wait_time: histogram("edge_wait", "Time that streams waited for room."),
             first_event: histogram("edge_first_event", "Time to the first event of a stream."),
             answer_time: histogram("edge_answer", "Time to the end of an answer."),
+            startup: histogram(
+                "edge_startup",
+                "Time from the start until the VM had what it needs to serve, by step.",
+            ),
             registry,
             _provider: provider,
         }
@@ -134,6 +139,12 @@
         self.first_event.record(span.0 as f64, &[]);
     }
 
+    /// Records the time from the start until the VM had something that it needs to serve.
+    pub fn record_startup(&self, step: &str, span: Millis) {
+        let step = KeyValue::new("step", step.to_owned());
+        self.startup.record(span.0 as f64, &[step]);
+    }
+
     /// Counts a stream that was refused for lack of room, with its tokens.
     pub fn count_refusal(&self, priority: u8, is_return: bool, tokens: u32) {
         let class = KeyValue::new("priority", i64::from(priority));
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod retry;
 pub mod settings;
+mod startup;
 mod state;
 mod store;
 mod suspect;
--- a/src/edge/news.rs
+++ b/src/edge/news.rs
@@ -158,7 +158,7 @@
     if whole {
         edge.roster(|roster| roster.record_full_list(end));
     }
-    announce_endpoints(edge, end);
+    announce_endpoints(edge, end, "peer");
 }
 
 /// Answers a VM's question for news. A list of all endpoints is packed if the asking VM accepts
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -27,6 +27,7 @@
 use crate::core::pipe::StallTimer;
 use crate::core::pipe::choose_path;
 use crate::core::pipe::expect_arrivals;
+use crate::core::pipe::find_gap;
 use crate::core::pipe::reroute;
 use crate::core::pipe::spread_load;
 use crate::core::site::Model;
@@ -264,6 +265,31 @@
         )
     }
 
+    /// Logs why there is no path: the first layers that no engine offers, and how many engines are known,
+    /// hold layers, and are offered to this request.
+    pub fn log_no_path(&self) {
+        let now = self.edge.now();
+        let stages = self.stages();
+        let gap = find_gap(&stages, self.model.layers);
+        let (from, to) = gap.map_or((0, 0), |gap| (gap.from, gap.to));
+        let (known, holding) = self.edge.roster(|roster| {
+            let serving = roster.serving(&self.ctx.service, now);
+            serving.fold((0, 0), |(known, holding), (entry, _, _)| {
+                (known + 1, holding + u32::from(entry.span.is_some()))
+            })
+        });
+        log::info!(
+            id = self.ctx.id,
+            from,
+            to,
+            known,
+            holding,
+            offered = stages.len(),
+            excluded = self.excluded.len();
+            "no_path"
+        );
+    }
+
     /// Chooses a path of engines that each have memory for the request, if requests like it may fill
     /// up to `limit` of an engine's request memory; `None` if there is none.
     pub fn pick_path_within(&self, limit: f64) -> Option<Vec<Part>> {
@@ -508,6 +534,17 @@
     });
 }
 
+/// Returns how often a path passes from one domain to another, for logs.
+pub fn count_crossings(edge: &Edge, path: &[Part]) -> usize {
+    edge.roster(|roster| {
+        let crosses = |pair: &&[Part]| {
+            let [from, to] = pair else { return false };
+            roster.domain_of(&from.endpoint) != roster.domain_of(&to.endpoint)
+        };
+        path.windows(2).filter(crosses).count()
+    })
+}
+
 /// Formats a path for logs: each engine with its layers, as `engine=from-to`.
 pub fn format_path(path: &[Part]) -> String {
     let part = |part: &Part| format!("{}={}-{}", part.endpoint, part.span.from, part.span.to);
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -36,6 +36,8 @@
 use super::paths::MIN_RETRY_TIME;
 use super::paths::PathSelector;
 use super::reach;
+use super::startup;
+use super::startup::Step;
 use super::state::Edge;
 use super::suspect::RunEnd;
 use crate::clock::Millis;
@@ -255,6 +257,7 @@
                 selector.clear_excluded();
                 continue;
             }
+            selector.log_no_path();
             return StreamEnd::NotRun;
         };
         progress.events.discard_partial();
@@ -421,7 +424,8 @@
     ctx.record_sent();
     link.conn.writer.record_id(&ctx.id);
     let from = progress.events.last_id().unwrap_or(0);
-    log::info!(id = ctx.id, path:% = paths::format_path(path), last = from; "path");
+    let crossings = paths::count_crossings(edge, path);
+    log::info!(id = ctx.id, path:% = paths::format_path(path), last = from, crossings; "path");
     match link.conn.writer.request(&request).await {
         Ok(()) => Ok(link),
         Err(error) => {
@@ -523,6 +527,7 @@
             Ok(None) if is_whole(selector, progress, path, &reader).await => {
                 edge.metrics()
                     .record_answer(200, edge.now().since(ctx.start));
+                startup::record(edge, Step::Answer, "self");
                 return match writer.finish().await {
                     Ok(()) => Ok(reader),
                     Err(_) => Err(StreamEnd::Left),
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -14,6 +14,7 @@
 use super::metrics::Metrics;
 use super::news::PackedNews;
 use super::settings::Settings;
+use super::startup::Startup;
 use super::store::Store;
 use super::suspect::WatchList;
 use crate::clock::Clock;
@@ -70,6 +71,7 @@
     packed_news: RefCell<Option<PackedNews>>,
     rng: RefCell<ChaCha8Rng>,
     metrics: Metrics,
+    startup: Startup,
     store_contact: Cell<Millis>,
     gossip_trigger: Mailbox<()>,
     stop_time: Cell<Option<Millis>>,
@@ -125,6 +127,7 @@
             packed_news: RefCell::default(),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
+            startup: Startup::default(),
             store_contact: Cell::new(Millis(0)),
             gossip_trigger: Mailbox::new(1),
             stop_time: Cell::new(None),
@@ -166,6 +169,11 @@
         &self.inner.metrics
     }
 
+    /// Returns what this VM got since its start.
+    pub fn startup(&self) -> &Startup {
+        &self.inner.startup
+    }
+
     /// Returns the newest era of the store that this VM knows of, from the store's answers or from
     /// other VMs.
     pub fn store_era(&self) -> u64 {
