A hub that has heard of no VM does not know their load

A VM that has just started and is ready is its own hub. With no report and no sum it kept the empty sum as the load of all others, at age 0, and chose paths on engines that it took for idle, while the callers of all VMs came back.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -352,6 +352,13 @@
         others.all(|other| other.version <= self.me.version)
     }
 
+    /// Returns whether there are no other VMs: none is alive, and this one has run for as long as it takes
+    /// to hear of one.
+    pub fn is_alone(&self, now: Millis) -> bool {
+        let span = now.since(Millis(self.me.boot));
+        span >= ALIVE_TIMEOUT && self.alive(now).next().is_none()
+    }
+
     /// Returns the number of VMs that serve callers, always including this one.
     pub fn serving_count(&self, now: Millis) -> usize {
         1 + self.alive(now).filter(|member| member.ready).count()
--- a/src/core/load/exchange.rs
+++ b/src/core/load/exchange.rs
@@ -218,7 +218,9 @@
 
     /// Returns the messages that are due, once in [`REPORT_INTERVAL`]: this VM's report to the hub of
     /// its domain, and what it owes others if it is a hub. `near` are the hubs of its domain, the
-    /// preferred one first, and `far` those of the others; `me` is this VM's address.
+    /// preferred one first, and `far` those of the others; `me` is this VM's address. `is_alone` says that
+    /// there are no other VMs: else a hub that has heard of none, as after a start, does not know their
+    /// load.
     ///
     /// A VM sums up the reports that it gets, whether or not it considers itself a hub, since VMs may
     /// differ on which ones are.
@@ -228,6 +230,7 @@
         me: &A,
         near: &[A],
         far: &[A],
+        is_alone: bool,
     ) -> Vec<(A, LoadMessage)> {
         self.number += 1;
         let is_fresh = |received: &Received<A>| now.since(received.heard) < REPORT_TTL;
@@ -258,7 +261,8 @@
         }
         let (far_load, far_age) = sum(now, self.sums.values());
         let age = near_age.max(far_age);
-        if is_hub {
+        let is_known = is_alone || !self.reports.is_empty() || !self.sums.is_empty();
+        if is_hub && is_known {
             let mut others = reported;
             others.add(&far_load);
             let at = now - age;
--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -23,8 +23,9 @@
         let now = edge.now();
         let hubs = edge.fleet(|fleet| fleet.hubs(now));
         let me = edge.settings().peer;
+        let is_alone = edge.fleet(|fleet| fleet.is_alone(now));
         let messages =
-            edge.load(|exchange| exchange.next_messages(now, &me, &hubs.near, &hubs.far));
+            edge.load(|exchange| exchange.next_messages(now, &me, &hubs.near, &hubs.far, is_alone));
         let chosen = edge.load(|exchange| exchange.hub().copied());
         if chosen != hub {
             log::info!(hub:? = chosen, near:? = hubs.near, far:? = hubs.far; "hub_chosen");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -380,3 +380,11 @@
     assert!(large <= small + small / 10, "{rates:?}");
     println!("bytes a second and the fewest VMs known, by fleet: {rates:?}");
 }
+
+#[test]
+fn a_vm_that_just_started_takes_itself_for_the_only_one() {
+    let mut fleet = Fleet::new(member(0), Vec::new(), ChaCha8Rng::seed_from_u64(1));
+    let started = Millis(fleet.me().boot);
+    assert!(!fleet.is_alone(started + Millis(100)));
+    assert!(fleet.is_alone(started + Millis::seconds(2)));
+}
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -64,7 +64,7 @@
                 let others = (0..DOMAINS).filter(|other| *other != domain);
                 let far: Vec<usize> = others.flat_map(Self::hubs).collect();
                 let near = Self::hubs(domain);
-                let messages = self.vms[vm].next_messages(self.now, &vm, &near, &far);
+                let messages = self.vms[vm].next_messages(self.now, &vm, &near, &far, false);
                 for (to, message) in messages {
                     if !self.down.contains(&to) && !self.mute.contains(&vm) {
                         self.vms[to].receive(self.now, vm, message);
@@ -140,11 +140,32 @@
     assert_eq!(net.running(20), 0);
 }
 
+#[test]
+fn a_hub_that_has_heard_of_no_vm_takes_the_others_for_idle() {
+    let mut hub = Exchange::new(NameHash::of("hub"));
+    let now = Millis(1000);
+    hub.next_messages(now, &1, &[1], &[], false);
+    assert_eq!(hub.age(now), None);
+    let mut other = Exchange::new(NameHash::of("vm"));
+    for (_, message) in other.next_messages(now, &2, &[1], &[], false) {
+        hub.receive(now, 2, message);
+    }
+    hub.next_messages(now, &1, &[1], &[], false);
+    assert_eq!(hub.age(now), Some(Millis(0)));
+}
+
+#[test]
+fn a_vm_that_is_alone_waits_for_the_load_of_others() {
+    let mut only = Exchange::new(NameHash::of("vm"));
+    only.next_messages(Millis(1000), &1, &[1], &[], true);
+    assert_eq!(only.age(Millis(1000)), Some(Millis(0)));
+}
+
 #[test]
 fn a_vm_of_an_earlier_release_drops_messages_on_load() {
     let mut exchange = Exchange::new(NameHash::of("vm-1"));
     exchange.begin_request(NameHash::of(ENGINE), true, 900);
-    let messages = exchange.next_messages(Millis(1000), &1, &[2], &[]);
+    let messages = exchange.next_messages(Millis(1000), &1, &[2], &[], false);
     for (_, message) in messages {
         let bytes = message.encode().expect("encoded");
         assert!(postcard::take_from_bytes::<Message>(&bytes).is_err());
