Paths cross the links between domains only as far as these carry it

Cause: all requests share the link between two domains, which carries one prompt after another, 58 a second at 11 Gbit/s. Paths were chosen by the loads of engines only, and a crossing cost a fixed time. When engines of a domain are lost, full or marked, all VMs send their streams through other domains at once; the link then carries prompts whose callers have left and come back.

A link's wait counts in the cost of a path; a link is open to such a share of the requests that those that are not seen yet fill it at most; nothing new crosses while loads are not known. A stream that has no other way, or is mended, still crosses.

--- a/src/core/pipe/detour.rs
+++ b/src/core/pipe/detour.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Demand;
+use super::Links;
 use super::Part;
 use super::Span;
 use super::Stage;
@@ -16,6 +17,7 @@
 /// if no other engines hold the missing layers.
 pub fn reroute(
     stages: &[Stage],
+    links: &Links,
     model: &Model,
     demand: Demand,
     path: &[Part],
@@ -45,7 +47,7 @@
         let previous = rerouted.last()?.addr;
         let home = stages.iter().find(|stage| stage.addr == previous);
         let home = home.or(stages.first())?.domain.clone();
-        let parts = choose_subpath(&free, model, &home, demand, Span { from, to })?;
+        let parts = choose_subpath(&free, links, model, &home, demand, Span { from, to })?;
         free.retain(|stage| !parts.iter().any(|part| part.addr == stage.addr));
         rerouted.extend(parts);
     }
--- /dev/null
+++ b/src/core/pipe/link.rs
@@ -0,0 +1,142 @@
+//! The links between domains, which carry the prompts and tokens of all requests that cross them, one
+//! transfer after another (docs/design/return.md).
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::Demand;
+use crate::clock::Millis;
+use crate::core::load::NameHash;
+use crate::core::site::Model;
+use crate::names::Domain;
+
+/// The longest wait on a link to which a new stream may add its prompt. An event holds some five tokens,
+/// each of which passes the link after all that waits there, and callers wait a quarter of a second for it.
+const MAX_WAIT: f64 = 50.0;
+
+/// One megabit per second in bytes per millisecond.
+const BYTES_PER_MS: f64 = 125.0;
+
+/// The two domains that a link joins, in order: both directions share it.
+type Ends = (Domain, Domain);
+
+/// What a VM cannot see of the links: what all VMs have begun since the loads were reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Unseen {
+    /// The time since the report, and until the next one.
+    pub span: Millis,
+    /// The requests that all VMs begin in that time.
+    pub arrivals: f64,
+}
+
+/// The links between domains as one request finds them.
+///
+/// This answers the load in which engines of a domain are lost or full and the paths of many streams lead
+/// through others: each costs a link a prompt's transfer, which the loads of engines do not show. Once
+/// prompts wait for longer than callers do, these come back, and the link carries what nobody waits for.
+///
+/// All VMs see a free link at the same time, and see it taken only some time later. So a link is open to a
+/// share of the requests, such that those of the unseen time fill it if all others would cross it too.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Links {
+    /// The time, in milliseconds, that prompts before this one take over each link.
+    waits: BTreeMap<Ends, f64>,
+    /// The links that this request may not cross.
+    closed: BTreeSet<Ends>,
+    /// Whether what other VMs send over the links is not known.
+    is_unknown: bool,
+    /// Whether links are used however much waits there.
+    is_unlimited: bool,
+}
+
+impl Links {
+    /// Returns links of which nothing is known, as after a start: no new stream should cross them.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self {
+            is_unknown: true,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the links between some domains; `load` returns the prompt tokens on a link by its name, and
+    /// `draw` random numbers from 0 to 1.
+    pub fn between<'a, I, F, D>(
+        domains: I,
+        model: &Model,
+        unseen: Unseen,
+        load: F,
+        mut draw: D,
+    ) -> Self
+    where
+        I: IntoIterator<Item = &'a Domain>,
+        F: Fn(NameHash) -> u64,
+        D: FnMut() -> f64,
+    {
+        let mut domains: Vec<&Domain> = domains.into_iter().collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let mut links = Self::default();
+        let prompt = model.usual.0 * time_per_token(model);
+        for (index, a) in domains.iter().enumerate() {
+            for b in &domains[index + 1..] {
+                let wait = load(link_name(a, b)) as f64 * time_per_token(model);
+                let free = MAX_WAIT + unseen.span.0 as f64 - wait;
+                if free <= draw() * unseen.arrivals * prompt {
+                    links.closed.insert(ends(a, b));
+                }
+                links.waits.insert(ends(a, b), wait);
+            }
+        }
+        links
+    }
+
+    /// Returns the same links without a limit, for requests that have no other way.
+    #[must_use]
+    pub fn unlimited(mut self) -> Self {
+        self.is_unlimited = true;
+        self
+    }
+
+    /// Returns the time, in milliseconds, that all transfers of a request take over the link between two
+    /// domains; `None` if the request may not cross it.
+    pub(super) fn crossing(
+        &self,
+        from: &Domain,
+        to: &Domain,
+        model: &Model,
+        demand: Demand,
+    ) -> Option<f64> {
+        let ends = ends(from, to);
+        let is_closed = self.is_unknown || self.closed.contains(&ends);
+        let wait = self.waits.get(&ends).copied().unwrap_or(0.0);
+        (self.is_unlimited || !is_closed).then(|| wait + transfer_time(model, demand))
+    }
+}
+
+/// Returns the name under which VMs exchange the load of the link between two domains, like that of an
+/// engine.
+#[must_use]
+pub fn link_name(a: &Domain, b: &Domain) -> NameHash {
+    let (a, b) = ends(a, b);
+    NameHash::of(&format!("link {a} {b}"))
+}
+
+fn ends(a: &Domain, b: &Domain) -> Ends {
+    (a.clone().min(b.clone()), a.clone().max(b.clone()))
+}
+
+/// Returns the time, in milliseconds, that a token takes over a link.
+fn time_per_token(model: &Model) -> f64 {
+    model.activation / (model.pipe * BYTES_PER_MS)
+}
+
+/// The assumed queueing delay of each token of an answer, in milliseconds: the transfer of a prompt takes tens
+/// of milliseconds.
+const TOKEN_WAIT_MS: f64 = 6.0;
+
+/// Returns the time, in milliseconds, of all transfers of a request over a link, the usual wait included.
+pub(super) fn transfer_time(model: &Model, demand: Demand) -> f64 {
+    let tokens = demand.prompt + demand.answer;
+    tokens * time_per_token(model) + (model.delay + TOKEN_WAIT_MS) * demand.answer
+}
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -3,6 +3,7 @@
 
 mod detour;
 mod even;
+mod link;
 mod moves;
 mod path;
 mod place;
@@ -11,6 +12,9 @@
 mod watch;
 
 pub use self::detour::reroute;
+pub use self::link::Links;
+pub use self::link::Unseen;
+pub use self::link::link_name;
 pub use self::moves::Move;
 pub use self::moves::Mover;
 pub use self::moves::plan_moves;
@@ -23,6 +27,7 @@
 pub use self::place::Engine;
 pub use self::place::plan_placement;
 pub use self::place::repair_placement;
+pub use self::spread::count_arrivals;
 pub use self::spread::expect_arrivals;
 pub use self::spread::spread_load;
 pub use self::watch::Expected;
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -5,15 +5,14 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
+use super::Links;
 use super::Span;
+use super::link::transfer_time;
 use crate::core::site::Card;
 use crate::core::site::Model;
 use crate::names::Domain;
 use crate::names::EndpointName;
 
-/// The assumed queueing delay of each token, in milliseconds, on the link between two domains.
-/// Transfers are sent one after the other, and the transfer of a prompt takes tens of milliseconds.
-const LINK_WAIT_MS: f64 = 6.0;
 /// The fixed cost of each engine in a path, in milliseconds per token: the token waits for the
 /// engine's next forward pass.
 const HOP_COST_MS: f64 = 0.4;
@@ -116,9 +115,11 @@
 /// Returns the path with the lowest estimated time, or `None` if no path runs all layers.
 ///
 /// The estimate covers the prompt and every token on each engine at its present load, and the
-/// transfers between domains. `home` is the domain of this VM.
+/// transfers between domains. `home` is the domain of this VM. Links that take no new request are not
+/// crossed.
 pub fn choose_path(
     stages: &[Stage],
+    links: &Links,
     model: &Model,
     home: &Domain,
     demand: Demand,
@@ -127,7 +128,7 @@
         from: 0,
         to: model.layers,
     };
-    choose_subpath(stages, model, home, demand, all)
+    choose_subpath(stages, links, model, home, demand, all)
 }
 
 /// Returns the cheapest path through a range of layers; `home` is the domain from which it is
@@ -137,6 +138,7 @@
 /// only the layers in `range` process the prompt again.
 pub fn choose_subpath(
     stages: &[Stage],
+    links: &Links,
     model: &Model,
     home: &Domain,
     demand: Demand,
@@ -198,7 +200,12 @@
             if index == stage || next.span.to <= current.span.to {
                 continue;
             }
-            let crossing = crossing_time(current, next, model, demand);
+            let crossing = if current.domain == next.domain {
+                Some(0.0)
+            } else {
+                links.crossing(&current.domain, &next.domain, model, demand)
+            };
+            let Some(crossing) = crossing else { continue };
             if next.span.contains(current.span.to) {
                 relax(current.span.to, index, crossing);
             }
@@ -268,24 +275,6 @@
     COLD_SHARE * stage_time(stage, model, layers, demand)
 }
 
-/// Returns the transfer time between two engines, in milliseconds; 0 within a domain.
-fn crossing_time(from: &Stage, to: &Stage, model: &Model, demand: Demand) -> f64 {
-    if from.domain == to.domain {
-        return 0.0;
-    }
-    transfer_time(model, demand)
-}
-
-/// Returns the time, in milliseconds, of all transfers of a request over one link between domains,
-/// queueing included.
-fn transfer_time(model: &Model, demand: Demand) -> f64 {
-    /// One megabit per second in bytes per millisecond.
-    const BYTES_PER_MS: f64 = 125.0;
-    let tokens = demand.prompt + demand.answer;
-    let per_token = model.activation / (model.pipe * BYTES_PER_MS);
-    tokens * per_token + (model.delay + LINK_WAIT_MS) * demand.answer
-}
-
 /// Returns the first layers of a model that none of the engines holds; `None` if each has one.
 #[must_use]
 pub fn find_gap(stages: &[Stage], layers: u32) -> Option<Span> {
--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -1,6 +1,7 @@
 //! Spreading of requests by VMs that do not know each other's load yet.
 
 use super::Demand;
+use super::Links;
 use super::Stage;
 use super::choose_path;
 use crate::core::site::Model;
@@ -51,8 +52,13 @@
 /// random domain, along the path that a VM there would choose next. The older the report, the more
 /// arrivals are played, and the further VMs with the same view spread; the number of VMs doesn't
 /// matter, as all of them together make up the arrivals.
-pub fn expect_arrivals<F>(stages: &mut [Stage], model: &Model, turnover: f64, mut draw: F)
-where
+pub fn expect_arrivals<F>(
+    stages: &mut [Stage],
+    links: &Links,
+    model: &Model,
+    turnover: f64,
+    mut draw: F,
+) where
     F: FnMut() -> f64,
 {
     let turnover = turnover.clamp(0.0, 1.0);
@@ -61,8 +67,7 @@
         answer: model.usual.1,
     };
     let tokens = (demand.prompt + demand.answer).max(1.0);
-    let cells: f64 = stages.iter().map(|stage| used_cells(stage, model)).sum();
-    let arrivals = turnover * cells / (tokens * f64::from(model.layers.max(1)));
+    let arrivals = count_arrivals(stages, model, turnover);
     for stage in stages.iter_mut() {
         let changes = 2.0 * turnover * stage.running;
         let layers = f64::from(stage.span.len());
@@ -78,7 +83,7 @@
     homes.dedup();
     for _ in 0..batches as usize {
         let home = &homes[(draw() * homes.len() as f64) as usize % homes.len()];
-        let Some(path) = choose_path(stages, model, home, demand) else {
+        let Some(path) = choose_path(stages, links, model, home, demand) else {
             return;
         };
         // Batches differ in size, as requests do not come at even intervals.
@@ -94,6 +99,14 @@
     }
 }
 
+/// Returns how many requests all VMs begin while a share of those in progress, `turnover`, ends.
+#[must_use]
+pub fn count_arrivals(stages: &[Stage], model: &Model, turnover: f64) -> f64 {
+    let tokens = (model.usual.0 + model.usual.1).max(1.0);
+    let cells: f64 = stages.iter().map(|stage| used_cells(stage, model)).sum();
+    turnover * cells / (tokens * f64::from(model.layers.max(1)))
+}
+
 fn used_cells(stage: &Stage, model: &Model) -> f64 {
     stage.memory_use * model.kv_capacity(stage.card, stage.span.len()).max(0.0)
 }
--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -14,6 +14,7 @@
 use crate::core::load::REPORT_INTERVAL;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Part;
+use crate::core::pipe::link_name;
 
 /// Sends this VM's load to its hub, and what it owes other VMs if it is a hub, periodically.
 pub async fn run(edge: Edge, socket: Rc<UdpSocket>) {
@@ -69,6 +70,54 @@
     true
 }
 
+/// Counts the prompt of a request on the links that its path crosses, until it has passed or this is
+/// dropped.
+#[derive(Debug)]
+pub struct LinkGuard {
+    edge: Edge,
+    links: Vec<NameHash>,
+    tokens: u64,
+}
+
+impl LinkGuard {
+    /// Adds a prompt to the links that a path crosses at engines that are not in `old`, the path before.
+    pub fn begin(edge: &Edge, path: &[Part], old: &[Part], prompt: f64) -> Self {
+        let is_new = |part: &Part| !old.iter().any(|known| known.addr == part.addr);
+        let links: Vec<NameHash> = edge.roster(|roster| {
+            let crossed = path.windows(2).filter_map(|pair| {
+                let [from, to] = pair else { return None };
+                let (a, b) = (
+                    roster.domain_of(&from.endpoint)?,
+                    roster.domain_of(&to.endpoint)?,
+                );
+                (a != b && (is_new(from) || is_new(to))).then(|| link_name(a, b))
+            });
+            crossed.collect()
+        });
+        let tokens = prompt as u64;
+        edge.load(|exchange| {
+            for link in &links {
+                exchange.begin_request(*link, false, tokens);
+            }
+        });
+        Self {
+            edge: edge.clone(),
+            links,
+            tokens,
+        }
+    }
+}
+
+impl Drop for LinkGuard {
+    fn drop(&mut self) {
+        self.edge.load(|exchange| {
+            for link in &self.links {
+                exchange.end_request(*link, false, self.tokens);
+            }
+        });
+    }
+}
+
 /// Counts a request as load on the engines of its path until dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -7,6 +7,7 @@
 use super::context::RequestContext;
 use super::dialect::OrderAnswer;
 use super::engine;
+use super::load::LinkGuard;
 use super::parts;
 use super::probe;
 use super::retry;
@@ -20,12 +21,16 @@
 use crate::core::admit::Occupancy;
 use crate::core::admit::token_capacity;
 use crate::core::load::NameHash;
+use crate::core::load::REPORT_INTERVAL;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Expected;
+use crate::core::pipe::Links;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
 use crate::core::pipe::StallTimer;
+use crate::core::pipe::Unseen;
 use crate::core::pipe::choose_path;
+use crate::core::pipe::count_arrivals;
 use crate::core::pipe::expect_arrivals;
 use crate::core::pipe::find_gap;
 use crate::core::pipe::reroute;
@@ -65,6 +70,8 @@
     /// The path that admission found room on.
     first: Option<Vec<Part>>,
     run: Run,
+    /// Counts the prompt on the links that the path crosses until its first event.
+    links: Option<LinkGuard>,
 }
 
 /// The request's run on its current path.
@@ -92,6 +99,7 @@
             unreached: 0,
             first: None,
             run: Run::default(),
+            links: None,
         }
     }
 
@@ -115,8 +123,10 @@
         self.unreached
     }
 
-    /// Records that the request starts to run on a new or changed path.
-    pub fn begin_run(&mut self, path: &[Part]) {
+    /// Records that the request starts to run on a new path, or on one that was changed from `old`.
+    pub fn begin_run(&mut self, path: &[Part], old: &[Part]) {
+        let prompt = self.demand().prompt;
+        self.links = Some(LinkGuard::begin(self.edge, path, old, prompt));
         let process = |part: &Part| {
             let boot = self.edge.roster(|roster| roster.born(&part.endpoint));
             Some(Process {
@@ -132,6 +142,11 @@
         };
     }
 
+    /// Records that the request no longer runs on its path.
+    pub fn end_run(&mut self) {
+        self.links = None;
+    }
+
     /// Records that the path began to answer.
     pub fn record_head(&mut self) {
         self.run.progress.has_begun = true;
@@ -159,6 +174,7 @@
     /// engines work.
     pub fn record_event(&mut self, path: &[Part], gap: Option<Millis>) {
         let now = self.edge.now();
+        self.links = None;
         // After a change of path, there is no estimate.
         let (waited, estimate) = (now.since(self.run.start), self.run.first_estimate);
         self.edge.roster(|roster| {
@@ -254,22 +270,21 @@
         self.excluded.clear();
     }
 
-    /// Chooses a path without the engines that failed the request; `None` if there is none.
+    /// Chooses a path without the engines that failed the request, if possible within what the links between
+    /// domains take; `None` if there is none.
     pub fn pick_path(&self) -> Option<Vec<Part>> {
-        let stages = self.stages();
-        choose_path(
-            &stages,
-            self.model,
-            &self.edge.settings().domain,
-            self.demand(),
-        )
+        let (stages, links) = self.stages();
+        let home = &self.edge.settings().domain;
+        let demand = self.demand();
+        choose_path(&stages, &links, self.model, home, demand)
+            .or_else(|| choose_path(&stages, &links.unlimited(), self.model, home, demand))
     }
 
     /// Logs why there is no path: the first layers that no engine offers, and how many engines are known,
     /// hold layers, and are offered to this request.
     pub fn log_no_path(&self) {
         let now = self.edge.now();
-        let stages = self.stages();
+        let (stages, _) = self.stages();
         let gap = find_gap(&stages, self.model.layers);
         let (from, to) = gap.map_or((0, 0), |gap| (gap.from, gap.to));
         let (known, holding) = self.edge.roster(|roster| {
@@ -291,12 +306,13 @@
     }
 
     /// Chooses a path of engines that each have memory for the request, if requests like it may fill
-    /// up to `limit` of an engine's request memory; `None` if there is none.
+    /// up to `limit` of an engine's request memory, over links that take it; `None` if there is none.
     pub fn pick_path_within(&self, limit: f64) -> Option<Vec<Part>> {
         let demand = self.demand();
-        let mut stages = self.stages();
+        let (mut stages, links) = self.stages();
         stages.retain(|stage| stage.fits(self.model, demand, limit));
-        choose_path(&stages, self.model, &self.edge.settings().domain, demand)
+        let home = &self.edge.settings().domain;
+        choose_path(&stages, &links, self.model, home, demand)
     }
 
     /// Returns how long until the first engine takes requests again, if there is no path because
@@ -373,15 +389,22 @@
         })
     }
 
-    /// Returns the engines that may run the request, with the load that they probably have now.
-    fn stages(&self) -> Vec<Stage> {
+    /// Returns the engines that may run the request and the links between them, with the load that they
+    /// probably have now.
+    fn stages(&self) -> (Vec<Stage>, Links) {
         let now = self.edge.now();
         let mut stages = self.reported_stages();
-        if let Some(age) = self.edge.load(|exchange| exchange.age(now)) {
-            let mean = self.edge.admission(|controller| controller.mean_duration());
-            let arrivals = age.0 as f64 / mean.max(1.0);
-            expect_arrivals(&mut stages, self.model, arrivals, || self.edge.random());
-        }
+        let links = match self.edge.load(|exchange| exchange.age(now)) {
+            Some(age) => {
+                let links = self.reported_links(&stages, age);
+                let mean = self.edge.admission(|controller| controller.mean_duration());
+                let turnover = age.0 as f64 / mean.max(1.0);
+                let draw = || self.edge.random();
+                expect_arrivals(&mut stages, &links, self.model, turnover, draw);
+                links
+            }
+            None => Links::unknown(),
+        };
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
@@ -392,7 +415,23 @@
             let used = known.max(token_capacity(&stages, self.model) * ASSUMED_USE);
             spread_load(&mut stages, self.model, used, || self.edge.random());
         }
-        stages
+        (stages, links)
+    }
+
+    /// Returns the links between the engines' domains, whose load was reported at an `age`.
+    fn reported_links(&self, stages: &[Stage], age: Millis) -> Links {
+        let now = self.edge.now();
+        let domains = stages.iter().map(|stage| &stage.domain);
+        let mean = self.edge.admission(|controller| controller.mean_duration());
+        let span = age + REPORT_INTERVAL;
+        let turnover = span.0 as f64 / mean.max(1.0);
+        let arrivals = count_arrivals(stages, self.model, turnover);
+        let unseen = Unseen { span, arrivals };
+        let draw = || self.edge.random();
+        self.edge.load(|exchange| {
+            let load = |link| exchange.engine(now, link).0.cells;
+            Links::between(domains, self.model, unseen, load, draw)
+        })
     }
 
     /// Records that an engine failed the request; returns its name if it is known.
@@ -457,8 +496,16 @@
         for addr in &silent {
             self.exclude(*addr);
         }
-        let stages = self.stages();
-        let Some(other) = reroute(&stages, self.model, self.demand(), path, &self.excluded) else {
+        let (stages, links) = self.stages();
+        let links = links.unlimited();
+        let Some(other) = reroute(
+            &stages,
+            &links,
+            self.model,
+            self.demand(),
+            path,
+            &self.excluded,
+        ) else {
             log::info!(id, silent:? = silent, reason = "no_path"; "path_silent");
             return false;
         };
@@ -475,7 +522,7 @@
         log::info!(id, silent:? = silent, path:% = format_path(&other), answer:? = answer; "repath");
         match answer {
             Ok(OrderAnswer::Begun | OrderAnswer::Done) => {
-                self.begin_run(&other);
+                self.begin_run(&other, path);
                 *path = other;
                 true
             }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -306,6 +306,7 @@
     }
     let load = LoadGuard::begin(edge, &path, selector.demand());
     let ended = relay_path(selector, writer, progress, path).await;
+    selector.end_run();
     drop(load);
     Some(ended)
 }
@@ -420,7 +421,7 @@
     let request = forward_request(edge, &ctx.request, &info);
     progress.paths += 1;
     selector.set_attempts(progress.paths);
-    selector.begin_run(path);
+    selector.begin_run(path, &[]);
     ctx.record_sent();
     link.conn.writer.record_id(&ctx.id);
     let from = progress.events.last_id().unwrap_or(0);
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -11,6 +11,7 @@
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Demand;
 use cornelwharf::core::pipe::Expected;
+use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Part;
 use cornelwharf::core::pipe::Span;
 use cornelwharf::core::pipe::Stage;
@@ -324,7 +325,14 @@
                 is_warm: index == 0 || idle.get(&index).is_some_and(|until| now < *until),
             })
             .collect();
-        let path = choose_path(&stages, &model(), &"north".into(), DEMAND).expect("a path");
+        let path = choose_path(
+            &stages,
+            &Links::default(),
+            &model(),
+            &"north".into(),
+            DEMAND,
+        )
+        .expect("a path");
         let lead = path[0].addr;
         let index = (0..40).find(|index| addr(*index) == lead).expect("known");
         assert!(index != 0, "a connection must not outweigh load");
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -8,10 +8,12 @@
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Demand;
 use cornelwharf::core::pipe::Engine;
+use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Part;
 use cornelwharf::core::pipe::Span;
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::StallTimer;
+use cornelwharf::core::pipe::Unseen;
 use cornelwharf::core::pipe::choose_path;
 use cornelwharf::core::pipe::plan_moves;
 use cornelwharf::core::pipe::plan_placement;
@@ -369,7 +371,14 @@
     let engines = place_layers(fleet());
     let stages = stages(&engines);
     for home in ["a", "b", "c"] {
-        let path = choose_path(&stages, &model(), &Domain::from(home), DEMAND).expect("a path");
+        let path = choose_path(
+            &stages,
+            &Links::default(),
+            &model(),
+            &Domain::from(home),
+            DEMAND,
+        )
+        .expect("a path");
         assert!(is_complete(&path), "{path:?}");
         let mut domains: Vec<&Domain> = path
             .iter()
@@ -386,13 +395,13 @@
     let engines = place_layers(fleet());
     let mut stages = stages(&engines);
     let home = Domain::from("a");
-    let path = choose_path(&stages, &model(), &home, DEMAND).expect("a path");
+    let path = choose_path(&stages, &Links::default(), &model(), &home, DEMAND).expect("a path");
     for stage in &mut stages {
         if stage.addr == path[1].addr {
             stage.memory_use = 1.2;
         }
     }
-    let other = choose_path(&stages, &model(), &home, DEMAND).expect("a path");
+    let other = choose_path(&stages, &Links::default(), &model(), &home, DEMAND).expect("a path");
     assert!(is_complete(&other), "{other:?}");
     assert!(
         other.iter().all(|part| part.addr != path[1].addr),
@@ -432,7 +441,8 @@
     assert!(stages.len() > 2500, "{}", stages.len());
     let quickest = (0..5).map(|_| {
         let start = std::time::Instant::now();
-        let path = choose_path(&stages, &model(), &"a".into(), DEMAND).expect("a path");
+        let path =
+            choose_path(&stages, &Links::default(), &model(), &"a".into(), DEMAND).expect("a path");
         assert!(is_complete(&path));
         start.elapsed().as_millis()
     });
@@ -447,7 +457,8 @@
     for stage in &mut stages {
         stage.can_lead = stage.endpoint.as_str().ends_with('7');
     }
-    let path = choose_path(&stages, &model(), &"a".into(), DEMAND).expect("a path");
+    let path =
+        choose_path(&stages, &Links::default(), &model(), &"a".into(), DEMAND).expect("a path");
     assert!(is_complete(&path));
     let find = |part: &Part| {
         let found = stages.iter().find(|stage| stage.addr == part.addr);
@@ -474,7 +485,13 @@
     let mut stages = stages(&engines);
     stages.retain(|stage| !stage.span.contains(41));
     assert_eq!(
-        choose_path(&stages, &model(), &Domain::from("a"), DEMAND),
+        choose_path(
+            &stages,
+            &Links::default(),
+            &model(),
+            &Domain::from("a"),
+            DEMAND
+        ),
         None
     );
 }
@@ -483,11 +500,18 @@
 fn rerouting_keeps_every_working_engine() {
     let engines = place_layers(fleet());
     let stages = stages(&engines);
-    let path = choose_path(&stages, &model(), &Domain::from("a"), DEMAND).expect("a path");
+    let path = choose_path(
+        &stages,
+        &Links::default(),
+        &model(),
+        &Domain::from("a"),
+        DEMAND,
+    )
+    .expect("a path");
     for index in 1..path.len() {
         let bad = [path[index].addr];
-        let other =
-            reroute(&stages, &model(), DEMAND, &path, &bad).expect("a path around the engine");
+        let other = reroute(&stages, &Links::default(), &model(), DEMAND, &path, &bad)
+            .expect("a path around the engine");
         assert!(is_complete(&other), "{other:?}");
         for part in path.iter().filter(|part| part.addr != bad[0]) {
             assert!(other.contains(part), "{part:?} in {other:?}");
@@ -495,7 +519,14 @@
         assert!(other.iter().all(|part| part.addr != bad[0]));
     }
     assert_eq!(
-        reroute(&stages, &model(), DEMAND, &path, &[path[0].addr]),
+        reroute(
+            &stages,
+            &Links::default(),
+            &model(),
+            DEMAND,
+            &path,
+            &[path[0].addr]
+        ),
         None
     );
 }
@@ -504,9 +535,17 @@
 fn rerouting_replaces_two_adjacent_engines() {
     let engines = place_layers(fleet());
     let stages = stages(&engines);
-    let path = choose_path(&stages, &model(), &Domain::from("c"), DEMAND).expect("a path");
+    let path = choose_path(
+        &stages,
+        &Links::default(),
+        &model(),
+        &Domain::from("c"),
+        DEMAND,
+    )
+    .expect("a path");
     let bad = [path[1].addr, path[2].addr];
-    let other = reroute(&stages, &model(), DEMAND, &path, &bad).expect("a path around the engine");
+    let other = reroute(&stages, &Links::default(), &model(), DEMAND, &path, &bad)
+        .expect("a path around the engine");
     assert!(is_complete(&other), "{other:?}");
 }
 
@@ -532,7 +571,7 @@
             })
             .collect();
         let covered = (0..LAYERS).all(|layer| spans.iter().any(|span| span.contains(layer)));
-        let path = choose_path(&stages, &model(), &Domain::from("a"), DEMAND);
+        let path = choose_path(&stages, &Links::default(), &model(), &Domain::from("a"), DEMAND);
         prop_assert_eq!(path.is_some(), covered);
         if let Some(path) = path {
             prop_assert!(is_complete(&path), "{:?}", path);
@@ -605,3 +644,43 @@
     }
     assert!(checks < 20, "{checks}");
 }
+
+/// Returns the share of the requests that may cross a link with so many prompt tokens on it.
+fn crossing_share(tokens: u64, arrivals: f64) -> f64 {
+    let engines = place_layers(fleet());
+    let mut stages = stages(&engines);
+    stages.retain(|stage| (stage.span.from < 40) == (*stage.domain == *"a"));
+    let span = Millis(300);
+    let crosses = |draw: &u32| {
+        let unseen = Unseen { span, arrivals };
+        let draw = || f64::from(*draw) / 100.0;
+        let domains = stages.iter().map(|stage| &stage.domain);
+        let links = Links::between(domains, &model(), unseen, |_| tokens, draw);
+        choose_path(&stages, &links, &model(), &"a".into(), DEMAND).is_some()
+    };
+    (0..100).filter(crosses).count() as f64 / 100.0
+}
+
+#[test]
+fn all_vms_see_a_free_link_and_fill_it_at_once() {
+    // A prompt takes 18 ms over the link, which has 350 ms for the unseen requests.
+    assert!(crossing_share(0, 10.0) >= 0.99);
+    let share = crossing_share(0, 100.0);
+    assert!((0.1..0.3).contains(&share), "{share}");
+    let busy = crossing_share(10_000, 100.0);
+    assert!(busy < share / 2.0, "{busy}");
+    assert!(crossing_share(20_000, 100.0) <= 0.0);
+}
+
+#[test]
+fn a_vm_that_knows_no_loads_fills_the_links() {
+    let engines = place_layers(fleet());
+    let mut stages = stages(&engines);
+    let home = Domain::from("a");
+    let links = Links::unknown();
+    assert!(choose_path(&stages, &links, &model(), &home, DEMAND).is_some());
+    stages.retain(|stage| (stage.span.from < 40) == (*stage.domain == *"a"));
+    assert!(choose_path(&stages, &links, &model(), &home, DEMAND).is_none());
+    let links = links.unlimited();
+    assert!(choose_path(&stages, &links, &model(), &home, DEMAND).is_some());
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -10,6 +10,7 @@
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Demand;
 use cornelwharf::core::pipe::Engine;
+use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Mover;
 use cornelwharf::core::pipe::Span;
 use cornelwharf::core::pipe::Stage;
@@ -171,7 +172,7 @@
             stage.penalty += 0.15 * rng.random::<f64>();
         }
         let is_counted = now > 2400.0;
-        let Some(path) = choose_path(&free, &model, &home, demand) else {
+        let Some(path) = choose_path(&free, &Links::default(), &model, &home, demand) else {
             refused += f64::from(u8::from(is_counted));
             continue;
         };
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -12,6 +12,7 @@
 use cornelwharf::core::load::REPORT_INTERVAL;
 use cornelwharf::core::pipe::Demand;
 use cornelwharf::core::pipe::Engine;
+use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::choose_path;
 use cornelwharf::core::pipe::expect_arrivals;
@@ -291,14 +292,16 @@
             stage.penalty = 1.0 + 0.15 * rng.random::<f64>();
         }
         let arrivals = age.0 as f64 / 1500.0;
-        expect_arrivals(&mut view, &model, arrivals, || rng.random());
+        expect_arrivals(&mut view, &Links::default(), &model, arrivals, || {
+            rng.random()
+        });
         let answer = 220.0 * rng.random_range(0.2..1.8);
         let demand = Demand {
             prompt: 730.0,
             answer,
         };
         let home = Domain::from(format!("d{}", rng.random_range(0..DOMAINS)).as_str());
-        let Some(path) = choose_path(&view, &model, &home, demand) else {
+        let Some(path) = choose_path(&view, &Links::default(), &model, &home, demand) else {
             continue;
         };
         outcome.streams += 1;
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -7,6 +7,7 @@
 use cornelwharf::core::admit::token_capacity;
 use cornelwharf::core::pipe::Demand;
 use cornelwharf::core::pipe::Engine;
+use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::choose_path;
 use cornelwharf::core::pipe::plan_placement;
@@ -146,7 +147,7 @@
             let used = token_capacity(&view, &model) * ASSUMED_USE;
             spread_load(&mut view, &model, used, || rng.random());
         }
-        let path = choose_path(&view, &model, &home, DEMAND).expect("a path");
+        let path = choose_path(&view, &Links::default(), &model, &home, DEMAND).expect("a path");
         outcome.streams += 1;
         let index = |addr: SocketAddr| stages.iter().position(|stage| stage.addr == addr);
         let parts: Vec<(usize, f64)> = path
