VMs that know the fleet's load no longer spread streams over slow engines

For 5 s after its start a VM offered fast engines to a share of its streams only, also once it knew the load of all VMs (about 0.7 s after a start). It now ends when the load is known.

--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -42,8 +42,9 @@
 /// data choose different paths.
 const COST_JITTER: f64 = 0.15;
 
-/// How long after its start a VM may not know the other VMs' load, while the callers of all VMs
-/// may be coming back at once. Later, its own streams and the marks of full engines spread the load.
+/// How long after its start a VM that does not know the other VMs' load spreads its streams, as the callers
+/// of all VMs may be coming back at once. Streams on slower engines last several times as long, so this
+/// ends as soon as the load is known. Later, its own streams and the marks of full engines spread the load.
 const YOUNG_TIME: Millis = Millis::seconds(5);
 /// The share of the engines' memory that is assumed to be in use during that time.
 const ASSUMED_USE: f64 = 0.6;
@@ -405,12 +406,13 @@
             }
             None => Links::unknown(),
         };
+        let is_blind = self.edge.load(|exchange| exchange.age(now)).is_none();
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
             stage.is_warm = self.edge.pool().has_idle(stage.addr);
         }
-        if self.edge.uptime() < YOUNG_TIME {
+        if is_blind && self.edge.uptime() < YOUNG_TIME {
             let known = self.edge.fleet(|fleet| fleet.total_load(now));
             let used = known.max(token_capacity(&stages, self.model) * ASSUMED_USE);
             spread_load(&mut stages, self.model, used, || self.edge.random());
