The first leader after a start does not move engines for others that may be back

A leader that has just started has seen no removal, and took that for none for long: a gap in a domain was filled 1.5 s after its start by moving an engine that serves (a load takes seconds), though an engine that is missing then is usually back within 6 s. Entries that expired while the store was away may be missing for 2 s, so that layers looked lost. Now what is missing counts from the moment at which the VM learned the endpoints.

--- a/src/core/pipe/place.rs
+++ b/src/core/pipe/place.rs
@@ -11,6 +11,8 @@
 use super::even::domains_with_copies;
 use super::even::plan_copies;
 use super::room::Rooms;
+use crate::clock::Millis;
+use crate::core::roster::LAPSE_GRACE;
 use crate::core::site::Model;
 use crate::names::Domain;
 use crate::names::EndpointName;
@@ -21,6 +23,41 @@
 /// engine.
 const MAX_LAYER_MEMORY_SHARE: f64 = 0.9;
 
+/// The time without a removed entry that must pass before layers that a domain lacks are moved
+/// there: an engine that crashed or lost the store is usually back within that time.
+const REMOVAL_QUIET: Millis = Millis(6000);
+/// How long after a leader learned the endpoints some may still be missing: those whose entries expired
+/// while the store was away write them again.
+const LIST_QUIET: Millis = LAPSE_GRACE;
+
+/// Which engines that hold layers may be moved, by what the leader knows of lost ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departures {
+    /// None: engines that seem to be lost may only not be known yet.
+    Unknown,
+    /// Those that a layer needs which no engine holds.
+    Recent,
+    /// Also those that a domain needs which lacks a layer.
+    Settled,
+}
+
+/// Returns which engines may be moved at `now`, if this VM learned the endpoints at `known` and then saw the last
+/// one removed at `removed`.
+///
+/// This answers a start of all VMs while engines or the store are away: the first leader has not seen which
+/// engines were removed when. If it took all that are missing for lost long ago, it would move engines that
+/// serve, for seconds each, to layers whose engines are back a moment later.
+#[must_use]
+pub fn judge_departures(now: Millis, known: Millis, removed: Millis) -> Departures {
+    if now.since(known) < LIST_QUIET {
+        Departures::Unknown
+    } else if now.since(known.max(removed)) < REMOVAL_QUIET {
+        Departures::Recent
+    } else {
+        Departures::Settled
+    }
+}
+
 /// An engine on which layers are placed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
@@ -78,8 +115,8 @@
 /// for `arrivals_settled`, because the engine that it replaces usually leaves soon after. Next
 /// comes a layer that no engine holds, since without it no request can be served. A gap in the copy
 /// of one domain only adds transfers between domains, and a missing engine is usually back within
-/// seconds. As each move takes an engine out of service while it loads, such gaps wait for
-/// `departures_settled`.
+/// seconds. As each move takes an engine out of service while it loads, such gaps wait until the
+/// `departures` are settled.
 ///
 /// In a domain with memory for two copies, the layers of an empty engine are those with the least room
 /// for requests, else those with the fewest copies.
@@ -87,7 +124,7 @@
     engines: &[Engine],
     model: &Model,
     arrivals_settled: bool,
-    departures_settled: bool,
+    departures: Departures,
 ) -> Vec<(EndpointName, Span)> {
     let mut empty: Vec<usize> = (0..engines.len())
         .filter(|index| engines[*index].span.is_none())
@@ -115,8 +152,11 @@
     if !plan.is_empty() {
         return plan;
     }
+    if departures == Departures::Unknown {
+        return plan;
+    }
     let all: Vec<&Engine> = engines.iter().collect();
-    if copies.all.contains(&0) || !departures_settled {
+    if copies.all.contains(&0) || departures == Departures::Recent {
         return fill_gap(&all, model).into_iter().collect();
     }
     let groups = group_by_domain(engines, model);
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -135,6 +135,7 @@
     end: Position,
     /// Removals before this position may be missing here.
     removals_from: Position,
+    known_since: Millis,
     last_added: Millis,
     last_removed: Millis,
     last_answered_probe: Millis,
@@ -149,6 +150,11 @@
         self.end
     }
 
+    /// Returns when this VM learned its first endpoint, or 0 if it knows none.
+    pub fn known_since(&self) -> Millis {
+        self.known_since
+    }
+
     /// Returns when an endpoint was last added, or restarted.
     pub fn last_added(&self) -> Millis {
         self.last_added
@@ -206,6 +212,9 @@
         };
         let kept = old.as_ref().filter(same_start);
         if kept.is_none() && change.entry.is_some() {
+            if self.known_since == Millis(0) {
+                self.known_since = now;
+            }
             self.last_added = now;
         }
         if change.entry.is_none() {
--- a/src/edge/placement.rs
+++ b/src/edge/placement.rs
@@ -17,6 +17,7 @@
 use crate::core::pipe::Engine;
 use crate::core::pipe::Mover;
 use crate::core::pipe::Span;
+use crate::core::pipe::judge_departures;
 use crate::core::pipe::plan_placement;
 use crate::core::pipe::repair_placement;
 use crate::core::roster::Entry;
@@ -33,9 +34,6 @@
 /// The time without a new endpoint that must pass before all layers are placed, since entries
 /// arrive one by one.
 const ARRIVAL_QUIET: Millis = Millis(1000);
-/// The time without a removed entry that must pass before layers that a domain lacks are moved
-/// there: an engine that crashed or lost the store is usually back within that time.
-const REMOVAL_QUIET: Millis = Millis(6000);
 /// How long an order counts as carried out before an entry confirms it.
 const PENDING_TIMEOUT: Millis = Millis(6000);
 /// How long an engine that gave no report gets no other order. It has certainly not accepted one.
@@ -99,8 +97,9 @@
     let arrivals_settled = now.since(added) >= ARRIVAL_QUIET;
     let is_placed = engines.iter().any(|engine| engine.span.is_some());
     let (mut reason, mut plan): (_, Vec<(EndpointName, Span)>) = if is_placed {
-        let departures_settled = now.since(removed) >= REMOVAL_QUIET;
-        let plan = repair_placement(&engines, model, arrivals_settled, departures_settled);
+        let known = edge.roster(|roster| roster.known_since());
+        let departures = judge_departures(now, known, removed);
+        let plan = repair_placement(&engines, model, arrivals_settled, departures);
         ("changed", plan)
     } else if arrivals_settled {
         (
--- a/tests/pipe.rs
+++ b/tests/pipe.rs
@@ -7,6 +7,7 @@
 
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Demand;
+use cornelwharf::core::pipe::Departures;
 use cornelwharf::core::pipe::Engine;
 use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Part;
@@ -15,6 +16,7 @@
 use cornelwharf::core::pipe::StallTimer;
 use cornelwharf::core::pipe::Unseen;
 use cornelwharf::core::pipe::choose_path;
+use cornelwharf::core::pipe::judge_departures;
 use cornelwharf::core::pipe::plan_moves;
 use cornelwharf::core::pipe::plan_placement;
 use cornelwharf::core::pipe::repair_placement;
@@ -192,7 +194,7 @@
         .position(|engine| *engine.domain == *"b" && engine.memory > 30_000.0);
     let lost = lost.expect("a large engine");
     let span = engines[lost].span.take().expect("placed");
-    let (endpoint, again) = repair_placement(&engines, &model(), true, true)
+    let (endpoint, again) = repair_placement(&engines, &model(), true, Departures::Settled)
         .pop()
         .expect("an order");
     assert_eq!(endpoint, engines[lost].endpoint);
@@ -220,7 +222,9 @@
     let lost = find_sole_holder(&engines);
     let domain = engines.remove(lost).domain;
     for _ in 0..8 {
-        let Some((endpoint, span)) = repair_placement(&engines, &model(), true, true).pop() else {
+        let Some((endpoint, span)) =
+            repair_placement(&engines, &model(), true, Departures::Settled).pop()
+        else {
             break;
         };
         let engine = engines
@@ -248,8 +252,13 @@
     for settled in [false, true] {
         let mut engines = engines.clone();
         let mut orders = 0;
+        let departures = if settled {
+            Departures::Settled
+        } else {
+            Departures::Recent
+        };
         while holders(&engines, 41).is_empty() {
-            let (endpoint, span) = repair_placement(&engines, &model(), settled, settled)
+            let (endpoint, span) = repair_placement(&engines, &model(), settled, departures)
                 .pop()
                 .expect("an order");
             let engine = engines
@@ -275,7 +284,7 @@
         let mut odd = engine(900, &domain, 36_000.0, 0.1);
         odd.span = Some(Span { from, to });
         engines.push(odd.clone());
-        for (endpoint, span) in repair_placement(&engines, &model(), true, true) {
+        for (endpoint, span) in repair_placement(&engines, &model(), true, Departures::Settled) {
             assert_ne!(endpoint, odd.endpoint);
             assert!(span.to <= LAYERS);
         }
@@ -295,7 +304,7 @@
         .expect("a large engine");
     engines.remove(lost);
     assert_eq!(
-        repair_placement(&engines, &model(), false, false),
+        repair_placement(&engines, &model(), false, Departures::Recent),
         Vec::new()
     );
 }
@@ -310,7 +319,7 @@
     }
     let quickest = (0..3).map(|_| {
         let start = std::time::Instant::now();
-        let orders = repair_placement(&engines, &model(), true, true);
+        let orders = repair_placement(&engines, &model(), true, Departures::Settled);
         assert!(orders.len() > 800, "{}", orders.len());
         start.elapsed().as_millis()
     });
@@ -327,7 +336,7 @@
             engine.endpoint = format!("{}-new", engine.endpoint).as_str().into();
             engine.span = None;
         }
-        let orders = repair_placement(&engines, &model(), false, false);
+        let orders = repair_placement(&engines, &model(), false, Departures::Recent);
         for (endpoint, span) in orders {
             let engine = engines
                 .iter_mut()
@@ -358,11 +367,11 @@
     let span = engines[old].span.expect("placed");
     engines.push(new);
     assert_eq!(
-        repair_placement(&engines, &model(), false, false),
+        repair_placement(&engines, &model(), false, Departures::Recent),
         Vec::new()
     );
     engines.remove(old);
-    let orders = repair_placement(&engines, &model(), false, false);
+    let orders = repair_placement(&engines, &model(), false, Departures::Recent);
     assert_eq!(orders, vec![("new".into(), span)]);
 }
 
@@ -684,3 +693,31 @@
     let links = links.unlimited();
     assert!(choose_path(&stages, &links, &model(), &home, DEMAND).is_some());
 }
+
+#[test]
+fn the_first_leader_after_a_start_moves_engines_for_others_that_are_back_a_moment_later() {
+    let known = Millis::seconds(1000);
+    let mut engines = place_layers(fleet());
+    let sole = find_sole_holder(&engines);
+    engines.remove(sole);
+    let plan = |passed: Millis, removed: Millis| {
+        let departures = judge_departures(known + passed, known, removed);
+        repair_placement(&engines, &model(), true, departures).len()
+    };
+    assert_eq!(
+        plan(Millis(1500), Millis(0)),
+        0,
+        "the list may be incomplete"
+    );
+    assert_eq!(plan(Millis(5900), Millis(0)), 0, "removals may be recent");
+    assert_eq!(plan(Millis(9000), known + Millis(8000)), 0, "one is recent");
+    assert!(plan(Millis(6100), Millis(0)) > 0);
+    engines.retain(|engine| !engine.span.is_some_and(|span| span.contains(41)));
+    let plan = |departures| repair_placement(&engines, &model(), true, departures).len();
+    assert_eq!(
+        plan(Departures::Unknown),
+        0,
+        "nobody is known to hold it yet"
+    );
+    assert_eq!(plan(Departures::Recent), 1);
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -9,6 +9,7 @@
 
 use cornelwharf::clock::Millis;
 use cornelwharf::core::pipe::Demand;
+use cornelwharf::core::pipe::Departures;
 use cornelwharf::core::pipe::Engine;
 use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Mover;
@@ -327,7 +328,7 @@
             self.mover.observe(now, &self.demand);
             let settled = now.since(self.changed) >= Millis::seconds(1);
             let view = self.view();
-            let mut plan = repair_placement(&view, &model(), settled, false);
+            let mut plan = repair_placement(&view, &model(), settled, Departures::Recent);
             if plan.is_empty() {
                 let known = self.loading.iter().filter(|(_, load)| load.is_known);
                 let moving: BTreeSet<_> = known.map(|(name, _)| name.clone()).collect();
