A link counts as taken only beyond the prompts that engines read anyway

A prompt counts on its links until the first event of its stream, so that a link that is used in full without a wait shows 0.1 s of prompts.

--- a/src/core/pipe/link.rs
+++ b/src/core/pipe/link.rs
@@ -14,6 +14,10 @@
 /// each of which passes the link after all that waits there, and callers wait a quarter of a second for it.
 const MAX_WAIT: f64 = 50.0;
 
+/// The time, in milliseconds, that engines take to read a prompt and to make the first event, in which a
+/// prompt still counts as on its way.
+const READ_TIME: f64 = 100.0;
+
 /// One megabit per second in bytes per millisecond.
 const BYTES_PER_MS: f64 = 125.0;
 
@@ -81,11 +85,11 @@
         for (index, a) in domains.iter().enumerate() {
             for b in &domains[index + 1..] {
                 let wait = load(link_name(a, b)) as f64 * time_per_token(model);
-                let free = MAX_WAIT + unseen.span.0 as f64 - wait;
+                let free = MAX_WAIT + READ_TIME + unseen.span.0 as f64 - wait;
                 if free <= draw() * unseen.arrivals * prompt {
                     links.closed.insert(ends(a, b));
                 }
-                links.waits.insert(ends(a, b), wait);
+                links.waits.insert(ends(a, b), (wait - READ_TIME).max(0.0));
             }
         }
         links
