What a VM keeps of incomplete answers and requests is limited, and the peer that keeps most is dropped

What another operator's callers saw: a faulty engine sent without an end, the machine that had called it kept everything, ran out of memory, and the requests of its other clients ended with it.

Now the connections to endpoints, other VMs and the store together keep at most a twelfth of the memory in the settings (new key memory, optional), and those from callers and other VMs the same for requests. An error of its own (OverLimit) counts as the endpoint's failure, which other calls then avoid.

--- a/src/consts.rs
+++ b/src/consts.rs
@@ -9,6 +9,8 @@
 /// The largest chunk of a body that is read in parts. It is buffered whole, for each request in
 /// progress.
 pub const MAX_CHUNK_BYTES: usize = 512 * 1024;
+/// What the connections of a daemon together keep of incomplete messages, where its memory is not set.
+pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
 /// The most informational heads before the head of a response.
 pub const MAX_INFORMATIONAL: usize = 8;
 /// The largest frame between daemons.
--- a/src/core/attempt/events.rs
+++ b/src/core/attempt/events.rs
@@ -89,6 +89,11 @@
         self.buf.is_empty()
     }
 
+    /// Returns the bytes of the partial event.
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the id of the last complete event; `None` before the first event with an id.
     pub const fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -87,6 +87,7 @@
 ///
 /// The future may be dropped at any time, which ends the request in progress as if its caller had left.
 pub async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
+    count_requests(&edge, &mut conn, from);
     loop {
         if !matches!(conn.reader.request_begins(|| bounds(&edge)).await, Ok(true)) {
             return;
@@ -107,6 +108,12 @@
     }
 }
 
+/// Counts what a connection keeps of incomplete requests, together with the others from the same machine.
+pub fn count_requests(edge: &Edge, conn: &mut Conn, from: SocketAddr) {
+    let machine = SocketAddr::new(from.ip(), 0);
+    conn.reader.set_account(edge.requests().account(machine));
+}
+
 /// Serves a request of another VM, which accepted it and reaches no endpoint.
 pub async fn serve_detour(
     edge: &Edge,
@@ -154,6 +161,7 @@
     let status = match error {
         HttpError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         HttpError::Malformed => StatusCode::BAD_REQUEST,
+        HttpError::OverLimit => StatusCode::SERVICE_UNAVAILABLE,
         HttpError::Closed | HttpError::TimedOut | HttpError::Io(_) => return,
     };
     let mut response = Response::new(status);
--- a/src/edge/registry.rs
+++ b/src/edge/registry.rs
@@ -48,6 +48,7 @@
 }
 
 async fn serve(edge: Edge, mut conn: Conn, from: SocketAddr) {
+    front::count_requests(&edge, &mut conn, from);
     loop {
         let bounds = || front::peer_bounds(&edge);
         match conn.reader.request_with_bounds(bounds).await {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -523,6 +523,7 @@
                 } else {
                     watch.record_bytes();
                 }
+                reader.set_taken(progress.events.partial_len());
                 if writer.chunk(&progress.events.take()).await.is_err() {
                     return Err(StreamEnd::Left);
                 }
@@ -675,6 +676,7 @@
         match within(selector.ctx.remaining(edge.now()), reader.chunk()).await {
             Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_EVENT_BYTES => {
                 body.extend_from_slice(&part);
+                reader.set_taken(body.capacity());
             }
             Ok(Ok(None)) => break,
             _ => return StreamEnd::Broke,
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -6,10 +6,17 @@
 use serde::Deserialize;
 
 use crate::clock::Millis;
+use crate::consts::MAX_KEPT_BYTES;
 use crate::names::Domain;
 use crate::names::Vm;
 use crate::settings::SettingsError;
 
+/// The part of a daemon's memory that incomplete answers may take, and incomplete requests the same. Buffers
+/// that grow add to each for a moment, and a process should stay under half of its limit with what it needs
+/// itself.
+const KEPT_PART: usize = 12;
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// The settings of an edge daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +45,10 @@
     /// the others; 0 if it is not known.
     #[serde(default)]
     pub share: f64,
+    /// The memory that the daemon may use, in megabytes, of which incomplete answers and requests may take
+    /// a part each; 0 if it is not limited.
+    #[serde(default)]
+    pub memory: u64,
     /// The limits that the platform sets.
     pub bounds: Bounds,
 }
@@ -95,6 +106,16 @@
         Ok(serde_saphyr::from_str(text)?)
     }
 
+    /// Returns how many bytes of incomplete answers the connections to endpoints, other VMs and the store may
+    /// keep together, and those from callers of incomplete requests.
+    #[must_use]
+    pub fn keep_limit(&self) -> usize {
+        match self.memory {
+            0 => MAX_KEPT_BYTES,
+            memory => memory as usize * BYTES_PER_MB / KEPT_PART,
+        }
+    }
+
     /// Returns the share of a core that this VM has, in thousandths.
     #[must_use]
     pub fn capacity(&self) -> u16 {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -37,6 +37,7 @@
 use crate::core::roster::Roster;
 use crate::core::site::ActiveConfig;
 use crate::core::site::SiteConfig;
+use crate::io::http::KeepLimit;
 use crate::io::mailbox::Mailbox;
 use crate::io::pool::Pool;
 use crate::names::ServiceName;
@@ -55,6 +56,7 @@
     dialect: Rc<Dialect>,
     store: Store,
     pool: Pool,
+    requests: KeepLimit,
     accepted: RefCell<ActiveConfig>,
     roster: RefCell<Roster>,
     fleet: RefCell<Fleet>,
@@ -83,7 +85,8 @@
     /// numbers.
     pub fn new(settings: Settings, dialect: Dialect, clock: Clock, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let pool = Pool::new(clock);
+        let pool = Pool::with_limit(clock, KeepLimit::new(settings.keep_limit()));
+        let requests = KeepLimit::new(settings.keep_limit());
         let dialect = Rc::new(dialect);
         let store = Store::new(settings.store, pool.clone(), Rc::clone(&dialect));
         let me = Member {
@@ -111,6 +114,7 @@
             dialect,
             store,
             pool,
+            requests,
             accepted: RefCell::default(),
             roster: RefCell::default(),
             fleet: RefCell::new(fleet),
@@ -164,6 +168,11 @@
         &self.inner.pool
     }
 
+    /// Returns the limit on what connections from callers and other VMs keep of incomplete requests.
+    pub fn requests(&self) -> &KeepLimit {
+        &self.inner.requests
+    }
+
     /// Returns the daemon's counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.inner.metrics
--- a/src/io/http/error.rs
+++ b/src/io/http/error.rs
@@ -25,6 +25,10 @@
     #[display("timed out")]
     #[from(skip)]
     TimedOut,
+    /// The connections together keep more of incomplete messages than they may, and those to this peer most.
+    #[display("too much kept of the peer's messages")]
+    #[from(skip)]
+    OverLimit,
     /// The operating system reported an error.
     #[display("{_0}")]
     Io(io::Error),
--- a/src/io/http/mod.rs
+++ b/src/io/http/mod.rs
@@ -7,12 +7,15 @@
 
 mod conn;
 mod error;
+mod keep;
 mod message;
 mod reader;
 mod writer;
 
 pub use conn::Conn;
 pub use error::HttpError;
+pub use keep::Account;
+pub use keep::KeepLimit;
 pub use message::Request;
 pub use message::Response;
 pub use reader::Bounds;
--- a/src/io/http/reader.rs
+++ b/src/io/http/reader.rs
@@ -22,6 +22,7 @@
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
 use super::error::HttpError;
+use super::keep::Account;
 use super::message::Request;
 use super::message::Response;
 use crate::clock::Millis;
@@ -35,6 +36,9 @@
 
 /// The minimum free space in the buffer before each read.
 const READ_BYTES: usize = 2048;
+/// How long a connection that needs more memory waits for those that were ended to free theirs: one pass of
+/// the event loop.
+const FREEING_TIME: Millis = Millis(1);
 
 /// Limits on the size and the duration of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +84,10 @@
     is_closing: bool,
     keep_alive: Option<Millis>,
     max_body: usize,
+    /// Counts what is kept of a message that is not complete.
+    account: Option<Account>,
+    /// What is kept of it beside the buffer.
+    taken: usize,
 }
 
 impl Reader {
@@ -92,9 +100,21 @@
             is_closing: false,
             keep_alive: None,
             max_body: MAX_BODY_BYTES,
+            account: None,
+            taken: 0,
         }
     }
 
+    /// Counts what is kept of incomplete messages in a limit that connections share.
+    pub fn set_account(&mut self, account: Account) {
+        self.account = Some(account);
+    }
+
+    /// Records how much the caller keeps of the message that is being read.
+    pub fn set_taken(&mut self, bytes: usize) {
+        self.taken = bytes;
+    }
+
     /// Reads the next request within the default bounds. Returns `None` if the other side closed
     /// the connection between two requests, or left it idle for too long.
     ///
@@ -124,7 +144,9 @@
         let decode = self.decode(&mut decoder, bounds.max_head);
         let head = with_timeout(bounds.head_timeout, decode).await?;
         let framing = parse_framing(&head.headers, Framing::Length(0))?;
-        let body = with_timeout(READ_TIMEOUT, self.read_body(framing)).await?;
+        let body = with_timeout(READ_TIMEOUT, self.read_body(framing)).await;
+        self.release(body.is_ok());
+        let body = body?;
         let mut headers = head.headers;
         remove_framing(&mut headers);
         Ok(Some(Request {
@@ -164,6 +186,12 @@
     ///
     /// Fails on a malformed or oversized response and if the connection breaks.
     pub async fn response(&mut self, bodiless: bool) -> Result<Response, HttpError> {
+        let read = self.read_response(bodiless).await;
+        self.release(read.is_ok());
+        read
+    }
+
+    async fn read_response(&mut self, bodiless: bool) -> Result<Response, HttpError> {
         let mut response = self.response_head(bodiless).await?;
         response.body = match self.body_framing.take() {
             Some(framing) => self.read_body(framing).await?,
@@ -215,6 +243,14 @@
     ///
     /// Fails on a malformed or oversized chunk and if the connection breaks before the end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, HttpError> {
+        let part = self.next_part().await;
+        if !matches!(part, Ok(Some(_))) {
+            self.release(part.is_ok());
+        }
+        part
+    }
+
+    async fn next_part(&mut self) -> Result<Option<Bytes>, HttpError> {
         match self.body_framing {
             None | Some(Framing::Length(0)) => {
                 self.body_framing = None;
@@ -326,6 +362,7 @@
                 return Err(HttpError::TooLarge);
             }
             body.extend_from_slice(&part);
+            self.taken = body.capacity();
         }
         Ok(body.freeze())
     }
@@ -366,15 +403,38 @@
     /// Waits for the first byte of a request. Returns `Some(false)` if the other side closed the
     /// connection instead, and `None` on a timeout.
     async fn wait_for_byte(&mut self, timeout: Millis) -> Result<Option<bool>, HttpError> {
-        match with_timeout(timeout, async { Ok(self.fill().await?) }).await {
+        match with_timeout(timeout, self.fill()).await {
             Ok(size) => Ok(Some(size > 0)),
             Err(HttpError::TimedOut) => Ok(None),
             Err(error) => Err(error),
         }
     }
 
-    async fn fill(&mut self) -> std::io::Result<usize> {
+    async fn fill(&mut self) -> Result<usize, HttpError> {
+        let must_grow = self.buf.capacity() - self.buf.len() < READ_BYTES;
+        while must_grow && self.account.as_ref().is_some_and(Account::must_wait) {
+            monoio::time::sleep(FREEING_TIME.duration()).await;
+        }
         self.buf.reserve(READ_BYTES);
+        let kept = self.taken + self.buf.capacity();
+        let wake = match &mut self.account {
+            Some(account) => {
+                account.set(kept)?;
+                account.wake()
+            }
+            None => None,
+        };
+        let Some(wake) = wake else {
+            return Ok(self.read().await?);
+        };
+        monoio::select! {
+            biased;
+            () = wake.receive() => Err(HttpError::OverLimit),
+            size = self.read() => Ok(size?),
+        }
+    }
+
+    async fn read(&mut self) -> std::io::Result<usize> {
         let buf = std::mem::take(&mut self.buf);
         let from = buf.len();
         let to = buf.capacity();
@@ -382,6 +442,20 @@
         self.buf = slice.into_inner();
         result
     }
+
+    /// Frees what is kept of a message that was read completely, or that cannot be read: its connection may
+    /// stay open for long, or for as long as the peer is looked at.
+    fn release(&mut self, is_complete: bool) {
+        self.taken = 0;
+        let has_grown = self.buf.is_empty() && self.buf.capacity() > MAX_HEAD_BYTES;
+        if has_grown || !is_complete {
+            self.buf = BytesMut::new();
+        }
+        if let Some(account) = &mut self.account {
+            // Less than before is never over the limit.
+            let _ = account.set(self.buf.capacity());
+        }
+    }
 }
 
 /// Runs `work` and fails with [`HttpError::TimedOut`] if it takes longer than `timeout`.
--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -14,11 +14,13 @@
 
 use super::http::Conn;
 use super::http::HttpError;
+use super::http::KeepLimit;
 use super::http::Request;
 use super::http::Response;
 use super::timeout::within;
 use crate::clock::Clock;
 use crate::clock::Millis;
+use crate::consts::MAX_KEPT_BYTES;
 
 /// How long a connection may be idle and still be reused for a request.
 const MAX_IDLE_TIME: Millis = Millis::seconds(10);
@@ -51,6 +53,8 @@
 pub struct Pool {
     clock: Clock,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConn>>>>,
+    /// What the connections keep of incomplete answers.
+    answers: KeepLimit,
     #[debug(skip)]
     resolver: Rc<RefCell<Option<Resolver>>>,
 }
@@ -59,15 +63,27 @@
 type Resolver = Box<dyn Fn(SocketAddr) -> SocketAddr>;
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool, whose connections together keep at most [`MAX_KEPT_BYTES`] of incomplete
+    /// answers.
     pub fn new(clock: Clock) -> Self {
+        Self::with_limit(clock, KeepLimit::new(MAX_KEPT_BYTES))
+    }
+
+    /// Creates an empty pool with this limit on what its connections together keep of incomplete answers.
+    pub fn with_limit(clock: Clock, answers: KeepLimit) -> Self {
         Self {
             clock,
             idle: Rc::default(),
+            answers,
             resolver: Rc::default(),
         }
     }
 
+    /// Returns the limit on incomplete answers.
+    pub fn answers(&self) -> &KeepLimit {
+        &self.answers
+    }
+
     /// Has new connections opened at the address that `resolver` returns, such as that of a proxy.
     pub fn set_resolver<F>(&self, resolver: F)
     where
@@ -88,6 +104,7 @@
         };
         let mut conn = Conn::dial(target).await?;
         conn.writer.set_host(addr);
+        conn.reader.set_account(self.answers.account(addr));
         Ok(conn)
     }
 
--- a/src/io/serve/answer.rs
+++ b/src/io/serve/answer.rs
@@ -37,7 +37,7 @@
         HttpError::TooLarge => (Code::TooLarge, "The message is over its bound."),
         HttpError::Malformed => (Code::BadRequest, "The message is not HTTP/1.1."),
         HttpError::TimedOut => (Code::DeadlinePassed, "The message did not arrive in time."),
-        HttpError::Closed | HttpError::Io(_) => return None,
+        HttpError::Closed | HttpError::OverLimit | HttpError::Io(_) => return None,
     };
     let mut response = from_failure(Failure::not_run(code, message));
     response.headers.insert(CONNECTION, CLOSE);
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -12,6 +12,8 @@
 mod deadline;
 #[path = "edge/dropped.rs"]
 mod dropped;
+#[path = "edge/endless.rs"]
+mod endless;
 #[path = "edge/fake.rs"]
 mod fake;
 #[path = "edge/fleet.rs"]
@@ -387,7 +389,7 @@
 fn settings(index: usize, vm: &[SocketAddr], store: SocketAddr, contacts: &str) -> String {
     format!(
         "vm: vm-{index}\ndomain: {}\nfront: {}\nready: {}\nregistry: {}\nmetrics: {}\npeer: {}\n\
-         contacts: [{contacts}]\nstore: {store}\nbounds:\n  grace: 8\n  ratio: 0.2\n  \
+         contacts: [{contacts}]\nstore: {store}\nmemory: 112\nbounds:\n  grace: 8\n  ratio: 0.2\n  \
          extra: 100\n  apply: 2000\n  window: 10\n  keep: 5\n",
         if index.is_multiple_of(2) {
             "north"
