--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -15,6 +15,7 @@
 use super::suspect;
 use crate::clock::Millis;
 use crate::core::fleet::CutNotice;
+use crate::core::fleet::Fleet;
 use crate::core::fleet::HEARTBEAT_INTERVAL;
 use crate::core::fleet::Member;
 use crate::core::fleet::Message;
@@ -260,7 +261,7 @@
         if alone || !known {
             known = read_members(&edge).await;
             if known {
-                edge.fleet(|fleet| fleet.record_list());
+                edge.fleet(Fleet::record_list);
             }
         }
     }
--- a/tests/edge/gone.rs
+++ b/tests/edge/gone.rs
@@ -1,5 +1,6 @@
 //! A caller leaves: nothing more is sent for its request, and what was sent does not go on.
 
+use std::fmt::Write;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -22,10 +23,11 @@
     let request = world.request(path, "red-key");
     let mut text = format!("{} {} HTTP/1.1\r\n", request.method, request.uri);
     for (name, value) in &request.headers {
-        text += &format!("{name}: {}\r\n", value.to_str().expect("text"));
+        let value = value.to_str().expect("text");
+        write!(text, "{name}: {value}\r\n").expect("text");
     }
     if !request.body.is_empty() {
-        text += &format!("content-length: {}\r\n", request.body.len());
+        write!(text, "content-length: {}\r\n", request.body.len()).expect("text");
     }
     text += "\r\n";
     text += std::str::from_utf8(&request.body).expect("text");
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -116,9 +116,9 @@
         engine.span = plan.get(&engine.endpoint).copied();
     }
     let is_empty = |index: usize, engine: &Engine| index.is_multiple_of(lost) && engine.pace < 10.0;
-    for index in 0..engines.len() {
-        if is_empty(index, &engines[index]) {
-            engines[index].span = None;
+    for (index, engine) in engines.iter_mut().enumerate() {
+        if is_empty(index, engine) {
+            engine.span = None;
         }
     }
     let placed = engines.into_iter().zip(cards).enumerate();
