A VM that finds no endpoint for another one's stream lets that one ask a third

What callers saw: a VM that reaches no endpoint had another one serve a stream; that one reached none either and did not know it yet, and its refusal went to the caller, though a third VM would have served. The VM asked declines such a stream, as it does when it knows that it is cut off.

Tests: three of trickle.rs waited for a stream to meet one given engine of two alike, and relied on streams being spread in the first 5 s; they now stall the engine that a stream just used, and check the same.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -22,6 +22,7 @@
 use super::context::ConnAction;
 use super::context::RequestContext;
 use super::context::respond;
+use super::detour;
 use super::engine;
 use super::engine::ConnectError;
 use super::engine::Link;
@@ -189,6 +190,13 @@
         StreamEnd::Answered(_) if edge.stopping().is_none() => ConnAction::Keep,
         StreamEnd::Done | StreamEnd::Answered(_) | StreamEnd::Left => ConnAction::Close,
         _ if progress.is_started => ConnAction::Close,
+        // This VM may reach no endpoint and not know it yet; the one that asked it tries another.
+        StreamEnd::NotRun | StreamEnd::NotSent
+            if !progress.ran && ctx.detour.is_some() && selector.unreached() > 0 =>
+        {
+            let response = detour::decline("not_reached");
+            respond(edge, conn, response, false, ctx.start).await
+        }
         StreamEnd::NotRun | StreamEnd::NotSent if !progress.ran => {
             let wait = selector.pause().unwrap_or(RETRY_AFTER);
             respond(edge, conn, forward::refusal(wait), false, ctx.start).await
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -354,6 +354,16 @@
     }
 
     /// Returns an engine that runs layers of most streams and is not the first of their paths.
+    /// Sends a stream to the first daemon, and returns the engine that it is sent to.
+    async fn used_engine(&self) -> SocketAddr {
+        let engines = self.first_engines();
+        let counts: Vec<usize> = engines.iter().map(|addr| self.ran_at(*addr)).collect();
+        assert_stream(&self.call(0, "/draft/used", "red-key").await);
+        let mut pairs = engines.iter().zip(counts);
+        let used = pairs.find(|(addr, count)| self.ran_at(**addr) > *count);
+        *used.expect("an engine ran it").0
+    }
+
     fn later_engine(&self) -> SocketAddr {
         let held = self.endpoints.list();
         let later = held.iter().find(|endpoint| {
--- a/tests/edge/trickle.rs
+++ b/tests/edge/trickle.rs
@@ -71,7 +71,7 @@
 }
 
 async fn check_moves(world: Rc<World>, piece: &'static str) {
-    let stalled = stall(&world, world.first_engines()[0], piece, true);
+    let stalled = stall(&world, world.used_engine().await, piece, true);
     let (mut answer, span) = meet(&world, &stalled).await;
     answer.body = answer.body.replace(piece, "");
     assert_stream(&answer);
@@ -92,7 +92,7 @@
 #[test]
 fn a_stalled_stream_that_sends_bytes_ends_at_its_time_limit() {
     run(async |world: Rc<World>| {
-        let stalled = stall(&world, world.first_engines()[0], "x", false);
+        let stalled = stall(&world, world.used_engine().await, "x", false);
         let (answer, span) = meet(&world, &stalled).await;
         if answer.whole {
             return assert_stream(&answer);
