--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -36,7 +36,7 @@
 pub const HEARTBEAT_INTERVAL: Millis = Millis(300);
 /// The number of random VMs that each message goes to.
 const FANOUT: usize = 3;
-/// The most VMs that one message answers whose first message arrived.
+/// The most VMs that get one message because their first message arrived.
 const MAX_GREETED: usize = 16;
 /// One in so many messages also goes to a contact, so that separate parts of the fleet merge.
 const HEARTBEATS_PER_CONTACT: u64 = 8;
@@ -254,7 +254,7 @@
         let due = self.me.heartbeat.is_multiple_of(HEARTBEATS_PER_CONTACT);
         let wanted = missing.max(usize::from(due));
         to.extend(self.contacts.iter().copied().sample(&mut self.rng, wanted));
-        // Of VMs that start together, those that everyone needs answer at once.
+        // Random recipients alone would reach the hub of VMs that start together only after seconds.
         to.extend(self.unheard_hub(now));
         let answered = self.greeted.len().min(MAX_GREETED);
         to.extend(self.greeted.drain(..answered));
--- a/src/core/pipe/link.rs
+++ b/src/core/pipe/link.rs
@@ -10,8 +10,8 @@
 use crate::core::site::Model;
 use crate::names::Domain;
 
-/// The longest wait on a link to which a new stream may add its prompt. An event holds some five tokens,
-/// each of which passes the link after all that waits there, and callers wait a quarter of a second for it.
+/// The longest wait on a link, in milliseconds, to which a new stream may add its prompt. Each token passes the
+/// link after all that waits there, and callers want an event of several tokens within a quarter of a second.
 const MAX_WAIT: f64 = 50.0;
 
 /// The time, in milliseconds, that engines take to read a prompt and to make the first event, in which a
