The time, the inputs and the lateness of a choice of a path in logs and metrics

Nothing told apart why VMs are late: no metric held the time of a choice, how late timers fire, which links are closed or unknown, and the age of the loads. No behaviour changes.

--- a/src/core/pipe/link.rs
+++ b/src/core/pipe/link.rs
@@ -53,7 +53,29 @@
     is_unlimited: bool,
 }
 
+/// How many links are in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkCounts {
+    /// Those that a request may cross.
+    pub open: u64,
+    /// Those that carry as much as they can.
+    pub closed: u64,
+    /// Those of which nothing is known: 1 for all, as their number is not known either.
+    pub unknown: u64,
+}
+
 impl Links {
+    /// Counts the links by their state, for logs and metrics.
+    #[must_use]
+    pub fn count(&self) -> LinkCounts {
+        let closed = self.closed.len() as u64;
+        LinkCounts {
+            open: self.waits.len() as u64 - closed,
+            closed,
+            unknown: u64::from(self.is_unknown),
+        }
+    }
+
     /// Returns links of which nothing is known, as after a start: no new stream should cross them.
     #[must_use]
     pub fn unknown() -> Self {
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -12,6 +12,7 @@
 mod watch;
 
 pub use self::detour::reroute;
+pub use self::link::LinkCounts;
 pub use self::link::Links;
 pub use self::link::Unseen;
 pub use self::link::link_name;
--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -20,8 +20,10 @@
 pub async fn run(edge: Edge, socket: Rc<UdpSocket>) {
     let mut hub = None;
     loop {
+        let planned = edge.now() + REPORT_INTERVAL;
         monoio::time::sleep(REPORT_INTERVAL.duration()).await;
         let now = edge.now();
+        edge.record_loop_delay(now.since(planned));
         let hubs = edge.fleet(|fleet| fleet.hubs(now));
         let me = edge.settings().peer;
         let is_alone = edge.fleet(|fleet| fleet.is_alone(now));
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -9,8 +9,10 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use super::paths::Choice;
 use crate::clock::Millis;
 use crate::io::metrics::counter;
+use crate::io::metrics::fine_histogram;
 use crate::io::metrics::histogram;
 use crate::io::metrics::provider;
 
@@ -45,6 +47,10 @@
     first_event: Histogram<f64>,
     answer_time: Histogram<f64>,
     startup: Histogram<f64>,
+    choice_time: Histogram<f64>,
+    load_age: Histogram<f64>,
+    links: Counter<u64>,
+    loop_delay: Histogram<f64>,
 }
 
 impl Metrics {
@@ -122,6 +128,23 @@
                 "edge_startup",
                 "Time from the start until the VM had what it needs to serve, by step.",
             ),
+            choice_time: fine_histogram(
+                &meter,
+                "edge_path_choice",
+                "Time that the choice of a path took, by the power of two of the engines.",
+            ),
+            load_age: histogram(
+                "edge_load_age",
+                "Age of other VMs' load at a choice of a path.",
+            ),
+            links: counter(
+                "edge_links",
+                "Links between domains as choices of paths found them: open, closed or unknown.",
+            ),
+            loop_delay: histogram(
+                "edge_loop_delay",
+                "How much later than planned the VM's timers fired.",
+            ),
             registry,
             _provider: provider,
         }
@@ -145,6 +168,31 @@
         self.startup.record(span.0 as f64, &[step]);
     }
 
+    /// Records what a choice of a path took, and what it was made on.
+    pub fn record_choice(&self, choice: &Choice) {
+        let engines = choice.engines.next_power_of_two() as i64;
+        self.choice_time
+            .record(choice.ms, &[KeyValue::new("engines", engines)]);
+        if let Some(age) = choice.age {
+            self.load_age.record(age.0 as f64, &[]);
+        }
+        let states = [
+            ("open", choice.links.open),
+            ("closed", choice.links.closed),
+            ("unknown", choice.links.unknown),
+        ];
+        for (state, count) in states {
+            if count > 0 {
+                self.links.add(count, &[KeyValue::new("state", state)]);
+            }
+        }
+    }
+
+    /// Records how much later than planned a timer fired.
+    pub fn record_loop_delay(&self, delay: Millis) {
+        self.loop_delay.record(delay.0 as f64, &[]);
+    }
+
     /// Counts a stream that was refused for lack of room, with its tokens.
     pub fn count_refusal(&self, priority: u8, is_return: bool, tokens: u32) {
         let class = KeyValue::new("priority", i64::from(priority));
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -1,6 +1,8 @@
 //! The choice of a request's path, and its change while the request runs.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use monoio::task::JoinHandle;
 
@@ -24,6 +26,7 @@
 use crate::core::load::REPORT_INTERVAL;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Expected;
+use crate::core::pipe::LinkCounts;
 use crate::core::pipe::Links;
 use crate::core::pipe::Part;
 use crate::core::pipe::Stage;
@@ -55,6 +58,19 @@
 /// The pace that an engine is marked with after it refused a request, until it is probed.
 const REFUSED_PACE: f64 = 8.0;
 
+/// What the last choice of a path was made on, and what it took.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Choice {
+    /// The engines that the path could use.
+    pub engines: usize,
+    /// The links between their domains.
+    pub links: LinkCounts,
+    /// The age of the other VMs' load, if it was known.
+    pub age: Option<Millis>,
+    /// The time of the whole choice, in milliseconds.
+    pub ms: f64,
+}
+
 /// Selects the paths of one request, without the engines that failed it.
 #[derive(Debug)]
 pub struct PathSelector<'a> {
@@ -73,6 +89,7 @@
     run: Run,
     /// Counts the prompt on the links that the path crosses until its first event.
     links: Option<LinkGuard>,
+    choice: Cell<Choice>,
 }
 
 /// The request's run on its current path.
@@ -101,9 +118,15 @@
             first: None,
             run: Run::default(),
             links: None,
+            choice: Cell::default(),
         }
     }
 
+    /// Returns what the last choice of a path was made on, for logs.
+    pub fn choice(&self) -> Choice {
+        self.choice.get()
+    }
+
     /// Sets the path on which room was found for the request.
     pub fn set_first(&mut self, path: Option<Vec<Part>>) {
         self.first = path;
@@ -274,11 +297,22 @@
     /// Chooses a path without the engines that failed the request, if possible within what the links between
     /// domains take; `None` if there is none.
     pub fn pick_path(&self) -> Option<Vec<Part>> {
+        let start = Instant::now();
         let (stages, links) = self.stages();
         let home = &self.edge.settings().domain;
         let demand = self.demand();
-        choose_path(&stages, &links, self.model, home, demand)
-            .or_else(|| choose_path(&stages, &links.unlimited(), self.model, home, demand))
+        let path = choose_path(&stages, &links, self.model, home, demand)
+            .or_else(|| choose_path(&stages, &links.unlimited(), self.model, home, demand));
+        self.record_choice(start);
+        path
+    }
+
+    /// Records the time of a choice that began at `start`.
+    fn record_choice(&self, start: Instant) {
+        let mut choice = self.choice.get();
+        choice.ms = start.elapsed().as_secs_f64() * 1000.0;
+        self.choice.set(choice);
+        self.edge.metrics().record_choice(&choice);
     }
 
     /// Logs why there is no path: the first layers that no engine offers, and how many engines are known,
@@ -309,11 +343,14 @@
     /// Chooses a path of engines that each have memory for the request, if requests like it may fill
     /// up to `limit` of an engine's request memory, over links that take it; `None` if there is none.
     pub fn pick_path_within(&self, limit: f64) -> Option<Vec<Part>> {
+        let start = Instant::now();
         let demand = self.demand();
         let (mut stages, links) = self.stages();
         stages.retain(|stage| stage.fits(self.model, demand, limit));
         let home = &self.edge.settings().domain;
-        choose_path(&stages, &links, self.model, home, demand)
+        let path = choose_path(&stages, &links, self.model, home, demand);
+        self.record_choice(start);
+        path
     }
 
     /// Returns how long until the first engine takes requests again, if there is no path because
@@ -406,7 +443,14 @@
             }
             None => Links::unknown(),
         };
-        let is_blind = self.edge.load(|exchange| exchange.age(now)).is_none();
+        let age = self.edge.load(|exchange| exchange.age(now));
+        let is_blind = age.is_none();
+        self.choice.set(Choice {
+            engines: stages.len(),
+            links: links.count(),
+            age,
+            ms: 0.0,
+        });
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -436,7 +436,21 @@
     link.conn.writer.record_id(&ctx.id);
     let from = progress.events.last_id().unwrap_or(0);
     let crossings = paths::count_crossings(edge, path);
-    log::info!(id = ctx.id, path:% = paths::format_path(path), last = from, crossings; "path");
+    let choice = selector.choice();
+    log::info!(
+        id = ctx.id,
+        path:% = paths::format_path(path),
+        last = from,
+        crossings,
+        engines = choice.engines,
+        open = choice.links.open,
+        closed = choice.links.closed,
+        unknown = choice.links.unknown,
+        age_ms:? = choice.age.map(|age| age.0),
+        choice_us = (choice.ms * 1000.0) as u64,
+        late_ms = edge.loop_delay().0;
+        "path"
+    );
     match link.conn.writer.request(&request).await {
         Ok(()) => Ok(link),
         Err(error) => {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -78,6 +78,7 @@
     gossip_trigger: Mailbox<()>,
     stop_time: Cell<Option<Millis>>,
     open_requests: Cell<u64>,
+    loop_delay: Cell<Millis>,
 }
 
 impl Edge {
@@ -136,6 +137,7 @@
             gossip_trigger: Mailbox::new(1),
             stop_time: Cell::new(None),
             open_requests: Cell::new(0),
+            loop_delay: Cell::new(Millis(0)),
             settings,
         };
         Self {
@@ -367,6 +369,17 @@
         self.inner.open_requests.get()
     }
 
+    /// Returns how much later than planned the last timer of the exchange of loads fired.
+    pub fn loop_delay(&self) -> Millis {
+        self.inner.loop_delay.get()
+    }
+
+    /// Records how much later than planned a timer fired.
+    pub fn record_loop_delay(&self, delay: Millis) {
+        self.inner.loop_delay.set(delay);
+        self.metrics().record_loop_delay(delay);
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(&self) -> RequestGuard {
         self.inner.open_requests.set(self.open_requests() + 1);
--- a/src/io/metrics.rs
+++ b/src/io/metrics.rs
@@ -16,6 +16,9 @@
     1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 125.0, 250.0, 500.0, 1000.0, 2000.0,
 ];
 
+/// The upper bounds of the buckets for the time of computations, in milliseconds.
+const FINE_BUCKETS_MS: [f64; 11] = [0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0];
+
 /// Creates a meter provider that exports to `registry`. If the exporter cannot be built, an error
 /// is logged and the instruments are not exported.
 pub fn provider(registry: &Registry) -> SdkMeterProvider {
@@ -38,6 +41,19 @@
         .build()
 }
 
+/// Creates a histogram of the time that computations take, in milliseconds.
+pub fn fine_histogram(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Histogram<f64> {
+    let builder = meter.f64_histogram(name).with_description(description);
+    builder
+        .with_unit("ms")
+        .with_boundaries(FINE_BUCKETS_MS.to_vec())
+        .build()
+}
+
 /// Creates a counter that starts at 0.
 pub fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
     meter
