The search for a path goes through the layers once

Cause: the search compared each engine with all others at each step, and since looked up the link between their domains each time, by two cloned names in a tree and a set. Each choice of a path makes up to nine searches.

Change: a path passes engines in the order of their last layers, and an engine's time is linear in its layers, so one pass over the layers keeps the cheapest way to each engine. Domains are numbers and links a table within a choice, and all searches of a choice share what is prepared.

--- a/src/core/pipe/link.rs
+++ b/src/core/pipe/link.rs
@@ -124,19 +124,26 @@
         self
     }
 
-    /// Returns the time, in milliseconds, that all transfers of a request take over the link between two
-    /// domains; `None` if the request may not cross it.
-    pub(super) fn crossing(
-        &self,
-        from: &Domain,
-        to: &Domain,
-        model: &Model,
-        demand: Demand,
-    ) -> Option<f64> {
-        let ends = ends(from, to);
-        let is_closed = self.is_unknown || self.closed.contains(&ends);
-        let wait = self.waits.get(&ends).copied().unwrap_or(0.0);
-        (self.is_unlimited || !is_closed).then(|| wait + transfer_time(model, demand))
+    /// Returns the time, in milliseconds, that all transfers of a request take from each of some domains to each,
+    /// row by row: 0 within a domain, and infinite where the request may not cross.
+    pub(super) fn crossings(&self, domains: &[Domain], model: &Model, demand: Demand) -> Vec<f64> {
+        let transfer = transfer_time(model, demand);
+        let mut times = vec![0.0; domains.len() * domains.len()];
+        for (from, a) in domains.iter().enumerate() {
+            for (to, b) in domains.iter().enumerate().skip(from + 1) {
+                let ends = ends(a, b);
+                let is_closed = self.is_unknown || self.closed.contains(&ends);
+                let wait = self.waits.get(&ends).copied().unwrap_or(0.0);
+                let time = if self.is_unlimited || !is_closed {
+                    wait + transfer
+                } else {
+                    f64::INFINITY
+                };
+                times[from * domains.len() + to] = time;
+                times[to * domains.len() + from] = time;
+            }
+        }
+        times
     }
 }
 
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -8,6 +8,7 @@
 mod path;
 mod place;
 mod room;
+mod search;
 mod spread;
 mod watch;
 
--- a/src/core/pipe/path.rs
+++ b/src/core/pipe/path.rs
@@ -1,13 +1,10 @@
 //! Choice of a path: a sequence of engines that runs every layer once and in order.
 
-use std::cmp::Ordering;
-use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
 use super::Links;
 use super::Span;
-use super::link::transfer_time;
+use super::search::Search;
 use crate::core::site::Card;
 use crate::core::site::Model;
 use crate::names::Domain;
@@ -84,34 +81,6 @@
     pub answer: f64,
 }
 
-/// A search state: the request has run all layers before `layer` and is at `stage`. The ordering is
-/// reversed, since [`BinaryHeap`] pops the largest entry and the cheapest state comes first.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct QueueEntry {
-    /// The time to this state, in milliseconds.
-    cost: f64,
-    layer: u32,
-    stage: usize,
-}
-
-impl Eq for QueueEntry {}
-
-impl Ord for QueueEntry {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other
-            .cost
-            .total_cmp(&self.cost)
-            .then_with(|| other.layer.cmp(&self.layer))
-            .then_with(|| other.stage.cmp(&self.stage))
-    }
-}
-
-impl PartialOrd for QueueEntry {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 /// Returns the path with the lowest estimated time, or `None` if no path runs all layers.
 ///
 /// The estimate covers the prompt and every token on each engine at its present load, and the
@@ -144,135 +113,52 @@
     demand: Demand,
     range: Span,
 ) -> Option<Vec<Part>> {
-    let stages = cheapest_stages(stages, model, demand);
-    let mut best: BTreeMap<(u32, usize), f64> = BTreeMap::new();
-    let mut previous: BTreeMap<(u32, usize), (u32, usize)> = BTreeMap::new();
-    let mut queue = BinaryHeap::new();
-    for (index, stage) in stages.iter().enumerate() {
-        if stage.span.contains(range.from) && (stage.can_lead || range.from > 0) {
-            let cost = if stage.domain == *home {
-                0.0
-            } else if range.from > 0 {
-                transfer_time(model, demand)
-            } else {
-                model.delay * demand.answer
-            };
-            let cost = if range.from > 0 {
-                cost
-            } else {
-                let layers = stage.span.to.min(range.to);
-                cost + opening_time(stage, model, layers, demand)
-            };
-            best.insert((range.from, index), cost);
-            queue.push(QueueEntry {
-                cost,
-                layer: range.from,
-                stage: index,
-            });
-        }
-    }
-    while let Some(QueueEntry { cost, layer, stage }) = queue.pop() {
-        if best.get(&(layer, stage)).is_some_and(|known| *known < cost) {
-            continue;
-        }
-        if layer >= range.to {
-            return Some(collect_parts(&stages, &previous, (layer, stage)));
-        }
-        let current = stages[stage];
-        let mut relax = |to: u32, next: usize, extra: f64| {
-            let cost = cost + stage_time(current, model, to - layer, demand) + extra;
-            let lowest = best.entry((to, next)).or_insert(f64::INFINITY);
-            if cost < *lowest {
-                *lowest = cost;
-                previous.insert((to, next), (layer, stage));
-                queue.push(QueueEntry {
-                    cost,
-                    layer: to,
-                    stage: next,
-                });
-            }
-        };
-        if current.span.to >= range.to {
-            relax(range.to, stage, 0.0);
-            continue;
-        }
-        for (index, next) in stages.iter().enumerate() {
-            if index == stage || next.span.to <= current.span.to {
-                continue;
-            }
-            let crossing = if current.domain == next.domain {
-                Some(0.0)
-            } else {
-                links.crossing(&current.domain, &next.domain, model, demand)
-            };
-            let Some(crossing) = crossing else { continue };
-            if next.span.contains(current.span.to) {
-                relax(current.span.to, index, crossing);
-            }
-            if next.span.from > layer && next.span.from < current.span.to.min(range.to) {
-                relax(next.span.from, index, crossing);
-            }
-        }
-    }
-    None
+    let parts = Search::new(stages, links, model, demand).find(home, range)?;
+    let part = |(index, span): (usize, Span)| Part {
+        endpoint: stages[index].endpoint.clone(),
+        addr: stages[index].addr,
+        span,
+    };
+    Some(parts.into_iter().map(part).collect())
 }
 
-/// Returns the cheapest of the engines that hold the same layers on the same kind of accelerator in
-/// the same domain, and the cheapest of those that may lead.
-///
-/// A path never needs two engines of such a group. The search compares each engine with all others,
-/// so with thousands of engines, where most have dozens alike, it would take a small VM tenths of a
-/// second for each request.
-fn cheapest_stages<'a>(stages: &'a [Stage], model: &Model, demand: Demand) -> Vec<&'a Stage> {
-    let mut cheapest = BTreeMap::new();
-    for (index, stage) in stages.iter().enumerate() {
-        let Card { memory, pace, read } = stage.card;
-        let card = [memory.to_bits(), pace.to_bits(), read.to_bits()];
-        let cost = stage_time(stage, model, stage.span.len(), demand);
-        let mut offer = |may_lead: bool, cost: f64| {
-            let key = (&stage.domain, stage.span, card, may_lead);
-            let best = cheapest.entry(key).or_insert((cost, index));
-            if cost < best.0 {
-                *best = (cost, index);
-            }
-        };
-        offer(false, cost);
-        if stage.can_lead {
-            offer(
-                true,
-                cost + opening_time(stage, model, stage.span.len(), demand),
-            );
-        }
-    }
-    let mut kept: Vec<usize> = cheapest.into_values().map(|(_, index)| index).collect();
-    kept.sort_unstable();
-    kept.dedup();
-    kept.into_iter().map(|index| &stages[index]).collect()
+/// The estimated time, in milliseconds, that a request spends on an engine at its present load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StageCost {
+    /// The time that does not depend on the layers.
+    pub(super) fixed: f64,
+    /// The time for each layer.
+    pub(super) per_layer: f64,
+    is_warm: bool,
 }
 
-/// Returns the estimated time, in milliseconds, that a request spends on `layers` layers of an
-/// engine.
-fn stage_time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
-    let share = f64::from(layers) / f64::from(model.layers.max(1));
-    let context = (demand.prompt + demand.answer) / 1000.0 * model.context;
-    let step = model.step + (model.sequence + context) * stage.running;
-    let token = share * stage.card.pace * step + HOP_COST_MS;
-    let prompt = share * stage.card.read * demand.prompt / model.reading;
-    let high = (stage.memory_use - HIGH_MEMORY_USE).max(0.0);
-    let memory_factor = MEMORY_COST_FACTOR.powf(high * 10.0);
-    (token * demand.answer + prompt) * stage.penalty * memory_factor
-}
+impl StageCost {
+    /// Estimates the time of a request on an engine.
+    pub(super) fn of(stage: &Stage, model: &Model, demand: Demand) -> Self {
+        let context = (demand.prompt + demand.answer) / 1000.0 * model.context;
+        let step = model.step + (model.sequence + context) * stage.running;
+        let tokens = stage.card.pace * step * demand.answer;
+        let prompt = stage.card.read * demand.prompt / model.reading;
+        let high = (stage.memory_use - HIGH_MEMORY_USE).max(0.0);
+        let factor = stage.penalty * MEMORY_COST_FACTOR.powf(high * 10.0);
+        Self {
+            fixed: HOP_COST_MS * demand.answer * factor,
+            per_layer: (tokens + prompt) / f64::from(model.layers.max(1)) * factor,
+            is_warm: stage.is_warm,
+        }
+    }
 
-/// Returns what a new connection adds to the time of a first engine that runs `layers` layers.
-///
-/// Without it, the requests of a VM that has few would each open a connection to another of the engines
-/// that are alike. The share is less than the random part of the costs, so that a VM's requests still
-/// go to several engines, and a full engine costs eight times as much.
-fn opening_time(stage: &Stage, model: &Model, layers: u32, demand: Demand) -> f64 {
-    if stage.is_warm {
-        return 0.0;
+    /// Returns what a new connection adds to the time of a first engine that runs `layers` layers.
+    ///
+    /// Without it, the requests of a VM that has few would each open a connection to another of the engines
+    /// that are alike. The share is less than the random part of the costs, so that a VM's requests still
+    /// go to several engines, and a full engine costs eight times as much.
+    pub(super) fn opening(self, layers: u32) -> f64 {
+        if self.is_warm {
+            return 0.0;
+        }
+        COLD_SHARE * (self.fixed + self.per_layer * f64::from(layers))
     }
-    COLD_SHARE * stage_time(stage, model, layers, demand)
 }
 
 /// Returns the first layers of a model that none of the engines holds; `None` if each has one.
@@ -283,27 +169,3 @@
     let to = (from..layers).find(is_held).unwrap_or(layers);
     Some(Span { from, to })
 }
-
-/// Follows `previous` back from `end` and returns the parts of the path in order.
-fn collect_parts(
-    stages: &[&Stage],
-    previous: &BTreeMap<(u32, usize), (u32, usize)>,
-    end: (u32, usize),
-) -> Vec<Part> {
-    let mut list = Vec::new();
-    let mut here = end;
-    while let Some(before) = previous.get(&here) {
-        let stage = stages[before.1];
-        list.push(Part {
-            endpoint: stage.endpoint.clone(),
-            addr: stage.addr,
-            span: Span {
-                from: before.0,
-                to: here.0,
-            },
-        });
-        here = *before;
-    }
-    list.reverse();
-    list
-}
--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -2,10 +2,10 @@
 
 use super::Demand;
 use super::Links;
+use super::Span;
 use super::Stage;
-use super::choose_path;
+use super::search::Search;
 use crate::core::site::Model;
-use crate::names::Domain;
 
 /// The share of an engine's request memory that all VMs together should fill.
 const TARGET_USE: f64 = 0.7;
@@ -78,23 +78,26 @@
     }
     let batches = (arrivals / REQUESTS_PER_BATCH).ceil().min(MAX_BATCHES);
     let size = arrivals / batches;
-    let mut homes: Vec<Domain> = stages.iter().map(|stage| stage.domain.clone()).collect();
-    homes.sort_unstable();
-    homes.dedup();
+    let all = Span {
+        from: 0,
+        to: model.layers,
+    };
+    let mut search = Search::new(stages, links, model, demand);
     for _ in 0..batches as usize {
+        let homes = search.domains();
         let home = &homes[(draw() * homes.len() as f64) as usize % homes.len()];
-        let Some(path) = choose_path(stages, links, model, home, demand) else {
+        let Some(path) = search.find(home, all) else {
             return;
         };
         // Batches differ in size, as requests do not come at even intervals.
         let size = size * 2.0 * draw();
-        for part in path {
-            if let Some(stage) = stages.iter_mut().find(|stage| stage.addr == part.addr) {
-                let layers = f64::from(part.span.len());
-                let capacity = model.kv_capacity(stage.card, stage.span.len()).max(1.0);
-                stage.running += size;
-                stage.memory_use += size * tokens * layers / capacity;
-            }
+        for (index, span) in path {
+            let stage = &mut stages[index];
+            let layers = f64::from(span.len());
+            let capacity = model.kv_capacity(stage.card, stage.span.len()).max(1.0);
+            stage.running += size;
+            stage.memory_use += size * tokens * layers / capacity;
+            search.update(index, stage);
         }
     }
 }
