A stream's admission no longer copies the load of all engines, nor looks each engine up three times

The same class elsewhere, each once or more for every stream: (1) what callers ask for was read from a copy of the whole fleet's load, engines included; (2) the list of engines looked each up by name three times and hashed its name; (3) idle connections were looked up for engines that cannot be first on a path. Now the callers' part is copied alone, engines are read in one pass with their hash kept, and only first engines are looked up in the pool. No decision changes.

--- a/src/core/load/exchange.rs
+++ b/src/core/load/exchange.rs
@@ -167,6 +167,17 @@
         (load, total.map(|total| now.since(total.at)))
     }
 
+    /// Returns the callers' part of [`Self::fleet`], without the engines: a request needs what its class asks
+    /// for, and copying the load of each engine for it would cost as much as a search for a path.
+    pub fn callers(&self, now: Millis) -> (Load, Option<Millis>) {
+        let mut load = self.own.callers();
+        let total = self.fresh(now);
+        if let Some(total) = total {
+            load.add_callers(&total.others);
+        }
+        (load, total.map(|total| now.since(total.at)))
+    }
+
     /// Returns what all VMs run on an engine, and the age of the others' part; see [`Self::fleet`].
     pub fn engine(&self, now: Millis, engine: NameHash) -> (EngineLoad, Option<Millis>) {
         let mut load = self.own.engines.get(&engine).copied().unwrap_or_default();
--- a/src/core/load/mod.rs
+++ b/src/core/load/mod.rs
@@ -108,6 +108,21 @@
             sum.leading = sum.leading.saturating_add(load.leading);
             sum.cells = sum.cells.saturating_add(load.cells);
         }
+        self.add_callers(other);
+    }
+
+    /// Returns what callers ask for and were promised, without the load of engines.
+    #[must_use]
+    pub fn callers(&self) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            classes: self.classes.clone(),
+            returns: self.returns.clone(),
+        }
+    }
+
+    /// Adds what callers ask for and were promised by another load to this one.
+    pub fn add_callers(&mut self, other: &Self) {
         for (class, load) in &other.classes {
             let sum = self.classes.entry(*class).or_default();
             sum.offered = sum.offered.saturating_add(load.offered);
--- a/src/core/roster/limit.rs
+++ b/src/core/roster/limit.rs
@@ -143,7 +143,7 @@
     }
 
     /// Returns how long until this VM may send the endpoint a request; `None` if it may not.
-    fn wait(&self, now: Millis) -> Option<Millis> {
+    pub(super) fn wait(&self, now: Millis) -> Option<Millis> {
         if self.rate(now).is_none() {
             return Some(Millis(0));
         }
--- a/src/core/roster/mod.rs
+++ b/src/core/roster/mod.rs
@@ -41,6 +41,7 @@
 use self::tempo::Tempo;
 use crate::clock::Millis;
 use crate::core::load::EngineLoad;
+use crate::core::load::NameHash;
 use crate::core::pipe::Span;
 use crate::core::pipe::Stage;
 use crate::core::position::Position;
@@ -70,6 +71,8 @@
 #[derive(Clone, Debug)]
 struct EndpointState {
     change: Change,
+    /// The hash of its name, under which VMs exchange its load.
+    hash: NameHash,
     /// The position at which the entry last differed from the one before. Endpoints rewrite their
     /// entries periodically; a rewrite without a difference is not passed on.
     changed_offset: Position,
@@ -241,6 +244,7 @@
             health.record_lapse();
         }
         let state = EndpointState {
+            hash: NameHash::of(&change.endpoint),
             changed_offset: change.offset,
             changed_at: now,
             grace_until,
@@ -392,7 +396,7 @@
     }
 
     /// Returns the engines of a service as stages from which paths are built; `load` returns what all
-    /// VMs run on an engine.
+    /// VMs run on an engine, by the hash of its name.
     pub fn stages<F>(
         &self,
         service: &ServiceName,
@@ -401,12 +405,16 @@
         load: F,
     ) -> Vec<Stage>
     where
-        F: Fn(&EndpointName) -> EngineLoad,
+        F: Fn(NameHash) -> EngineLoad,
     {
         let mut stages = Vec::new();
-        for (entry, health, _) in self.serving(service, now) {
-            let state = self.endpoints.get(&entry.endpoint);
-            let pace = state.and_then(|state| state.pace.filter(|(_, until)| now < *until));
+        for state in self.endpoints.values() {
+            let Some(entry) = Self::usable(state, now).filter(|entry| entry.service == *service)
+            else {
+                continue;
+            };
+            let health = &state.health;
+            let pace = state.pace.filter(|(_, until)| now < *until);
             let (Some(span), Some(kind)) = (entry.span, entry.kind.as_ref()) else {
                 continue;
             };
@@ -417,7 +425,7 @@
                 continue;
             }
             let cells = model.kv_capacity(*card, span.len()).max(1.0);
-            let load = load(&entry.endpoint);
+            let load = load(state.hash);
             stages.push(Stage {
                 endpoint: entry.endpoint.clone(),
                 addr: entry.addr,
@@ -427,8 +435,7 @@
                 running: f64::from(load.running),
                 memory_use: load.cells as f64 / cells,
                 penalty: health.penalty() * pace.map_or(1.0, |(pace, _)| pace),
-                can_lead: load.leading < model.slots
-                    && self.limit_wait(now, &entry.endpoint) == Some(Millis(0)),
+                can_lead: load.leading < model.slots && state.limit.wait(now) == Some(Millis(0)),
                 is_warm: false,
             });
         }
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -149,7 +149,7 @@
 ) -> Entry {
     let now = edge.now();
     let draw = edge.random();
-    let (load, age) = edge.load(|load| load.fleet(now));
+    let (load, age) = edge.load(|load| load.callers(now));
     let (wait, inputs, is_short) = edge.load(|exchange| {
         edge.streams(|streams| {
             let wait = streams.refuse(now, arrival, &load, age, exchange.own(), draw);
@@ -192,7 +192,7 @@
 
 impl Look {
     fn new(selector: &PathSelector<'_>, now: Millis) -> Self {
-        let (load, age) = selector.edge.load(|load| load.fleet(now));
+        let (load, age) = selector.edge.load(|load| load.callers(now));
         let (capacity, fill) = selector.capacity();
         Self {
             load,
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -22,7 +22,6 @@
 use crate::core::admit::Decision;
 use crate::core::admit::Occupancy;
 use crate::core::admit::token_capacity;
-use crate::core::load::NameHash;
 use crate::core::load::REPORT_INTERVAL;
 use crate::core::pipe::Demand;
 use crate::core::pipe::Expected;
@@ -421,7 +420,7 @@
         let now = self.edge.now();
         let service = &self.ctx.service;
         self.edge.load(|exchange| {
-            let load = |endpoint: &EndpointName| exchange.engine(now, NameHash::of(endpoint)).0;
+            let load = |engine| exchange.engine(now, engine).0;
             self.edge
                 .roster(|roster| roster.stages(service, self.model, now, load))
         })
@@ -454,7 +453,8 @@
         stages.retain(|stage| !self.excluded.contains(&stage.addr));
         for stage in &mut stages {
             stage.penalty *= 1.0 + COST_JITTER * self.edge.random();
-            stage.is_warm = self.edge.pool().has_idle(stage.addr);
+            // Only the first engine of a path is connected to.
+            stage.is_warm = stage.span.from == 0 && self.edge.pool().has_idle(stage.addr);
         }
         if is_blind && self.edge.uptime() < YOUNG_TIME {
             let known = self.edge.fleet(|fleet| fleet.total_load(now));
