A VM that is late plays fewer arrivals in a choice of a path

A VM with more to do than its share of a core allows let plain calls and events wait behind choices of paths, each with up to eight searches. count_batches halves them as the delay of its timers doubles beyond 20 ms, down to one. The test plays a VM of 0.12 of a core with searches of 1.2 ms: its delay grows without end with all batches, and stays under 0.1 s by the rule.

--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -126,7 +126,9 @@
     let home = Domain::from("zone-0");
     let mut view = stages.to_vec();
     let links = links(&view, model, state);
-    expect_arrivals(&mut view, &links, model, TURNOVER, || rng.random());
+    expect_arrivals(&mut view, &links, model, TURNOVER, Millis(0), || {
+        rng.random()
+    });
     for stage in &mut view {
         stage.penalty *= 1.0 + 0.15 * rng.random::<f64>();
     }
--- a/src/core/pipe/mod.rs
+++ b/src/core/pipe/mod.rs
@@ -32,6 +32,7 @@
 pub use self::place::plan_placement;
 pub use self::place::repair_placement;
 pub use self::spread::count_arrivals;
+pub use self::spread::count_batches;
 pub use self::spread::expect_arrivals;
 pub use self::spread::spread_load;
 pub use self::watch::Expected;
--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -5,6 +5,7 @@
 use super::Span;
 use super::Stage;
 use super::search::Search;
+use crate::clock::Millis;
 use crate::core::site::Model;
 
 /// The share of an engine's request memory that all VMs together should fill.
@@ -13,6 +14,9 @@
 /// for a path, and a small VM has a tenth of a core.
 const REQUESTS_PER_BATCH: f64 = 8.0;
 const MAX_BATCHES: f64 = 8.0;
+/// The delay of a VM's timers up to which it plays all batches. Callers see a delay several times in a
+/// request, and want their first event within half a second.
+const USUAL_DELAY: Millis = Millis(20);
 /// The margin for requests that begin and end at random, in standard deviations of their number.
 const RANDOM_MARGIN: f64 = 1.5;
 /// How much more than the mean engine a fast one costs a request that it is not offered to: the
@@ -43,9 +47,25 @@
     }
 }
 
+/// Returns how many batches of arrivals a VM plays whose timers fire `late`: at least one.
+///
+/// This answers the load in which a VM has more to do than its share of a core allows. Plain calls and events
+/// of streams wait behind each choice of a path, so choices become cheaper first, as the delay grows.
+#[must_use]
+pub fn count_batches(arrivals: f64, late: Millis) -> usize {
+    let most = (arrivals / REQUESTS_PER_BATCH).ceil().min(MAX_BATCHES);
+    let share = USUAL_DELAY.0 as f64 / late.max(USUAL_DELAY).0 as f64;
+    if most >= 1.0 {
+        (most * share).ceil() as usize
+    } else {
+        0
+    }
+}
+
 /// Moves the engines' load from the time of its report to now: removes what has probably ended since,
 /// and adds what other VMs have probably sent since. `turnover` is the share of the requests in
-/// progress that ended and began in that time, and `draw` returns random numbers from 0 to 1.
+/// progress that ended and began in that time, `late` the delay of this VM's timers, and `draw` returns random
+/// numbers from 0 to 1.
 ///
 /// This answers the load in which many VMs choose by the same report: all would take the path that was
 /// the cheapest then, until the next report. So the arrivals are played: in batches, each from a
@@ -57,6 +77,7 @@
     links: &Links,
     model: &Model,
     turnover: f64,
+    late: Millis,
     mut draw: F,
 ) where
     F: FnMut() -> f64,
@@ -76,14 +97,14 @@
         stage.memory_use *= 1.0 - turnover;
         stage.memory_use += RANDOM_MARGIN * changes.sqrt() * tokens * layers / capacity;
     }
-    let batches = (arrivals / REQUESTS_PER_BATCH).ceil().min(MAX_BATCHES);
-    let size = arrivals / batches;
+    let batches = count_batches(arrivals, late);
+    let size = arrivals / batches as f64;
     let all = Span {
         from: 0,
         to: model.layers,
     };
     let mut search = Search::new(stages, links, model, demand);
-    for _ in 0..batches as usize {
+    for _ in 0..batches {
         let homes = search.domains();
         let home = &homes[(draw() * homes.len() as f64) as usize % homes.len()];
         let Some(path) = search.find(home, all) else {
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -437,7 +437,8 @@
                 let mean = self.edge.admission(|controller| controller.mean_duration());
                 let turnover = age.0 as f64 / mean.max(1.0);
                 let draw = || self.edge.random();
-                expect_arrivals(&mut stages, &links, self.model, turnover, draw);
+                let late = self.edge.loop_delay();
+                expect_arrivals(&mut stages, &links, self.model, turnover, late, draw);
                 links
             }
             None => Links::unknown(),
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -226,7 +226,8 @@
             let rng = &mut self.rng;
             links = Links::between(&domains, &self.model, unseen, load, || rng.random());
             let draw = || rng.random();
-            expect_arrivals(&mut view, &links, &self.model, AGE / DURATION, draw);
+            let turnover = AGE / DURATION;
+            expect_arrivals(&mut view, &links, &self.model, turnover, Millis(0), draw);
         }
         for stage in &mut view {
             stage.penalty *= 1.0 + 0.15 * self.rng.random::<f64>();
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -292,9 +292,14 @@
             stage.penalty = 1.0 + 0.15 * rng.random::<f64>();
         }
         let arrivals = age.0 as f64 / 1500.0;
-        expect_arrivals(&mut view, &Links::default(), &model, arrivals, || {
-            rng.random()
-        });
+        expect_arrivals(
+            &mut view,
+            &Links::default(),
+            &model,
+            arrivals,
+            Millis(0),
+            || rng.random(),
+        );
         let answer = 220.0 * rng.random_range(0.2..1.8);
         let demand = Demand {
             prompt: 730.0,
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -10,6 +10,7 @@
 use cornelwharf::core::pipe::Links;
 use cornelwharf::core::pipe::Stage;
 use cornelwharf::core::pipe::choose_path;
+use cornelwharf::core::pipe::count_batches;
 use cornelwharf::core::pipe::plan_placement;
 use cornelwharf::core::pipe::spread_load;
 use cornelwharf::core::site::Card;
@@ -196,3 +197,24 @@
     spread_load(&mut view, &model, used, || 0.99);
     assert!(view.iter().all(|stage| stage.penalty <= 1.0));
 }
+
+#[test]
+fn a_vm_that_is_late_spends_its_core_on_choices_of_paths() {
+    const SEARCH_MS: f64 = 1.2;
+    const OTHER_MS: f64 = 2.0;
+    const SHARE: f64 = 0.12;
+    let play = |batches: &dyn Fn(Millis) -> usize| {
+        let mut delay = 0.0_f64;
+        for _ in 0..600 {
+            let searches = 1 + batches(Millis(delay as u64));
+            let work = (OTHER_MS + SEARCH_MS * searches as f64) / SHARE;
+            delay = (delay + work - 100.0).max(0.0);
+        }
+        delay
+    };
+    assert!(play(&|_| count_batches(100.0, Millis(0))) > 2000.0);
+    assert!(play(&|late| count_batches(100.0, late)) <= 100.0);
+    assert_eq!(count_batches(100.0, Millis(0)), 8);
+    assert_eq!(count_batches(100.0, Millis(10_000)), 1);
+    assert_eq!(count_batches(0.0, Millis(0)), 0);
+}
