--- a/src/core/pipe/spread.rs
+++ b/src/core/pipe/spread.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Returns how many batches of arrivals a VM plays whose timers fire `late`: at least one.
+/// Returns how many batches of arrivals a VM plays whose timers fire `late`: at least one if there are arrivals.
 ///
 /// This answers the load in which a VM has more to do than its share of a core allows. Plain calls and events
 /// of streams wait behind each choice of a path, so choices become cheaper first, as the delay grows.
