What VMs tell each other of customers is limited to those who ask for most

With thousands of customers in progress the sum of all loads was longer than a datagram: 334,686 bytes at 21,000 customers on 120 VMs, of 65,507 that UDP takes. Such a message is never sent, so that VMs would know nothing of each other's load; and each ordered stream copied all entries (12 ms of a core at 21,000, docs/CAPACITY.md). It is the class of fault of the too costly search: what is done for each request grows with the fleet and its customers.

Loads that are sent list the 512 customers that ask for most, over all classes, and count the others of each class together. Room that is short is shared max-min, so that those who ask for least get it all anyway; the entry of the others counts for as many customers as must be in it at least. Earlier builds take the entry for one more customer that nobody calls as.

The deployments in force have 10 to 40 customers, so nothing changes there.

--- a/src/core/admit/order.rs
+++ b/src/core/admit/order.rs
@@ -238,9 +238,14 @@
             let back = (most * RETURN_PART).max((most - need.offered) * SPARE_PART);
             let fresh = rate - need.promised.min(most * RETURN_PART);
             let customers = &loads[&need.priority];
-            let level = fair_level(customers, fresh);
-            let share = |load: &ClassLoad| (level / f64::from(load.offered.max(1))).min(1.0);
-            let shares = customers.iter().map(|(name, load)| (*name, share(load)));
+            let count = count_others(customers);
+            let level = fair_level(customers, count, fresh);
+            let share = |(name, load): (&NameHash, &ClassLoad)| {
+                let members = if *name == NameHash::OTHERS { count } else { 1.0 };
+                let offer = f64::from(load.offered.max(1)) / members;
+                (*name, (level / offer).min(1.0))
+            };
+            let shares = customers.iter().map(share);
             let held: f64 = customers.values().map(|load| f64::from(load.held)).sum();
             let plan = ClassPlan {
                 has_urgent: urgent > 0.0,
@@ -280,6 +285,7 @@
             };
         };
         let share = plan.shares.get(&claim.key.customer);
+        let share = share.or_else(|| plan.shares.get(&NameHash::OTHERS));
         let share = share.copied().unwrap_or(plan.share);
         let is_over = self.is_short && share < 1.0;
         let (idle, busy) = USE_RANGE;
@@ -366,22 +372,36 @@
     all.map(|load| f64::from(field(load))).sum()
 }
 
+/// Returns the least number of customers that [`NameHash::OTHERS`] stands for, each of which asks for no more than any
+/// listed one.
+fn count_others(customers: &Customers) -> f64 {
+    let offer = |load: &ClassLoad| f64::from(load.offered);
+    let others = customers.get(&NameHash::OTHERS).map_or(0.0, offer);
+    let listed = customers.iter().filter(|(name, _)| **name != NameHash::OTHERS);
+    let least = listed.map(|(_, load)| offer(load)).fold(f64::INFINITY, f64::min);
+    (others / least.max(1.0)).ceil().max(1.0)
+}
+
 /// Returns the most that one customer gets so that all together get `rate` (max-min fairness):
-/// those who ask for less get it all, the others the same each.
+/// those who ask for less get it all, the others the same each. `others` is the number of customers that are not
+/// listed.
 #[must_use]
-fn fair_level(customers: &Customers, rate: f64) -> f64 {
-    let mut offers: Vec<f64> = customers
-        .values()
-        .map(|load| f64::from(load.offered))
-        .collect();
-    offers.sort_by(f64::total_cmp);
+fn fair_level(customers: &Customers, others: f64, rate: f64) -> f64 {
+    let offer = |(name, load): (&NameHash, &ClassLoad)| {
+        let members = if *name == NameHash::OTHERS { others } else { 1.0 };
+        (f64::from(load.offered) / members, members)
+    };
+    let mut offers: Vec<(f64, f64)> = customers.iter().map(offer).collect();
+    offers.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut left = rate.max(0.0);
-    for (at, offer) in offers.iter().enumerate() {
-        let level = left / (offers.len() - at) as f64;
-        if *offer >= level {
+    let mut count: f64 = offers.iter().map(|(_, members)| members).sum();
+    for (offer, members) in offers {
+        let level = left / count;
+        if offer >= level {
             return level;
         }
-        left -= offer;
+        left -= offer * members;
+        count -= members;
     }
     f64::INFINITY
 }
--- a/src/core/load/exchange.rs
+++ b/src/core/load/exchange.rs
@@ -261,12 +261,14 @@
         if is_hub {
             near_load.add(&self.own);
         }
+        let mut near_sum = near_load.clone();
+        near_sum.limit_customers();
         for addr in near.iter().chain(far).filter(|addr| *addr != me) {
             let message = LoadMessage::Sum {
                 from: self.me,
                 number: self.number,
                 age: near_age,
-                load: near_load.clone(),
+                load: near_sum.clone(),
             };
             messages.push((addr.clone(), message));
         }
@@ -276,10 +278,12 @@
         if is_hub && is_known {
             let mut others = reported;
             others.add(&far_load);
+            others.limit_customers();
             let at = now - age;
             self.total = Some(Total { others, at });
         }
         near_load.add(&far_load);
+        near_load.limit_customers();
         for received in self.reports.values() {
             let message = LoadMessage::Total {
                 counted: received.number,
@@ -292,14 +296,16 @@
     }
 
     fn report(&mut self) -> LoadMessage {
-        self.sent.push_back((self.number, self.own.clone()));
+        let mut load = self.own.clone();
+        load.limit_customers();
+        self.sent.push_back((self.number, load.clone()));
         while self.sent.len() > MAX_REPORTS {
             self.sent.pop_front();
         }
         LoadMessage::Report {
             from: self.me,
             number: self.number,
-            load: self.own.clone(),
+            load,
         }
     }
 
--- a/src/core/load/mod.rs
+++ b/src/core/load/mod.rs
@@ -28,6 +28,10 @@
 pub struct NameHash(u32);
 
 impl NameHash {
+    /// Stands for the customers of a class that are not listed one by one, see [`Load::limit_customers`]. A name
+    /// with this hash would share the entry.
+    pub const OTHERS: Self = Self(u32::MAX);
+
     /// Returns the hash of a name.
     #[must_use]
     pub fn of(name: &str) -> Self {
@@ -61,6 +65,17 @@
     pub customer: NameHash,
 }
 
+impl ClassKey {
+    /// Returns the key of the class's customers that are not listed one by one.
+    #[must_use]
+    pub fn others(&self) -> Self {
+        Self {
+            customer: NameHash::OTHERS,
+            ..*self
+        }
+    }
+}
+
 /// What the callers of a class ask for and have.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassLoad {
@@ -73,6 +88,14 @@
     pub waiting: u32,
 }
 
+impl ClassLoad {
+    fn add(&mut self, other: &Self) {
+        self.offered = self.offered.saturating_add(other.offered);
+        self.held = self.held.saturating_add(other.held);
+        self.waiting = self.waiting.saturating_add(other.waiting);
+    }
+}
+
 /// Identifies the promised returns of a class in one span of time. VMs have no common clock, so
 /// [`Self::slot`] counts spans of [`RETURN_SLOT_MS`] since the Unix epoch.
 #[derive(
@@ -85,6 +108,10 @@
     pub slot: u64,
 }
 
+/// The most customers, over all classes, that are listed in what VMs tell each other. Each takes up to 20 bytes, and
+/// a datagram of 65,507 holds the load of thousands of engines too.
+pub const MAX_CUSTOMERS: usize = 512;
+
 /// The length of a [`ReturnKey::slot`], in milliseconds.
 pub const RETURN_SLOT_MS: u64 = 250;
 
@@ -124,10 +151,7 @@
     /// Adds what callers ask for and were promised by another load to this one.
     pub fn add_callers(&mut self, other: &Self) {
         for (class, load) in &other.classes {
-            let sum = self.classes.entry(*class).or_default();
-            sum.offered = sum.offered.saturating_add(load.offered);
-            sum.held = sum.held.saturating_add(load.held);
-            sum.waiting = sum.waiting.saturating_add(load.waiting);
+            self.classes.entry(*class).or_default().add(load);
         }
         for (key, size) in &other.returns {
             let sum = self.returns.entry(*key).or_default();
@@ -135,6 +159,39 @@
         }
     }
 
+    /// Counts all but the [`MAX_CUSTOMERS`] entries that ask for most together, in one entry of their class under
+    /// [`NameHash::OTHERS`].
+    ///
+    /// This answers a load of thousands of customers at once. All of them would not fit a datagram, so that VMs
+    /// knew nothing of each other, and each request would read all of them. Who asks for little gets it
+    /// all when room is short, so nothing is decided on each of them.
+    pub fn limit_customers(&mut self) {
+        let listed = |key: &ClassKey| key.customer != NameHash::OTHERS;
+        let mut ranks: Vec<(u32, ClassKey)> = self
+            .classes
+            .iter()
+            .filter(|(key, _)| listed(key))
+            .map(|(key, load)| (load.offered, *key))
+            .collect();
+        if ranks.len() <= MAX_CUSTOMERS {
+            return;
+        }
+        let last = ranks.len() - MAX_CUSTOMERS;
+        let (_, least, _) = ranks.select_nth_unstable(last);
+        let least = *least;
+        let mut others: BTreeMap<ClassKey, ClassLoad> = BTreeMap::new();
+        self.classes.retain(|key, load| {
+            let is_kept = !listed(key) || (load.offered, *key) >= least;
+            if !is_kept {
+                others.entry(key.others()).or_default().add(load);
+            }
+            is_kept
+        });
+        for (key, load) in others {
+            self.classes.entry(key).or_default().add(&load);
+        }
+    }
+
     /// Subtracts a load that was added to this one before; what would become negative becomes 0.
     pub fn subtract(&mut self, other: &Self) {
         for (engine, load) in &other.engines {
@@ -145,7 +202,12 @@
             }
         }
         for (class, load) in &other.classes {
-            if let Some(sum) = self.classes.get_mut(class) {
+            let listed = if self.classes.contains_key(class) {
+                *class
+            } else {
+                class.others()
+            };
+            if let Some(sum) = self.classes.get_mut(&listed) {
                 sum.offered = sum.offered.saturating_sub(load.offered);
                 sum.held = sum.held.saturating_sub(load.held);
                 sum.waiting = sum.waiting.saturating_sub(load.waiting);
