A process without a free descriptor goes on with what it has

- The pool keeps at most 512 idle connections to all addresses, closes those too old for any use every 5 s (before: only when the address was called again), and closes half when descriptors run out.
- A connection for which no descriptor is left is tried again for 200 ms, and says nothing against the endpoint.

--- a/src/core/admit/order.rs
+++ b/src/core/admit/order.rs
@@ -241,7 +241,11 @@
             let count = count_others(customers);
             let level = fair_level(customers, count, fresh);
             let share = |(name, load): (&NameHash, &ClassLoad)| {
-                let members = if *name == NameHash::OTHERS { count } else { 1.0 };
+                let members = if *name == NameHash::OTHERS {
+                    count
+                } else {
+                    1.0
+                };
                 let offer = f64::from(load.offered.max(1)) / members;
                 (*name, (level / offer).min(1.0))
             };
@@ -377,8 +381,12 @@
 fn count_others(customers: &Customers) -> f64 {
     let offer = |load: &ClassLoad| f64::from(load.offered);
     let others = customers.get(&NameHash::OTHERS).map_or(0.0, offer);
-    let listed = customers.iter().filter(|(name, _)| **name != NameHash::OTHERS);
-    let least = listed.map(|(_, load)| offer(load)).fold(f64::INFINITY, f64::min);
+    let listed = customers
+        .iter()
+        .filter(|(name, _)| **name != NameHash::OTHERS);
+    let least = listed
+        .map(|(_, load)| offer(load))
+        .fold(f64::INFINITY, f64::min);
     (others / least.max(1.0)).ceil().max(1.0)
 }
 
@@ -388,7 +396,11 @@
 #[must_use]
 fn fair_level(customers: &Customers, others: f64, rate: f64) -> f64 {
     let offer = |(name, load): (&NameHash, &ClassLoad)| {
-        let members = if *name == NameHash::OTHERS { others } else { 1.0 };
+        let members = if *name == NameHash::OTHERS {
+            others
+        } else {
+            1.0
+        };
         (f64::from(load.offered) / members, members)
     };
     let mut offers: Vec<(f64, f64)> = customers.iter().map(offer).collect();
--- a/src/core/load/mod.rs
+++ b/src/core/load/mod.rs
@@ -176,12 +176,11 @@
         if ranks.len() <= MAX_CUSTOMERS {
             return;
         }
-        let last = ranks.len() - MAX_CUSTOMERS;
-        let (_, least, _) = ranks.select_nth_unstable(last);
-        let least = *least;
+        let index = ranks.len() - MAX_CUSTOMERS;
+        let least_kept = *ranks.select_nth_unstable(index).1;
         let mut others: BTreeMap<ClassKey, ClassLoad> = BTreeMap::new();
         self.classes.retain(|key, load| {
-            let is_kept = !listed(key) || (load.offered, *key) >= least;
+            let is_kept = !listed(key) || (load.offered, *key) >= least_kept;
             if !is_kept {
                 others.entry(key.others()).or_default().add(load);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod fair;
 pub mod fleet;
+pub mod intake;
 pub mod limit;
 pub mod load;
 pub mod member;
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -217,7 +217,8 @@
     {
         Ok(link) => link,
         Err(error) => {
-            outcome.is_unreached = matches!(error, ConnectError::Http(_));
+            outcome.is_unreached =
+                matches!(&error, ConnectError::Http(error) if !error.is_exhausted());
             log::info!(id = ctx.id, endpoint:% = entry.endpoint, error:% = error; "not_connected");
             return outcome;
         }
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -104,7 +104,7 @@
         });
     }
     let opened = edge.pool().dial(addr).await;
-    if opened.is_err() {
+    if matches!(&opened, Err(error) if !error.is_exhausted()) {
         reach::record_failure(edge, addr);
     }
     let conn = opened?;
--- a/src/edge/front.rs
+++ b/src/edge/front.rs
@@ -71,8 +71,10 @@
     let listener = listen::bind(edge.settings().front)?;
     let edge = edge.clone();
     let end = wait_for_stop(edge.clone());
+    let pool = edge.pool().clone();
     let serve = move |conn, from| serve(edge.clone(), conn, from);
-    monoio::spawn(listen::accept_until(listener, serve, end));
+    let relieve = move || pool.shed();
+    monoio::spawn(listen::accept_until(listener, serve, relieve, end));
     Ok(())
 }
 
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -29,6 +29,8 @@
 /// The size of the receive buffer, that of the largest datagram. A gossip message fits one packet of an
 /// ordinary network; the load of hundreds of engines takes several.
 const MAX_MESSAGE_BYTES: usize = 65_536;
+/// The pause after a message could not be received.
+const ERROR_PAUSE: Millis = Millis(10);
 /// The least time between two messages, even when there is news.
 const MIN_INTERVAL: Millis = Millis(40);
 /// The pause between two attempts to write this VM's record to the store or to read the others'.
@@ -53,9 +55,14 @@
     loop {
         let (result, back) = socket.recv_from(buf).await;
         buf = back;
-        let Ok((size, from)) = result else {
-            buf = vec![0; MAX_MESSAGE_BYTES];
-            continue;
+        let (size, from) = match result {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:% = error; "message_not_received");
+                // The call may fail again at once, and nothing else would run meanwhile.
+                monoio::time::sleep(ERROR_PAUSE.duration()).await;
+                continue;
+            }
         };
         if load::receive(&edge, from, &buf[..size]) {
             continue;
--- a/src/edge/load.rs
+++ b/src/edge/load.rs
@@ -35,12 +35,12 @@
             hub = chosen;
         }
         for (addr, message) in messages {
-            send(&socket, addr, &message).await;
+            send(&edge, &socket, addr, &message).await;
         }
     }
 }
 
-async fn send(socket: &UdpSocket, to: SocketAddr, message: &LoadMessage) {
+async fn send(edge: &Edge, socket: &UdpSocket, to: SocketAddr, message: &LoadMessage) {
     let bytes = match message.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -49,6 +49,7 @@
         }
     };
     if let (Err(error), _) = socket.send_to(bytes, to).await {
+        edge.metrics().count_load_message("not_sent");
         log::debug!(to:% = to, error:% = error; "load_not_sent");
     }
 }
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -493,7 +493,7 @@
     }
 
     /// Excludes an engine from the request's next paths.
-    fn exclude(&mut self, addr: SocketAddr) {
+    pub fn exclude(&mut self, addr: SocketAddr) {
         if !self.excluded.contains(&addr) {
             self.excluded.push(addr);
         }
--- a/src/edge/registry.rs
+++ b/src/edge/registry.rs
@@ -40,9 +40,10 @@
     for addr in addrs {
         let listener = listen::bind(addr)?;
         let edge = edge.clone();
-        monoio::spawn(listen::accept(listener, move |conn, from| {
-            serve(edge.clone(), conn, from)
-        }));
+        let pool = edge.pool().clone();
+        let serve = move |conn, from| serve(edge.clone(), conn, from);
+        let relieve = move || pool.shed();
+        monoio::spawn(listen::accept(listener, serve, relieve));
     }
     Ok(())
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -414,8 +414,12 @@
         }
         Err(error) => {
             log::info!(id = ctx.id, endpoint:% = first.endpoint, error:% = error; "not_connected");
-            selector.record_failure(first.addr);
-            selector.record_unreached();
+            if matches!(&error, ConnectError::Http(error) if error.is_exhausted()) {
+                selector.exclude(first.addr);
+            } else {
+                selector.record_failure(first.addr);
+                selector.record_unreached();
+            }
             return Err(StreamEnd::NotSent);
         }
     };
--- a/src/io/http/error.rs
+++ b/src/io/http/error.rs
@@ -6,6 +6,8 @@
 use derive_more::Error;
 use derive_more::From;
 
+use crate::io::listen::is_exhausted;
+
 /// Why an operation on a connection failed. The connection must not be used again.
 #[derive(Debug, Display, Error, From)]
 pub enum HttpError {
@@ -33,3 +35,12 @@
     #[display("{_0}")]
     Io(io::Error),
 }
+
+impl HttpError {
+    /// Returns whether this process had no descriptor or memory left for the connection, which says nothing of the
+    /// other side.
+    #[must_use]
+    pub fn is_exhausted(&self) -> bool {
+        matches!(self, Self::Io(error) if is_exhausted(error))
+    }
+}
--- a/src/io/peer/listen.rs
+++ b/src/io/peer/listen.rs
@@ -28,9 +28,9 @@
     let listener = listen::bind(addr)?;
     let vm = own.vm;
     let boot = own.boot;
-    monoio::spawn(listen::accept(listener, move |conn, _| {
-        serve(conn, vm.clone(), boot, Rc::clone(&secret), deliver.clone())
-    }));
+    let serve = move |conn, _| serve(conn, vm.clone(), boot, Rc::clone(&secret), deliver.clone());
+    // Links to other daemons are few; the callers' listener closes what is idle.
+    monoio::spawn(listen::accept(listener, serve, || 0));
     Ok(())
 }
 
--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -5,6 +5,7 @@
 //! requests that must not be repeated, and those whose answers name no request, always use a new
 //! connection (docs/DESIGN.md).
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,6 +33,14 @@
 const KEEP_SHARE: (u64, u64) = (4, 5);
 /// The maximum number of idle connections per address; more are closed.
 const MAX_IDLE_CONNS: usize = 64;
+/// The maximum number of idle connections to all addresses: half of the descriptors that processes usually have. A VM
+/// that calls thousands of endpoints now and then would otherwise have none left for callers.
+const MAX_IDLE_TOTAL: usize = 512;
+/// How often connections are closed that are too old for any use.
+const SWEEP_INTERVAL: Millis = Millis::seconds(5);
+/// How often, and how many times, a connection is tried again for which no descriptor was left.
+const DESCRIPTOR_PAUSE: Millis = Millis(20);
+const DESCRIPTOR_TRIES: u32 = 10;
 
 #[derive(Debug)]
 struct IdleConn {
@@ -53,6 +62,7 @@
 pub struct Pool {
     clock: Clock,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConn>>>>,
+    last_sweep: Rc<Cell<Millis>>,
     /// What the connections keep of incomplete answers.
     answers: KeepLimit,
     #[debug(skip)]
@@ -74,6 +84,7 @@
         Self {
             clock,
             idle: Rc::default(),
+            last_sweep: Rc::new(Cell::new(clock.now())),
             answers,
             resolver: Rc::default(),
         }
@@ -92,7 +103,8 @@
         *self.resolver.borrow_mut() = Some(Box::new(resolver));
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection. If no descriptor is left for it, idle connections are closed, and it is tried again for
+    /// a moment.
     ///
     /// # Errors
     ///
@@ -102,7 +114,17 @@
             Some(resolver) => resolver(addr),
             None => addr,
         };
-        let mut conn = Conn::dial(target).await?;
+        let mut dialed = Conn::dial(target).await;
+        for _ in 0..DESCRIPTOR_TRIES {
+            if !matches!(&dialed, Err(error) if error.is_exhausted()) {
+                break;
+            }
+            if self.shed() == 0 {
+                monoio::time::sleep(DESCRIPTOR_PAUSE.duration()).await;
+            }
+            dialed = Conn::dial(target).await;
+        }
+        let mut conn = dialed?;
         conn.writer.set_host(addr);
         conn.reader.set_account(self.answers.account(addr));
         Ok(conn)
@@ -233,6 +255,30 @@
         if list.len() < MAX_IDLE_CONNS {
             list.push(IdleConn { conn, since, until });
         }
+        drop(idle);
+        if since.since(self.last_sweep.get()) >= SWEEP_INTERVAL {
+            self.last_sweep.set(since);
+            self.sweep(since);
+        }
+    }
+
+    /// Closes connections that are too old for any use and, if more than [`MAX_IDLE_TOTAL`] remain, those of them that
+    /// were idle for the longest time.
+    fn sweep(&self, now: Millis) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, list| {
+            list.retain(|kept| kept.is_usable(now, MAX_SPARE_TIME));
+            !list.is_empty()
+        });
+        close_oldest(&mut idle, MAX_IDLE_TOTAL);
+    }
+
+    /// Closes half of the idle connections, those that were idle for the longest time; returns how many.
+    pub fn shed(&self) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let before = count(&idle);
+        close_oldest(&mut idle, before / 2);
+        before - count(&idle)
     }
 
     /// Closes every idle connection to an address. Called after one of them broke or timed out.
@@ -240,3 +286,27 @@
         self.idle.borrow_mut().remove(&addr);
     }
 }
+
+fn count(idle: &BTreeMap<SocketAddr, Vec<IdleConn>>) -> usize {
+    idle.values().map(Vec::len).sum()
+}
+
+/// Closes the connections that were idle for the longest time until at most `most` remain.
+fn close_oldest(idle: &mut BTreeMap<SocketAddr, Vec<IdleConn>>, most: usize) {
+    let mut times: Vec<Millis> = idle.values().flatten().map(|kept| kept.since).collect();
+    let Some(excess) = times.len().checked_sub(most).filter(|excess| *excess > 0) else {
+        return;
+    };
+    times.sort_unstable();
+    let latest = times[excess - 1];
+    // Of those put back at the same moment, only as many are closed as needed.
+    let mut left = excess;
+    idle.retain(|_, list| {
+        list.retain(|kept| {
+            let is_closed = left > 0 && kept.since <= latest;
+            left -= usize::from(is_closed);
+            !is_closed
+        });
+        !list.is_empty()
+    });
+}
--- a/src/io/serve/mod.rs
+++ b/src/io/serve/mod.rs
@@ -27,8 +27,10 @@
 pub fn listen(addr: SocketAddr, shell: Shell) -> std::io::Result<()> {
     let listener = listen::bind(addr)?;
     let end = wait_for_exit(shell.clone());
+    let pool = shell.pool().clone();
     let serve = move |conn, _| serve(conn, shell.clone());
-    monoio::spawn(listen::accept_until(listener, serve, end));
+    let relieve = move || pool.shed();
+    monoio::spawn(listen::accept_until(listener, serve, relieve, end));
     Ok(())
 }
 
--- a/src/standin/serve.rs
+++ b/src/standin/serve.rs
@@ -45,7 +45,8 @@
     H: Fn(Request, BoxedConn) -> F + Clone + 'static,
     F: Future<Output = (BoxedConn, Reply)> + 'static,
 {
-    listen::accept(listener, move |conn, _| serve(conn, handle.clone())).await;
+    let serve = move |conn, _| serve(conn, handle.clone());
+    listen::accept(listener, serve, || 0).await;
 }
 
 /// A connection that is passed to the handler and returned by it, so that it can stream its answer.
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -60,7 +60,7 @@
 fn exchange(vms: &mut [Exchange<u32>], now: &mut Millis) -> usize {
     let mut longest = 0;
     for _ in 0..4 {
-        *now = *now + REPORT_INTERVAL;
+        *now += REPORT_INTERVAL;
         let mut sent = Vec::new();
         for (me, vm) in vms.iter_mut().enumerate() {
             let me = me as u32;
@@ -80,7 +80,10 @@
 }
 
 fn class_sum(load: &Load, field: fn(&ClassLoad) -> u32) -> u64 {
-    load.classes.values().map(|load| u64::from(field(load))).sum()
+    load.classes
+        .values()
+        .map(|load| u64::from(field(load)))
+        .sum()
 }
 
 #[test]
@@ -93,7 +96,10 @@
         let (load, age) = vm.callers(now);
         assert!(age.is_some());
         let offered = class_sum(&load, |load| load.offered);
-        assert_eq!(offered, u64::from(BURST) + CUSTOMERS as u64 * u64::from(USUAL));
+        assert_eq!(
+            offered,
+            u64::from(BURST) + CUSTOMERS as u64 * u64::from(USUAL)
+        );
         let held = class_sum(&load, |load| load.held);
         assert_eq!(held, CUSTOMERS as u64 * u64::from(SIZE / 3 * 3));
     }
@@ -107,7 +113,10 @@
     for vm in &mut vms {
         let own = vm.own().classes.len();
         let known = vm.callers(now).0.classes.len();
-        assert!(known <= own + 1024, "{known} classes, {own} of them its own");
+        assert!(
+            known <= own + 1024,
+            "{known} classes, {own} of them its own"
+        );
     }
 }
 
