--- a/tests/edge/odd.rs
+++ b/tests/edge/odd.rs
@@ -69,7 +69,7 @@
                 async {}
             };
             let listener = listen::bind(addrs[index]).expect("a listener");
-            monoio::spawn(listen::accept(listener, serve));
+            monoio::spawn(listen::accept(listener, serve, || 0));
             let name = format!("odd{index}");
             let entry = Entry {
                 endpoint: name.as_str().into(),
