An order names the engine that it is for

Orders found the engine by its address alone, and the precondition came from the report of the process that has the address now. Orders and changes of a path now name the engine, as requests do, and the platform's engines answer 421 to what is meant for another one. The stand-in does the same. tests/edge/again.rs counts orders without the engine's name; no order had one before.

--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -12,6 +12,7 @@
 use super::dialect::DialectError;
 use super::dialect::OrderAnswer;
 use super::dialect::Report;
+use super::forward;
 use super::notice;
 use super::reach;
 use super::state::Edge;
@@ -293,19 +294,23 @@
 }
 
 /// Sends an order to an engine over a connection of its own: the answer to an order names none, and
-/// another one taken for it would leave the sender with a wrong belief.
+/// another one taken for it would leave the sender with a wrong belief. The order names the engine, as the address
+/// of one that is gone may belong to another by now, which has less memory.
 ///
 /// # Errors
 ///
 /// Fails if the engine does not answer in time; it may carry out the order nonetheless.
 pub async fn send_order(
     edge: &Edge,
+    endpoint: &EndpointName,
     addr: SocketAddr,
-    request: &Request,
+    mut request: Request,
 ) -> Result<OrderAnswer, EngineError> {
+    let name = &edge.dialect().headers.expected_endpoint;
+    forward::set_header(&mut request.headers, name, endpoint);
     let call = async {
         let mut conn = edge.pool().dial(addr).await?;
-        conn.call(request, CALL_TIMEOUT).await
+        conn.call(&request, CALL_TIMEOUT).await
     };
     let response = within(CALL_TIMEOUT, call).await;
     let response = response.unwrap_or(Err(HttpError::TimedOut))?;
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -97,7 +97,7 @@
         expected_orders: report.accepted_orders,
     };
     let request = (edge.dialect().order_request)(&order);
-    let answer = match engine::send_order(edge, entry.addr, &request).await {
+    let answer = match engine::send_order(edge, &entry.endpoint, entry.addr, request).await {
         Ok(answer) => Some(answer),
         Err(error) => {
             log::warn!(endpoint:% = entry.endpoint, error:% = error; "order_unanswered");
--- a/src/edge/paths.rs
+++ b/src/edge/paths.rs
@@ -565,7 +565,7 @@
             return false;
         }
         let request = (self.edge.dialect().repath_request)(id, &other);
-        let answer = engine::send_order(self.edge, first.addr, &request).await;
+        let answer = engine::send_order(self.edge, &first.endpoint, first.addr, request).await;
         log::info!(id, silent:? = silent, path:% = format_path(&other), answer:? = answer; "repath");
         match answer {
             Ok(OrderAnswer::Begun | OrderAnswer::Done) => {
--- a/src/standin/fleet/endpoint.rs
+++ b/src/standin/fleet/endpoint.rs
@@ -374,6 +374,11 @@
     }
 
     fn order(&self, addr: SocketAddr, request: &Request) -> Response {
+        let expected = header_text(&request.headers, "endpoint");
+        let is_meant = |endpoint: &mut Endpoint| *endpoint.entry.endpoint == *expected;
+        if !expected.is_empty() && self.with_endpoint(addr, is_meant) == Some(false) {
+            return refusal(StatusCode::MISDIRECTED_REQUEST, addr);
+        }
         let status = match serde_json::from_slice(&request.body) {
             Ok(Order::Hold { span, fence, after }) => self.with_endpoint(addr, |endpoint| {
                 if fence < endpoint.fence {
--- a/tests/edge/again.rs
+++ b/tests/edge/again.rs
@@ -113,3 +113,33 @@
         assert_eq!(unsafe_ones, 0, "of {all}");
     });
 }
+
+#[test]
+fn an_order_reaches_another_engine_that_has_the_address_of_one_that_is_gone() {
+    run(async |world: Rc<World>| {
+        let addr = world.first_engines()[0];
+        let orders = Rc::new(Cell::new((0, 0)));
+        let (count, seen) = (Rc::clone(&orders), Rc::clone(&world));
+        let handle = async move |target,
+                                 conn: &mut fake::Conn,
+                                 request: &fake::Request,
+                                 _: &mut fake::Memory| {
+            if request.uri.path() == "/order" {
+                let (all, unnamed) = count.get();
+                let meant = request.headers.get("endpoint").cloned();
+                let name = seen
+                    .endpoints
+                    .with_endpoint(addr, |it| it.entry.endpoint.to_string());
+                let is_named = meant.is_some_and(|meant| name.is_some_and(|name| meant == *name));
+                count.set((all + 1, unnamed + usize::from(!is_named)));
+            }
+            fake::pass(target, conn, request).await
+        };
+        fake::replace(&world.edges, &[addr], handle);
+        world.endpoints.crash(addr);
+        sleep(Millis::seconds(6)).await;
+        let (all, unnamed) = orders.get();
+        assert!(all > 0, "no order was sent");
+        assert_eq!(unnamed, 0, "orders without the engine's name, of {all}");
+    });
+}
