--- a/src/io/listen.rs
+++ b/src/io/listen.rs
@@ -1,5 +1,6 @@
 //! Accepts TCP connections.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -38,6 +39,9 @@
 /// again at once, and nothing closes a connection meanwhile.
 const ERROR_PAUSE: Millis = Millis(10);
 
+/// The least time between two log lines on connections that were not accepted.
+const LOG_INTERVAL: Millis = Millis::seconds(1);
+
 /// Returns whether an error says that no descriptor or memory for a socket is left.
 pub fn is_exhausted(error: &io::Error) -> bool {
     let codes = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
@@ -103,6 +107,7 @@
     relieve: R,
     clock: Clock,
     intake: Rc<RefCell<Intake>>,
+    last_logged: Cell<Millis>,
 }
 
 impl<S, F, R> Acceptor<S, R>
@@ -117,6 +122,7 @@
             relieve,
             clock: Clock::start(),
             intake: Rc::default(),
+            last_logged: Cell::default(),
         }
     }
 
@@ -142,15 +148,19 @@
 
     /// Makes room if none was left for a connection, and waits a moment.
     async fn recover(&self, error: &io::Error) {
-        if is_exhausted(error) {
-            let closed = (self.relieve)();
-            let mut intake = self.intake.borrow_mut();
-            if closed == 0 {
-                intake.record_exhaustion(self.clock.now());
-            }
-            log::warn!(error:% = error, open = intake.open(), closed; "not_accepted");
+        let now = self.clock.now();
+        let closed = if is_exhausted(error) {
+            (self.relieve)()
         } else {
-            log::debug!(error:% = error; "not_accepted");
+            0
+        };
+        if is_exhausted(error) && closed == 0 {
+            self.intake.borrow_mut().record_exhaustion(now);
+        }
+        if now.since(self.last_logged.get()) >= LOG_INTERVAL {
+            self.last_logged.set(now);
+            let open = self.intake.borrow().open();
+            log::warn!(error:% = error, open, closed; "not_accepted");
         }
         monoio::time::sleep(ERROR_PAUSE.duration()).await;
     }
