--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -33,7 +33,7 @@
 const KEEP_SHARE: (u64, u64) = (4, 5);
 /// The maximum number of idle connections per address; more are closed.
 const MAX_IDLE_CONNS: usize = 64;
-/// The maximum number of idle connections to all addresses: half of the descriptors that processes usually have. A VM
+/// The idle connections to all addresses that a sweep leaves at most: half of the descriptors that processes usually have. A VM
 /// that calls thousands of endpoints now and then would otherwise have none left for callers.
 const MAX_IDLE_TOTAL: usize = 512;
 /// How often connections are closed that are too old for any use.
