--- a/src/io/pool.rs
+++ b/src/io/pool.rs
@@ -38,7 +38,8 @@
 const MAX_IDLE_TOTAL: usize = 512;
 /// How often connections are closed that are too old for any use.
 const SWEEP_INTERVAL: Millis = Millis::seconds(5);
-/// How often, and how many times, a connection is tried again for which no descriptor was left.
+/// The pause before a connection is tried again for which no descriptor was left, and the most tries: together short
+/// enough for a further endpoint within the time of a request.
 const DESCRIPTOR_PAUSE: Millis = Millis(20);
 const DESCRIPTOR_TRIES: u32 = 10;
 
