--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -298,13 +298,17 @@
         finally:
             self.active -= 1
 
+    def is_next_open(self):
+        """Tells whether the next answer has no length and ends with its channel."""
+        return random.random() < self.plan.get("open_share", 0)
+
     def head(self, ask, media, framing):
         lines = ["HTTP/1.1 200 OK", f"x-request-id: {ask}",
                  f"x-server-signature: {self.plan['id']}.{ask}", f"content-type: {media}", framing]
         return "\r\n".join(line for line in lines if line).encode() + b"\r\n\r\n"
 
     async def stream(self, writer, ask, headers):
-        is_open = self.plan["framing"] == "open"
+        is_open = self.is_next_open()
         last = int(headers.get("last-event-id", 0))
         framing = "connection: close" if is_open else "transfer-encoding: chunked"
         data = self.head(ask, "text/event-stream", framing)
@@ -313,29 +317,29 @@
             event = f"id: {number}\ndata: {ask} {number}\n\n".encode()
             data += event if is_open else b"%x\r\n%s\r\n" % (len(event), event)
             if number == self.plan["events"]:
-                data += self.plan.get("tail", "").encode()
-                data += b"" if is_open else b"0\r\n\r\n"
+                data += self.plan.get("tail", "").encode() if is_open else b"0\r\n\r\n"
             writer.write(data)
             await writer.drain()
             data = b""
         if data:
             writer.write(data + (b"" if is_open else b"0\r\n\r\n"))
-        self.note("end", ask)
+        self.note("end-open" if is_open else "end", ask)
         return not is_open
 
     async def call(self, writer, ask):
-        """Sends an answer in two halves."""
-        is_open = self.plan["framing"] == "open"
+        """Sends an answer in two halves, the first one early."""
+        is_open = self.is_next_open()
         body = whole_body(ask)
         half = len(body) // 2
         framing = "connection: close" if is_open else f"content-length: {len(body)}"
-        await asyncio.sleep(self.plan["work_ms"] / 2000)
+        early = self.plan["work_ms"] / 10
+        await asyncio.sleep(early / 1000)
         writer.write(self.head(ask, "text/plain", framing) + body[:half])
         await writer.drain()
-        await asyncio.sleep(self.plan["work_ms"] / 2000)
+        await asyncio.sleep((self.plan["work_ms"] - early) / 1000)
         writer.write(body[half:])
         await writer.drain()
-        self.note("end", ask)
+        self.note("end-open" if is_open else "end", ask)
         return not is_open
 
 
@@ -355,6 +359,7 @@
         self.store = Store()
         self.routes = routes
         self.daemons = []
+        self.readers = []
         self.engines = {}
         self.count = daemons
         self.tasks = []
@@ -499,10 +504,14 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write(re.sub(r"\{\{([^}]+)\}\}", fill, template))
         log = open(os.path.join(self.dir, f"daemon-{index}.log"), "a")
+        # The platform's log reader: a process that reads what the daemon writes.
+        reader = subprocess.Popen(["cat"], stdin=subprocess.PIPE, stdout=log, stderr=log)
+        self.readers.append(reader)
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["CORNELWHARF_CONFIG"] = path
-        self.daemons[index] = subprocess.Popen([PROGRAM], cwd=ROOT, env=env, stdout=log, stderr=log,
-                                               stdin=subprocess.DEVNULL)
+        self.daemons[index] = subprocess.Popen([PROGRAM], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
+                                               stdout=reader.stdin, stderr=reader.stdin)
+        reader.stdin.close()
         self.note(f"daemon {index} starts, process {self.daemons[index].pid}")
 
     async def wait_ready(self, index):
@@ -539,7 +548,7 @@
     async def end(self):
         for task in self.tasks:
             task.cancel()
-        children = [child for child in self.daemons if child] + [
+        children = [child for child in self.daemons if child] + self.readers + [
             engine["child"] for engine in self.engines.values()]
         for child in children:
             if child.poll() is None:
