--- a/review/10/case.py
+++ b/review/10/case.py
@@ -31,15 +31,10 @@
             while time.monotonic() < end:
                 turn += 1
                 ask = f"lookup{number:02d}{turn:04d}"
-                ip, port = world.front(number % 3)
-                headers = rig.request_headers(ask, 1500)
                 begun = time.monotonic()
-                status, _, _, whole = await rig.exchange(ip, port, "POST", "/stock-lookup/1",
-                                                         headers, b"{}", 3.0)
+                answer = await world.ask(number % 3, "/stock-lookup/1", ask, 1500, 3.0)
+                status, _, _, whole = answer
                 taken = time.monotonic() - begun
-                if taken > 0.3 or status != 200:
-                    world.note(f"{ask} to daemon {number % 3}: {status or 'no answer'} "
-                               f"after {taken:.2f} s")
                 calls.append((number % 3, taken, status != 0 and whole))
                 await asyncio.sleep(PAUSE_S)
 
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -529,6 +529,22 @@
     def front(self, index):
         return f"{self.net}.{10 + index}", self.port
 
+    async def ask(self, daemon, path, name, deadline_ms, limit, stream=False):
+        """Sends a request to a daemon, and records it and its answer."""
+        ip, port = self.front(daemon)
+        headers = request_headers(name, deadline_ms, stream)
+        self.note(f"sent: {name} to daemon {daemon}, POST {path}")
+        begun = time.monotonic()
+        answer = await exchange(ip, port, "POST", path, headers, b"{}", limit)
+        status, _, body, whole = answer
+        taken = time.monotonic() - begun
+        ids = event_ids(body) if stream else []
+        size = f"events {ids[0]} to {ids[-1]}" if ids else f"{len(body)} bytes"
+        end = "whole" if whole else "broken off" if status else "after which the caller left"
+        self.note(f"answered: {name} by daemon {daemon}, {status or 'nothing'}, {size}, {end}, "
+                  f"{taken:.3f} s")
+        return answer
+
     def runs(self):
         """What engines did: (time, what, request, engine)."""
         try:
@@ -556,7 +572,7 @@
                 child.kill()
             child.wait()
         for when, what, request, engine in self.runs():
-            self.note(f"engine log: {when} {what} {request} {engine}")
+            self.note(f"engine {engine}, at {when}: {what} {request}")
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.dir, ignore_errors=True)
 
