Lines on waiting and refused streams say who is taken for a return

The line `waited` had no `back`, and neither line said how much time the caller had left, which it is judged by. So the lines of a slow return could not tell why the demand was counted too low (docs/incidents/slow-return.md).

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -173,6 +173,7 @@
         short = is_short,
         tokens = claim.size,
         back = claim.is_return,
+        left_ms = arrival.left.0,
         waited_ms = now.since(ctx.start).0,
         retry_ms = wait.0,
         reason;
@@ -289,6 +290,8 @@
             id = ctx.id,
             priority = self.claim.key.priority,
             tokens = self.claim.size,
+            back = self.claim.is_return,
+            left_ms = ctx.remaining(since).0,
             waited_ms = waited.0;
             "waited"
         );
