Admission without classes takes nobody for a retry while nobody is refused

Both ways of admission now judge by core/admit/times.rs. As many retries are expected as this VM refuses; a route's times are dropped with the route, as before.

--- a/src/core/admit/mod.rs
+++ b/src/core/admit/mod.rs
@@ -13,8 +13,7 @@
 pub mod streams;
 mod times;
 
-use std::collections::BTreeMap;
-
+use self::times::TimesLeft;
 use crate::clock::Millis;
 use crate::core::pipe::Stage;
 use crate::core::site::Model;
@@ -30,9 +29,10 @@
 const INITIAL_DURATION_MS: f64 = 3000.0;
 /// The shortest and the longest delay after which a refused caller may retry, in milliseconds.
 const RETRY_AFTER_MS: (f64, f64) = (400.0, 5000.0);
-/// A request counts as a retry if its time left is shorter by more than this than the longest one
-/// seen on its route.
-const RETRY_MARGIN: Millis = Millis(300);
+/// The weight of the newest decision in the share of refused requests, and the share below which nobody is
+/// expected to come back.
+const REFUSAL_WEIGHT: f64 = 0.02;
+const MIN_REFUSED: f64 = 0.01;
 
 /// How requests are admitted; tests compare `Capacity` with `Always`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -82,7 +82,9 @@
 pub struct AdmissionController {
     policy: Policy,
     mean_duration: f64,
-    longest_left: BTreeMap<String, Millis>,
+    times: TimesLeft,
+    /// The share of the latest requests that were refused.
+    refused: f64,
 }
 
 impl AdmissionController {
@@ -92,34 +94,39 @@
         Self {
             policy,
             mean_duration: INITIAL_DURATION_MS,
-            longest_left: BTreeMap::new(),
+            times: TimesLeft::default(),
+            refused: 0.0,
         }
     }
 
-    /// Returns whether a request is probably the retry of a refused one, given the time `left`
-    /// until its deadline. Callers of a route usually have the same timeout, and a retry has less
-    /// of it left, so the longest time left is kept for each route.
+    /// Returns whether a request is probably the retry of a refused one, given the time `left` until its
+    /// deadline: a retry has less of it left. As many retries are expected as requests are refused.
     pub fn detect_retry(&mut self, route: &str, left: Millis) -> bool {
-        if let Some(longest) = self.longest_left.get_mut(route) {
-            *longest = left.max(*longest);
-            left + RETRY_MARGIN < *longest
-        } else {
-            self.longest_left.insert(route.to_owned(), left);
-            false
-        }
+        let is_expected = self.refused >= MIN_REFUSED;
+        let share = if is_expected { self.refused } else { 0.0 };
+        self.times.detect_return(route, left, share)
     }
 
     /// Decides on a request of `tokens` tokens; `draw`, a random number between 0 and 1, spreads
     /// the retries of refused callers. Without any capacity the request is admitted: no path exists
     /// then, which may be over in a moment and is handled when a path is chosen.
-    pub fn decide(&self, occupancy: Occupancy, tokens: f64, is_retry: bool, draw: f64) -> Decision {
+    pub fn decide(
+        &mut self,
+        occupancy: Occupancy,
+        tokens: f64,
+        is_retry: bool,
+        draw: f64,
+    ) -> Decision {
         let limit = if is_retry {
             RETRY_LIMIT
         } else {
             NEW_REQUEST_LIMIT
         };
         let excess = occupancy.used + tokens - occupancy.capacity * limit;
-        if self.policy == Policy::Always || excess <= 0.0 || occupancy.capacity <= 0.0 {
+        let is_admitted =
+            self.policy == Policy::Always || excess <= 0.0 || occupancy.capacity <= 0.0;
+        self.refused += (f64::from(u8::from(!is_admitted)) - self.refused) * REFUSAL_WEIGHT;
+        if is_admitted {
             return Decision::Admit;
         }
         // Requests end at a rate of `used / mean_duration`. Other callers retry in that time,
@@ -146,6 +153,6 @@
     where
         F: Fn(&str) -> bool,
     {
-        self.longest_left.retain(|route, _| exists(route));
+        self.times.retain_routes(exists);
     }
 }
--- a/src/core/admit/streams.rs
+++ b/src/core/admit/streams.rs
@@ -104,8 +104,9 @@
         let class = returns::class_hash(&arrival.service, arrival.priority);
         let promised = returns::rate_at(view.load, class, now);
         let share = promised / (promised + class_offered(view.load, &key)).max(1.0);
-        let (service, route, left) = (&arrival.service, &arrival.route, arrival.left);
-        let is_late = self.times.detect_return(service, route, left, share);
+        let is_late = self
+            .times
+            .detect_return(&arrival.route, arrival.left, share);
         let is_return = self.refused.take(&arrival.content, now) || is_late;
         // The ledger of returns counts those who come back.
         if !is_return {
@@ -234,13 +235,20 @@
         self.durations.record(key.service, key.priority, duration);
     }
 
+    /// Drops the state of routes that no longer exist.
+    pub fn retain_routes<F>(&mut self, exists: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.times.retain_routes(exists);
+    }
+
     /// Drops the state of services that no longer exist.
     pub fn retain_services<F>(&mut self, exists: F)
     where
         F: Fn(&ServiceName) -> bool,
     {
         self.orders.retain(|service, _| exists(service));
-        self.times.retain_services(&exists);
         self.ordered.retain(|service, _| exists(service));
         self.queues
             .retain(|service, queue| exists(service) || !queue.is_empty());
--- a/src/core/admit/times.rs
+++ b/src/core/admit/times.rs
@@ -4,7 +4,6 @@
 use std::collections::VecDeque;
 
 use crate::clock::Millis;
-use crate::names::ServiceName;
 
 /// The number of a route's latest requests whose times left are kept.
 const SAMPLES: usize = 64;
@@ -16,10 +15,10 @@
 /// refused callers are told, less the time by which some come early.
 const MIN_DIFFERENCE: Millis = Millis(300);
 
-/// The times left of the latest requests, by service and route.
+/// The times left of the latest requests, by route.
 #[derive(Clone, Debug, Default)]
 pub struct TimesLeft {
-    routes: BTreeMap<ServiceName, BTreeMap<String, Times>>,
+    routes: BTreeMap<String, Times>,
 }
 
 /// The times left of one route's requests.
@@ -37,15 +36,8 @@
     /// This answers callers of a route who wait for different times: less time than the longest does not show a
     /// return. So requests are taken for returns that have less than nearly all first attempts, and beyond these no
     /// more than are expected, those with the least time left.
-    pub fn detect_return(
-        &mut self,
-        service: &ServiceName,
-        route: &str,
-        left: Millis,
-        share: f64,
-    ) -> bool {
-        let routes = self.routes.entry(service.clone()).or_default();
-        let times = routes.entry(route.to_owned()).or_default();
+    pub fn detect_return(&mut self, route: &str, left: Millis, share: f64) -> bool {
+        let times = self.routes.entry(route.to_owned()).or_default();
         let is_return = share > 0.0 && times.is_return(left, share);
         push(&mut times.latest, left);
         if share <= 0.0 {
@@ -54,12 +46,12 @@
         is_return
     }
 
-    /// Drops the times of services that no longer exist.
-    pub fn retain_services<F>(&mut self, exists: F)
+    /// Drops the times of routes that no longer exist.
+    pub fn retain_routes<F>(&mut self, exists: F)
     where
-        F: Fn(&ServiceName) -> bool,
+        F: Fn(&str) -> bool,
     {
-        self.routes.retain(|service, _| exists(service));
+        self.routes.retain(|route, _| exists(route));
     }
 }
 
--- a/src/edge/feed.rs
+++ b/src/edge/feed.rs
@@ -155,9 +155,9 @@
     log::info!(version = site.version, offset:% = offset, routes = site.routes.len(), source; "config_in_force");
     startup::record(edge, Step::Config, source);
     edge.fleet(|fleet| fleet.me().version = site.version);
-    edge.admission(|controller| {
-        controller.retain_routes(|name| site.routes.iter().any(|route| route.name == name));
-    });
+    let exists = |name: &str| site.routes.iter().any(|route| route.name == name);
+    edge.admission(|controller| controller.retain_routes(exists));
+    edge.streams(|streams| streams.retain_routes(exists));
     edge.trigger_gossip();
 }
 
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -225,7 +225,7 @@
 
 #[test]
 fn a_retry_is_admitted_before_a_new_request() {
-    let admission = AdmissionController::new(Policy::Capacity);
+    let mut admission = AdmissionController::new(Policy::Capacity);
     let occupancy = Occupancy {
         used: CAPACITY,
         capacity: CAPACITY,
@@ -296,3 +296,22 @@
         "layers are missing"
     );
 }
+
+#[test]
+fn callers_who_wait_for_different_times_are_taken_for_retries_though_nobody_was_refused() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut admission = AdmissionController::new(Policy::Capacity);
+    let empty = Occupancy {
+        used: 0.0,
+        capacity: CAPACITY,
+    };
+    let mut retries = 0;
+    for _ in 0..300 {
+        let left = Millis(rng.random_range(17_000..=PATIENCE.0));
+        let is_retry = admission.detect_retry("r", left);
+        retries += u32::from(is_retry);
+        let decision = admission.decide(empty, 900.0, is_retry, rng.random());
+        assert_eq!(decision, Decision::Admit);
+    }
+    assert_eq!(retries, 0);
+}
