A route's shorter timeout makes no first attempts returns

Beside, found by reading it: a configuration may shorten the timeout of a route, after which all callers have less time left than first attempts had.

A new configuration forgets what first attempts had left, and never more than half of the latest requests, or the share that is expected, are taken for returns.

--- a/src/core/admit/times.rs
+++ b/src/core/admit/times.rs
@@ -11,6 +11,9 @@
 const MIN_SAMPLES: usize = 5;
 /// One in so many requests that come while no return is expected may be one.
 const RARE: usize = 8;
+/// The share of the latest requests, those with the least time left, of which any may be returns that have less than
+/// first attempts: where more have, callers have changed.
+const MOST: f64 = 0.5;
 /// A return has less time left than a first attempt of the same caller by at least this: the shortest delay that
 /// refused callers are told, less the time by which some come early.
 const MIN_DIFFERENCE: Millis = Millis(300);
@@ -46,27 +49,29 @@
         is_return
     }
 
-    /// Drops the times of routes that no longer exist.
+    /// Drops the times of routes that no longer exist, and those of all first attempts, as the timeouts of routes may
+    /// have changed.
     pub fn retain_routes<F>(&mut self, exists: F)
     where
         F: Fn(&str) -> bool,
     {
         self.routes.retain(|route, _| exists(route));
+        self.routes
+            .values_mut()
+            .for_each(|times| times.first.clear());
     }
 }
 
 impl Times {
     fn is_return(&self, left: Millis, share: f64) -> bool {
         let bound = left + MIN_DIFFERENCE;
-        let rare = self.first.iter().filter(|time| **time <= bound).count();
-        if self.first.len() >= MIN_SAMPLES && rare * RARE < self.first.len() {
-            return true;
-        }
+        let usual = self.first.iter().filter(|time| **time <= bound).count();
+        let is_short = self.first.len() >= MIN_SAMPLES && usual * RARE < self.first.len();
+        let most = if is_short { share.max(MOST) } else { share };
         let count = self.latest.len();
         let shorter = self.latest.iter().filter(|time| **time < left).count();
-        let is_among_shortest = (shorter as f64) < share * count as f64;
         let is_below = self.latest.iter().any(|time| bound < *time);
-        count >= MIN_SAMPLES && is_below && is_among_shortest
+        count >= MIN_SAMPLES && is_below && (shorter as f64) < most * count as f64
     }
 }
 
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -315,3 +315,34 @@
     }
     assert_eq!(retries, 0);
 }
+
+#[test]
+fn all_callers_are_taken_for_retries_once_the_timeout_of_their_route_is_shorter() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut admission = AdmissionController::new(Policy::Capacity);
+    let mut retries = 0;
+    for count in 0..600 {
+        let longest = if count < 200 { PATIENCE.0 } else { 10_000 };
+        if count == 200 {
+            admission.retain_routes(|_| true);
+        }
+        let left = Millis(rng.random_range(longest * 85 / 100..=longest));
+        let is_retry = admission.detect_retry("r", left);
+        retries += u32::from(is_retry);
+        // One in ten is refused from then on.
+        let occupancy = Occupancy {
+            used: if count >= 200 && count % 10 == 0 {
+                2.0 * CAPACITY
+            } else {
+                0.0
+            },
+            capacity: CAPACITY,
+        };
+        admission.decide(occupancy, 900.0, is_retry, rng.random());
+    }
+    // As many as are refused, and half as many again for the estimate of that.
+    assert!(
+        retries <= 400 / 10 * 3 / 2,
+        "{retries} of 600 are taken for retries"
+    );
+}
